--- /dev/null
+++ b/crates/peridotdeck-core/src/claim/round.rs
@@ -0,0 +1,168 @@
+//! One entry node's effort to reserve a key.
+
+use std::time::Duration;
+
+use peridotdeck_wire::{Answer, Claim, Entry, Phase};
+
+use crate::{id, request};
+
+/// Time after which the claim is sent again to witnesses that have not granted it.
+const RESEND: Duration = Duration::from_millis(200);
+
+/// Longest effort; afterwards the caller is told.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Votes of the witnesses so far.
+#[derive(Clone, Debug)]
+pub struct Round {
+    claim: Claim,
+    witnesses: Vec<id::Node>,
+    votes: Vec<(id::Node, Answer)>,
+    started: id::Time,
+    sent: Option<id::Time>,
+}
+
+/// Where a round stands.
+#[derive(Clone, Debug, PartialEq)]
+pub enum State {
+    /// Votes are missing.
+    Open,
+    /// The key is reserved for this request, and for no other.
+    Won,
+    /// An earlier call with the key has ended.
+    Ended(Entry),
+    /// The key was used with another call.
+    Reused,
+    /// Time is up. Tells whether an earlier call with the key may be running.
+    Lost {
+        /// Whether any witness knows of an earlier call.
+        taken: bool,
+    },
+}
+
+impl Round {
+    /// Starts a round for a request.
+    #[must_use]
+    pub fn new(
+        request: id::Request,
+        claim: &request::Claim,
+        witnesses: Vec<id::Node>,
+        roster: id::Revision,
+        now: id::Time,
+    ) -> Self {
+        let claim = Claim {
+            key: claim.key.clone(),
+            digest: claim.digest,
+            attempt: request,
+            roster,
+        };
+        Self {
+            claim,
+            witnesses,
+            votes: Vec::new(),
+            started: now,
+            sent: None,
+        }
+    }
+
+    /// Returns the witnesses.
+    #[must_use]
+    pub fn witnesses(&self) -> &[id::Node] {
+        &self.witnesses
+    }
+
+    /// Returns the index of the VM list that named the witnesses.
+    #[must_use]
+    pub fn roster(&self) -> id::Revision {
+        self.claim.roster
+    }
+
+    /// Moves to another set of witnesses after the VM list changed; old votes count no more.
+    pub fn move_to(&mut self, witnesses: Vec<id::Node>, roster: id::Revision) {
+        if roster != self.claim.roster {
+            self.claim.roster = roster;
+            self.witnesses = witnesses;
+            self.votes.clear();
+            self.sent = None;
+        }
+    }
+
+    /// Takes a vote.
+    pub fn vote(&mut self, witness: id::Node, answer: Answer) {
+        if !self.witnesses.contains(&witness) {
+            return;
+        }
+        match self.votes.binary_search_by_key(&witness, |vote| vote.0) {
+            Ok(at) => self.votes[at].1 = answer,
+            Err(at) => self.votes.insert(at, (witness, answer)),
+        }
+    }
+
+    /// Returns where the round stands.
+    #[must_use]
+    pub fn state(&self, now: id::Time) -> State {
+        let taken = || {
+            self.votes.iter().filter_map(|(_, answer)| match answer {
+                Answer::Taken(entry) => Some(entry),
+                _ => None,
+            })
+        };
+        if taken().any(|entry| entry.digest != self.claim.digest) {
+            return State::Reused;
+        }
+        if let Some(entry) = taken().find(|entry| entry.phase == Phase::Ran) {
+            return State::Ended(entry.clone());
+        }
+        if let Some(entry) = taken().find(|entry| entry.phase == Phase::MayHaveRun) {
+            return State::Ended(entry.clone());
+        }
+        let granted = self
+            .votes
+            .iter()
+            .filter(|(_, answer)| *answer == Answer::Granted)
+            .count();
+        if granted > self.witnesses.len() / 2 {
+            return State::Won;
+        }
+        if now.saturating_sub(self.started) > PATIENCE {
+            return State::Lost {
+                taken: taken().next().is_some(),
+            };
+        }
+        State::Open
+    }
+
+    /// Returns the witnesses to ask (again) and the claim for them.
+    pub fn send(&mut self, now: id::Time) -> Option<(Vec<id::Node>, Claim)> {
+        if self
+            .sent
+            .is_some_and(|sent| now.saturating_sub(sent) < RESEND)
+        {
+            return None;
+        }
+        self.sent = Some(now);
+        let granted = |node: id::Node| self.votes.contains(&(node, Answer::Granted));
+        let open = self
+            .witnesses
+            .iter()
+            .copied()
+            .filter(|&node| !granted(node))
+            .collect();
+        Some((open, self.claim.clone()))
+    }
+
+    /// Returns the record that tells the witnesses how the call ended.
+    #[must_use]
+    pub fn settle(&self, phase: Phase, answer: Option<(u16, String)>, now: id::Time) -> Entry {
+        let (status, answer) = answer.unwrap_or_default();
+        Entry {
+            key: self.claim.key.clone(),
+            digest: self.claim.digest,
+            attempt: self.claim.attempt,
+            phase,
+            age_ms: now.saturating_sub(self.started).as_millis() as u32,
+            status,
+            answer,
+        }
+    }
+}
--- /dev/null
+++ b/crates/peridotdeck-core/src/engine.rs
@@ -0,0 +1,320 @@
+//! What the owner of a pool knows about one endpoint.
+//!
+//! The owner's own count of granted slots is current; load reports arrive late, so they only
+//! reveal restarts and, after a change of owner, the load that nobody has told the new owner of.
+
+use std::time::Duration;
+
+use peridotdeck_policy::Endpoint;
+use peridotdeck_wire::Outcome;
+use serde::{Deserialize, Serialize};
+use strum::{Display, IntoStaticStr};
+
+use crate::{id, size::Mean};
+
+/// First pause after a failure; it doubles with each further failure.
+const BACKOFF: Duration = Duration::from_millis(500);
+
+/// Longest pause after failures.
+const MAX_BACKOFF: Duration = Duration::from_secs(8);
+
+/// Finished requests for which a cold endpoint gets one more slot.
+const FINISHED_PER_SLOT: u32 = 2;
+
+/// A first token this many times slower than the pool's median marks an endpoint as slow.
+const SLOW_FACTOR: f64 = 3.0;
+
+/// Differences below this are noise, whatever the ratio.
+const SLOW_FLOOR_MS: f64 = 100.0;
+
+/// Prefixes that an endpoint is assumed to hold in its cache.
+const PREFIXES: usize = 64;
+
+/// Time for which a prefix is assumed to stay cached.
+const PREFIX_AGE: Duration = Duration::from_secs(60);
+
+/// Age after which a report says nothing about the present.
+const REPORT_AGE: Duration = Duration::from_secs(3);
+
+/// Load report of an endpoint, as its HTTP interface gives it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Start of the endpoint's process; another value means that it has restarted.
+    pub boot: u64,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait at the endpoint.
+    pub queued: u32,
+    /// Whether it can bear its full load.
+    pub warm: bool,
+}
+
+/// How much an endpoint is trusted with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Phase {
+    /// It takes its full load.
+    Warm,
+    /// It takes its cold load and more with each finished request.
+    Cold {
+        /// Requests finished since it turned cold.
+        finished: u32,
+    },
+    /// It is slower than its peers and gets one probe at a time.
+    Slow,
+    /// It failed and rests.
+    Down {
+        /// End of the rest.
+        until: id::Time,
+    },
+}
+
+/// State of one endpoint.
+#[derive(Clone, Debug)]
+pub struct State {
+    endpoint: Endpoint,
+    open: bool,
+    phase: Phase,
+    in_flight: u32,
+    failures: u32,
+    first: Mean,
+    gap: Mean,
+    report: Option<(Report, id::Time)>,
+    prefixes: Vec<(u64, id::Time)>,
+}
+
+impl State {
+    /// Starts with a cold endpoint: nobody has vouched for it yet.
+    #[must_use]
+    pub fn new(endpoint: Endpoint, open: bool) -> Self {
+        Self {
+            endpoint,
+            open,
+            phase: Phase::Cold { finished: 0 },
+            in_flight: 0,
+            failures: 0,
+            first: Mean::default(),
+            gap: Mean::default(),
+            report: None,
+            prefixes: Vec::new(),
+        }
+    }
+
+    /// Returns the endpoint's number.
+    #[must_use]
+    pub fn id(&self) -> id::Endpoint {
+        self.endpoint.id
+    }
+
+    /// Returns how much the endpoint is trusted with.
+    #[must_use]
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Returns the slots in use.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns the slots that the endpoint has when warm.
+    #[must_use]
+    pub fn slots(&self) -> u32 {
+        self.endpoint.slots
+    }
+
+    /// Follows a configuration change.
+    pub fn update(&mut self, endpoint: Endpoint, open: bool) {
+        self.endpoint = endpoint;
+        self.open = open;
+    }
+
+    /// Returns the requests that the endpoint may run now.
+    ///
+    /// While the owner is `settling`, slots that others granted may be unknown to it; then the
+    /// report counts as load and cold endpoints get nothing, so that two owners together never
+    /// exceed the cold limit.
+    #[must_use]
+    pub fn limit(&self, now: id::Time, settling: bool) -> u32 {
+        if !self.open {
+            return 0;
+        }
+        let limit = match self.phase {
+            Phase::Warm => self.endpoint.slots,
+            Phase::Cold { .. } if settling => 0,
+            Phase::Cold { finished } => self.cold_limit(finished),
+            Phase::Slow => 1,
+            Phase::Down { .. } => 0,
+        };
+        if settling {
+            limit.saturating_sub(self.reported(now))
+        } else {
+            limit
+        }
+    }
+
+    /// Returns the free slots.
+    #[must_use]
+    pub fn free(&self, now: id::Time, settling: bool) -> u32 {
+        self.limit(now, settling).saturating_sub(self.in_flight)
+    }
+
+    fn cold_limit(&self, finished: u32) -> u32 {
+        let earned = self.endpoint.cold_slots + finished / FINISHED_PER_SLOT;
+        earned.min(self.endpoint.slots)
+    }
+
+    fn reported(&self, now: id::Time) -> u32 {
+        match self.report {
+            Some((report, at)) if now.saturating_sub(at) < REPORT_AGE => {
+                report.running + report.queued
+            }
+            _ => 0,
+        }
+    }
+
+    /// Takes a slot.
+    pub fn take(&mut self, prefix: u64, now: id::Time) {
+        self.in_flight += 1;
+        if prefix != 0 {
+            self.remember(prefix, now);
+        }
+    }
+
+    /// Counts a slot that is in use already, told by the entry node that holds it.
+    pub fn adopt(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// Returns a slot whose holder has vanished.
+    ///
+    /// # Panics
+    /// If no slot is in use, which is a fault of this program.
+    pub fn release(&mut self) {
+        assert!(
+            self.in_flight > 0,
+            "endpoint {} has negative load",
+            self.endpoint.id
+        );
+        self.in_flight -= 1;
+    }
+
+    /// Returns a slot and learns from how the attempt went.
+    pub fn finish(&mut self, outcome: Outcome, first: Duration, now: id::Time) {
+        self.release();
+        match outcome {
+            Outcome::Finished => self.succeed(first),
+            Outcome::Unreachable | Outcome::Broken | Outcome::Silent => self.fail(now),
+            Outcome::Cancelled | Outcome::Preempted | Outcome::Refused | Outcome::Crossed => {}
+        }
+    }
+
+    fn succeed(&mut self, first: Duration) {
+        self.failures = 0;
+        if first > Duration::ZERO {
+            self.first.add(first);
+        }
+        if let Phase::Cold { finished } = &mut self.phase {
+            *finished += 1;
+            let finished = *finished;
+            if self.cold_limit(finished) >= self.endpoint.slots {
+                self.phase = Phase::Warm;
+            }
+        }
+    }
+
+    fn fail(&mut self, now: id::Time) {
+        let doubled = BACKOFF * 2_u32.saturating_pow(self.failures.min(8));
+        self.failures += 1;
+        self.phase = Phase::Down {
+            until: now + doubled.min(MAX_BACKOFF),
+        };
+        self.prefixes.clear();
+    }
+
+    /// Ends a rest: the endpoint returns cold, because a crash empties it.
+    pub fn tick(&mut self, now: id::Time) {
+        if let Phase::Down { until } = self.phase
+            && now >= until
+        {
+            self.turn_cold();
+        }
+        self.prefixes
+            .retain(|&(_, used)| now.saturating_sub(used) < PREFIX_AGE);
+    }
+
+    fn turn_cold(&mut self) {
+        self.phase = Phase::Cold { finished: 0 };
+        self.first = Mean::default();
+        self.gap = Mean::default();
+        self.prefixes.clear();
+    }
+
+    /// Learns from a load report.
+    pub fn report(&mut self, report: Report, now: id::Time) {
+        let restarted = self.report.is_some_and(|(old, _)| old.boot != report.boot);
+        self.report = Some((report, now));
+        let down = matches!(self.phase, Phase::Down { .. });
+        if restarted || (!report.warm && matches!(self.phase, Phase::Warm | Phase::Slow)) {
+            if !down {
+                self.turn_cold();
+            }
+        } else if report.warm && matches!(self.phase, Phase::Cold { .. }) {
+            self.phase = Phase::Warm;
+        }
+    }
+
+    /// Compares with the median first-token time of the pool's other endpoints.
+    pub fn compare(&mut self, median_ms: f64) {
+        let Some(first_ms) = self.first.value() else {
+            return;
+        };
+        let slow = first_ms > median_ms * SLOW_FACTOR && first_ms > median_ms + SLOW_FLOOR_MS;
+        match self.phase {
+            Phase::Warm if slow => self.phase = Phase::Slow,
+            Phase::Slow if !slow => self.phase = Phase::Warm,
+            _ => {}
+        }
+    }
+
+    /// Returns the mean time to the first token in milliseconds.
+    #[must_use]
+    pub fn first_ms(&self) -> Option<f64> {
+        self.first.value()
+    }
+
+    /// Returns whether the endpoint probably caches a prefix.
+    #[must_use]
+    pub fn holds(&self, prefix: u64) -> bool {
+        prefix != 0 && self.prefixes.iter().any(|&(each, _)| each == prefix)
+    }
+
+    fn remember(&mut self, prefix: u64, now: id::Time) {
+        self.prefixes.retain(|&(each, _)| each != prefix);
+        if self.prefixes.len() == PREFIXES {
+            self.prefixes.remove(0);
+        }
+        self.prefixes.push((prefix, now));
+    }
+
+    /// Returns the expected cost of one more request: lower is better.
+    ///
+    /// The unit is the mean first-token time of an idle endpoint of this pool.
+    #[must_use]
+    pub fn cost(&self, prefix: u64, median_ms: f64) -> f64 {
+        /// Part of the first-token time that a cached prefix saves.
+        const PREFIX_SAVING: f64 = 0.5;
+        let relative = self
+            .first
+            .value()
+            .map_or(1.0, |first| first / median_ms.max(1.0));
+        let load = f64::from(self.in_flight) / f64::from(self.endpoint.slots.max(1));
+        let saving = if self.holds(prefix) {
+            PREFIX_SAVING
+        } else {
+            0.0
+        };
+        relative * (1.0 - saving) + 2.0 * load
+    }
+}
--- /dev/null
+++ b/crates/peridotdeck-core/src/flight.rs
@@ -0,0 +1,125 @@
+//! The requests that callers gave to this node.
+//!
+//! A flight moves through stages: it may reserve its idempotency key, asks the owner of a pool for a
+//! slot, runs at an endpoint, and rests before another try. [`Desk`] holds all flights and makes
+//! every transition; each flight ends exactly once, by an answer, a refusal or the caller's leave.
+
+mod desk;
+
+pub use desk::{Candidate, Counts, Desk, Outbox, Scene, candidates};
+
+use std::time::Duration;
+
+use crate::{claim, id, request};
+
+/// Where a request stands.
+#[derive(Clone, Debug)]
+pub enum Stage {
+    /// Waits until the node has proved that its view is current.
+    Parked,
+    /// Reserves its idempotency key.
+    Claiming,
+    /// Waits for a slot.
+    Asking(Asking),
+    /// Runs at an endpoint.
+    Running(Running),
+    /// Waits before it asks again.
+    Resting {
+        /// End of the rest.
+        until: id::Time,
+    },
+}
+
+/// A request for a slot.
+#[derive(Clone, Debug)]
+pub struct Asking {
+    /// The attempt.
+    pub attempt: id::Attempt,
+    /// Pool that is asked.
+    pub pool: id::Pool,
+    /// Node that is asked.
+    pub owner: id::Node,
+    /// When it was asked last.
+    pub sent: id::Time,
+    /// Asks without any answer.
+    pub unanswered: u32,
+    /// Whether the owner has said that the request waits.
+    pub queued: bool,
+}
+
+/// A running attempt.
+#[derive(Clone, Debug)]
+pub struct Running {
+    /// The attempt.
+    pub attempt: id::Attempt,
+    /// Pool of the endpoint.
+    pub pool: id::Pool,
+    /// The endpoint.
+    pub endpoint: id::Endpoint,
+    /// Owner that granted the slot; none if the owner did not answer and the node took its own
+    /// small share.
+    pub owner: Option<id::Node>,
+}
+
+/// One request and what has become of it.
+#[derive(Clone, Debug)]
+pub struct Flight {
+    /// The request.
+    pub request: id::Request,
+    /// What the caller wants.
+    pub call: request::Call,
+    /// When it arrived.
+    pub arrived: id::Time,
+    /// Where it stands.
+    pub stage: Stage,
+    /// Reservation of its idempotency key.
+    pub round: Option<claim::Round>,
+    /// Failed attempts.
+    pub failures: u32,
+    /// Endpoints that failed it.
+    pub avoid: Vec<id::Endpoint>,
+    /// Pools that refused it.
+    pub refused: Vec<id::Pool>,
+    /// Output tokens that the caller has received.
+    pub delivered: u32,
+    /// Whether an endpoint may have run it.
+    pub may_have_run: bool,
+    /// Whether the caller has gone, while the call must be seen through.
+    pub orphan: bool,
+}
+
+impl Flight {
+    /// Starts a flight.
+    #[must_use]
+    pub fn new(request: id::Request, call: request::Call, now: id::Time) -> Self {
+        Self {
+            request,
+            call,
+            arrived: now,
+            stage: Stage::Parked,
+            round: None,
+            failures: 0,
+            avoid: Vec::new(),
+            refused: Vec::new(),
+            delivered: 0,
+            may_have_run: false,
+            orphan: false,
+        }
+    }
+
+    /// Returns the attempt that asks or runs.
+    #[must_use]
+    pub fn attempt(&self) -> Option<id::Attempt> {
+        match &self.stage {
+            Stage::Asking(asking) => Some(asking.attempt),
+            Stage::Running(running) => Some(running.attempt),
+            _ => None,
+        }
+    }
+
+    /// Returns the time since the request arrived.
+    #[must_use]
+    pub fn waited(&self, now: id::Time) -> Duration {
+        now.saturating_sub(self.arrived)
+    }
+}
--- /dev/null
+++ b/crates/peridotdeck-core/src/member.rs
@@ -0,0 +1,421 @@
+//! Who the peers are, which of them are alive, and which of them owns what.
+//!
+//! The platform's VM list (the roster) says who may be a peer; it lags, so peers' heartbeats say
+//! who is alive. Heartbeats spread by gossip within a data centre and in samples between data
+//! centres. A silent data centre is treated as cut off: its nodes are not replaced by others, and
+//! only its own nodes own its pools. `docs/design/MEMBERSHIP.md` gives the sums.
+
+use std::time::Duration;
+
+use peridotdeck_policy::{Pool, Snapshot, digest_name};
+use peridotdeck_wire::{Beat, Member, Summary};
+use rand::{Rng, rngs::SmallRng, seq::IndexedRandom};
+
+use crate::{id, rank};
+
+/// Time between two rounds of gossip.
+pub const GOSSIP: Duration = Duration::from_millis(500);
+
+/// Silence after which a node of the own data centre counts as dead.
+pub const LOCAL_SILENCE: Duration = Duration::from_secs(3);
+
+/// Silence after which a node of another data centre counts as out of reach.
+pub const REMOTE_SILENCE: Duration = Duration::from_secs(6);
+
+/// Peers of the own data centre that a node tells in each round.
+const FANOUT: usize = 2;
+
+/// Heartbeats of the own data centre in one message, newest first.
+const LOCAL_BEATS: usize = 32;
+
+/// Heartbeats of other data centres in one message, newest first.
+const REMOTE_BEATS: usize = 8;
+
+/// Pool summaries in one message, newest first.
+const SUMMARIES: usize = 24;
+
+/// Nodes of a data centre that watch the configuration service.
+const WATCHERS: usize = 2;
+
+/// Digest seed of the watchers' order.
+const WATCH_KEY: u64 = 0x77;
+
+#[derive(Clone, Debug)]
+struct Peer {
+    beat: Beat,
+    heard: id::Time,
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    summary: Summary,
+    heard: id::Time,
+}
+
+/// What a node knows about its peers.
+#[derive(Clone, Debug)]
+pub struct View {
+    me: id::Node,
+    place: String,
+    incarnation: id::Incarnation,
+    counter: u32,
+    leaving: bool,
+    roster: id::Revision,
+    members: Vec<Member>,
+    peers: Vec<Peer>,
+    summaries: Vec<Seen>,
+    live: Vec<(String, Vec<id::Node>)>,
+}
+
+impl View {
+    /// Starts with no peers.
+    #[must_use]
+    pub fn new(me: id::Node, place: String, incarnation: id::Incarnation) -> Self {
+        Self {
+            me,
+            place,
+            incarnation,
+            counter: 0,
+            leaving: false,
+            roster: 0,
+            members: Vec::new(),
+            peers: Vec::new(),
+            summaries: Vec::new(),
+            live: Vec::new(),
+        }
+    }
+
+    /// Returns this node.
+    #[must_use]
+    pub fn me(&self) -> id::Node {
+        self.me
+    }
+
+    /// Returns the data centre of this node.
+    #[must_use]
+    pub fn place(&self) -> &str {
+        &self.place
+    }
+
+    /// Returns the start of this process.
+    #[must_use]
+    pub fn incarnation(&self) -> id::Incarnation {
+        self.incarnation
+    }
+
+    /// Returns the index of the VM list in use.
+    #[must_use]
+    pub fn roster(&self) -> id::Revision {
+        self.roster
+    }
+
+    /// Returns the VM list in use, sorted by node.
+    #[must_use]
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Returns this node's heartbeats so far.
+    #[must_use]
+    pub fn counter(&self) -> u32 {
+        self.counter
+    }
+
+    /// Announces that this node is shutting down.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Returns whether this node is shutting down.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Finds a peer in the VM list.
+    #[must_use]
+    pub fn member(&self, node: id::Node) -> Option<&Member> {
+        let at = self
+            .members
+            .binary_search_by_key(&node, |member| member.node);
+        at.ok().map(|at| &self.members[at])
+    }
+
+    /// Follows a newer VM list and returns whether it was newer.
+    pub fn follow(&mut self, roster: id::Revision, mut members: Vec<Member>) -> bool {
+        if roster <= self.roster {
+            return false;
+        }
+        members.sort_by_key(|member| member.node);
+        members.dedup_by_key(|member| member.node);
+        self.roster = roster;
+        self.members = members;
+        let members = &self.members;
+        self.peers.retain(|peer| {
+            members
+                .binary_search_by_key(&peer.beat.node, |member| member.node)
+                .is_ok()
+        });
+        true
+    }
+
+    /// Learns from heartbeats; a node speaks for itself, so its own beats are ignored.
+    pub fn hear(&mut self, beats: &[Beat], now: id::Time) {
+        for beat in beats {
+            if beat.node != self.me && self.member(beat.node).is_some() {
+                self.hear_one(beat, now);
+            }
+        }
+    }
+
+    fn hear_one(&mut self, beat: &Beat, now: id::Time) {
+        match self
+            .peers
+            .binary_search_by_key(&beat.node, |peer| peer.beat.node)
+        {
+            Ok(at) => {
+                let peer = &mut self.peers[at];
+                if (beat.incarnation, beat.counter) > (peer.beat.incarnation, peer.beat.counter) {
+                    *peer = Peer {
+                        beat: beat.clone(),
+                        heard: now,
+                    };
+                }
+            }
+            Err(at) => self.peers.insert(
+                at,
+                Peer {
+                    beat: beat.clone(),
+                    heard: now,
+                },
+            ),
+        }
+    }
+
+    /// Returns the newest incarnation heard of a node.
+    #[must_use]
+    pub fn incarnation_of(&self, node: id::Node) -> Option<id::Incarnation> {
+        let at = self
+            .peers
+            .binary_search_by_key(&node, |peer| peer.beat.node);
+        at.ok().map(|at| self.peers[at].beat.incarnation)
+    }
+
+    /// Learns the state of pools.
+    pub fn note(&mut self, summaries: &[Summary], now: id::Time) {
+        for summary in summaries {
+            match self
+                .summaries
+                .binary_search_by_key(&summary.pool, |seen| seen.summary.pool)
+            {
+                Ok(at) => {
+                    let seen = &mut self.summaries[at];
+                    let stale = now.saturating_sub(seen.heard) > REMOTE_SILENCE;
+                    if stale || summary.stamp > seen.summary.stamp {
+                        *seen = Seen {
+                            summary: summary.clone(),
+                            heard: now,
+                        };
+                    }
+                }
+                Err(at) => self.summaries.insert(
+                    at,
+                    Seen {
+                        summary: summary.clone(),
+                        heard: now,
+                    },
+                ),
+            }
+        }
+    }
+
+    /// Returns the state of a pool, unless it is too old to mean anything.
+    #[must_use]
+    pub fn summary(&self, pool: id::Pool, now: id::Time) -> Option<&Summary> {
+        let at = self
+            .summaries
+            .binary_search_by_key(&pool, |seen| seen.summary.pool)
+            .ok()?;
+        let seen = &self.summaries[at];
+        (now.saturating_sub(seen.heard) <= REMOTE_SILENCE).then_some(&seen.summary)
+    }
+
+    /// Returns whether a node is alive and not shutting down.
+    #[must_use]
+    pub fn is_live(&self, node: id::Node, now: id::Time) -> bool {
+        if node == self.me {
+            return !self.leaving;
+        }
+        let Some(member) = self.member(node) else {
+            return false;
+        };
+        let silence = if member.place == self.place {
+            LOCAL_SILENCE
+        } else {
+            REMOTE_SILENCE
+        };
+        self.peers
+            .binary_search_by_key(&node, |peer| peer.beat.node)
+            .is_ok_and(|at| {
+                let peer = &self.peers[at];
+                !peer.beat.leaving && now.saturating_sub(peer.heard) < silence
+            })
+    }
+
+    /// Works out anew who is alive; called at every tick, so that requests only look it up.
+    pub fn refresh(&mut self, now: id::Time) {
+        let mut live: Vec<(String, Vec<id::Node>)> = Vec::new();
+        for member in &self.members {
+            let other = member.node != self.me && !member.leaving;
+            if other && self.is_live(member.node, now) {
+                add_live(&mut live, &member.place, member.node);
+            }
+        }
+        if !self.leaving {
+            add_live(&mut live, &self.place, self.me);
+        }
+        self.live = live;
+    }
+
+    /// Takes all peers for alive after a pause of this process, in which nobody could be heard.
+    pub fn excuse(&mut self, now: id::Time) {
+        for peer in &mut self.peers {
+            peer.heard = now;
+        }
+        self.refresh(now);
+    }
+
+    /// Returns the live nodes of a data centre; this node counts as live in its own.
+    #[must_use]
+    pub fn live(&self, place: &str) -> &[id::Node] {
+        let at = self
+            .live
+            .binary_search_by(|(each, _)| each.as_str().cmp(place));
+        at.map_or(&[], |at| self.live[at].1.as_slice())
+    }
+
+    /// Returns the number of live nodes in the fleet, at least this one.
+    #[must_use]
+    pub fn live_count(&self) -> usize {
+        self.live
+            .iter()
+            .map(|(_, nodes)| nodes.len())
+            .sum::<usize>()
+            .max(1)
+    }
+
+    /// Returns the node that schedules a pool.
+    #[must_use]
+    pub fn owner(&self, pool: &Pool) -> Option<id::Node> {
+        rank::first(pool.id, self.live(&pool.place).iter().copied())
+    }
+
+    /// Returns whether this node watches the configuration service for its data centre.
+    #[must_use]
+    pub fn is_watcher(&self) -> bool {
+        let live = self.live(&self.place).iter().copied();
+        let order = rank::order(WATCH_KEY ^ digest_name(&self.place), live);
+        order.iter().take(WATCHERS).any(|&node| node == self.me)
+    }
+
+    /// Counts one heartbeat and chooses whom to tell.
+    ///
+    /// Peers that seem dead are told too, so that a healed connection is noticed. On average one
+    /// node of a data centre tells one node of each other data centre in a round.
+    pub fn beat(&mut self, rng: &mut SmallRng) -> Vec<Member> {
+        self.counter += 1;
+        let local: Vec<&Member> = self
+            .others()
+            .filter(|each| each.place == self.place)
+            .collect();
+        let mut told: Vec<Member> = local
+            .choose_multiple(rng, FANOUT)
+            .map(|&each| each.clone())
+            .collect();
+        let crowd = self.live(&self.place).len().max(1);
+        for place in self.other_places() {
+            if rng.random_ratio(1, crowd as u32) {
+                let remote: Vec<&Member> =
+                    self.others().filter(|each| each.place == place).collect();
+                told.extend(remote.choose(rng).map(|&each| each.clone()));
+            }
+        }
+        told
+    }
+
+    fn others(&self) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(|member| member.node != self.me)
+    }
+
+    fn other_places(&self) -> Vec<String> {
+        let mut places: Vec<String> = self
+            .others()
+            .filter(|member| member.place != self.place)
+            .map(|member| member.place.clone())
+            .collect();
+        places.sort_unstable();
+        places.dedup();
+        places
+    }
+
+    /// Returns the heartbeats to pass on, this node's own first.
+    #[must_use]
+    pub fn beats(&self) -> Vec<Beat> {
+        let mut beats = vec![Beat {
+            node: self.me,
+            incarnation: self.incarnation,
+            counter: self.counter,
+            leaving: self.leaving,
+        }];
+        let mut newest: Vec<&Peer> = self.peers.iter().collect();
+        newest.sort_by_key(|peer| std::cmp::Reverse(peer.heard));
+        let is_local = |peer: &Peer| {
+            self.member(peer.beat.node)
+                .is_some_and(|member| member.place == self.place)
+        };
+        let local = newest
+            .iter()
+            .filter(|peer| is_local(peer))
+            .take(LOCAL_BEATS);
+        let remote = newest
+            .iter()
+            .filter(|peer| !is_local(peer))
+            .take(REMOTE_BEATS);
+        beats.extend(local.chain(remote).map(|peer| peer.beat.clone()));
+        beats
+    }
+
+    /// Returns the pool summaries to pass on besides this node's own.
+    #[must_use]
+    pub fn summaries(&self, snapshot: &Snapshot, now: id::Time) -> Vec<Summary> {
+        let mut newest: Vec<&Seen> = self
+            .summaries
+            .iter()
+            .filter(|seen| now.saturating_sub(seen.heard) < LOCAL_SILENCE)
+            .filter(|seen| {
+                snapshot
+                    .pool(seen.summary.pool)
+                    .is_some_and(|pool| pool.place == self.place)
+            })
+            .collect();
+        newest.sort_by_key(|seen| std::cmp::Reverse(seen.heard));
+        newest
+            .into_iter()
+            .take(SUMMARIES)
+            .map(|seen| seen.summary.clone())
+            .collect()
+    }
+
+    /// Drops what is known of pools that left the configuration.
+    pub fn prune(&mut self, snapshot: &Snapshot) {
+        self.summaries
+            .retain(|seen| snapshot.pool(seen.summary.pool).is_some());
+    }
+}
+
+fn add_live(live: &mut Vec<(String, Vec<id::Node>)>, place: &str, node: id::Node) {
+    match live.binary_search_by(|(each, _)| each.as_str().cmp(place)) {
+        Ok(at) => live[at].1.push(node),
+        Err(at) => live.insert(at, (place.to_owned(), vec![node])),
+    }
+}
--- /dev/null
+++ b/crates/peridotdeck-core/src/owner.rs
@@ -0,0 +1,188 @@
+//! The pools that this node schedules.
+
+use std::sync::Arc;
+
+use peridotdeck_policy::Snapshot;
+use peridotdeck_wire::{Ask, Body, Deny, Done, Holding, Reason, Summary};
+
+use crate::{
+    Strategy, engine, id,
+    member::View,
+    pool::{Counts, Reply, Scheduler},
+};
+
+/// Schedulers, sorted by pool.
+#[derive(Clone, Debug)]
+pub struct Owner {
+    strategy: Strategy,
+    pools: Vec<Scheduler>,
+    past: Counts,
+}
+
+impl Owner {
+    /// Starts without pools.
+    #[must_use]
+    pub fn new(strategy: Strategy) -> Self {
+        Self {
+            strategy,
+            pools: Vec::new(),
+            past: Counts::default(),
+        }
+    }
+
+    /// Returns the schedulers.
+    #[must_use]
+    pub fn pools(&self) -> &[Scheduler] {
+        &self.pools
+    }
+
+    /// Returns the endpoints whose load reports this node reads.
+    pub fn endpoints(&self) -> impl Iterator<Item = id::Endpoint> + '_ {
+        self.pools
+            .iter()
+            .flat_map(|pool| pool.pool().endpoints.iter().copied())
+    }
+
+    /// Takes over and gives up pools as the view says.
+    pub fn follow(
+        &mut self,
+        view: &View,
+        snapshot: &Arc<Snapshot>,
+        now: id::Time,
+        out: &mut Vec<Reply>,
+    ) {
+        let me = Some(view.me());
+        let mine = |pool: id::Pool| {
+            snapshot
+                .pool(pool)
+                .is_some_and(|pool| view.owner(pool) == me)
+        };
+        for mut pool in self.pools.extract_if(.., |pool| !mine(pool.pool().id)) {
+            pool.retire(out);
+            add(&mut self.past, pool.counts());
+        }
+        for pool in snapshot
+            .pools()
+            .iter()
+            .filter(|pool| pool.place == view.place())
+        {
+            if view.owner(pool) == me
+                && let Err(at) = self.find(pool.id)
+            {
+                let scheduler =
+                    Scheduler::new(pool.clone(), Arc::clone(snapshot), self.strategy, now);
+                self.pools.insert(at, scheduler);
+            }
+        }
+    }
+
+    /// Follows a configuration change.
+    pub fn update(&mut self, snapshot: &Arc<Snapshot>) {
+        for pool in &mut self.pools {
+            pool.update(Arc::clone(snapshot));
+        }
+    }
+
+    /// Drops all pools after a pause: other nodes may own them now.
+    pub fn abandon(&mut self) {
+        for pool in self.pools.drain(..) {
+            add(&mut self.past, pool.counts());
+        }
+    }
+
+    fn find(&self, pool: id::Pool) -> Result<usize, usize> {
+        self.pools
+            .binary_search_by_key(&pool, |scheduler| scheduler.pool().id)
+    }
+
+    /// Handles a request for a slot.
+    pub fn ask(&mut self, node: id::Node, ask: Ask, now: id::Time, out: &mut Vec<Reply>) {
+        if let Ok(at) = self.find(ask.pool) {
+            return self.pools[at].ask(node, ask, now, out);
+        }
+        let deny = Deny {
+            attempt: ask.attempt,
+            reason: Reason::NotOwner,
+            retry_ms: 0,
+        };
+        out.push((node, Body::from(deny)));
+    }
+
+    /// Takes a slot back.
+    pub fn done(&mut self, done: &Done, now: id::Time, out: &mut Vec<Reply>) {
+        if let Ok(at) = self.find(done.pool) {
+            self.pools[at].done(done, now, out);
+        }
+    }
+
+    /// Learns of slots in use.
+    pub fn hold(&mut self, node: id::Node, holding: &Holding, now: id::Time, out: &mut Vec<Reply>) {
+        if let Ok(at) = self.find(holding.pool) {
+            self.pools[at].hold(node, &holding.held, now, out);
+        }
+    }
+
+    /// Frees what a dead node held.
+    pub fn forget(&mut self, node: id::Node, now: id::Time, out: &mut Vec<Reply>) {
+        for pool in &mut self.pools {
+            pool.forget(node, now, out);
+        }
+    }
+
+    /// Learns from a load report.
+    pub fn report(
+        &mut self,
+        endpoint: id::Endpoint,
+        report: engine::Report,
+        now: id::Time,
+        out: &mut Vec<Reply>,
+    ) {
+        for pool in &mut self.pools {
+            if pool.pool().endpoints.binary_search(&endpoint).is_ok() {
+                pool.report(endpoint, report, now, out);
+            }
+        }
+    }
+
+    /// Lets time pass in every pool.
+    pub fn tick(&mut self, now: id::Time, out: &mut Vec<Reply>) {
+        for pool in &mut self.pools {
+            pool.tick(now, out);
+        }
+    }
+
+    /// Returns the state of all pools for gossip.
+    #[must_use]
+    pub fn summaries(&self, stamp: u32, now: id::Time) -> Vec<Summary> {
+        self.pools
+            .iter()
+            .map(|pool| pool.summary(stamp, now))
+            .collect()
+    }
+
+    /// Returns the counts of all pools, past ones included.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        let mut sum = self.past;
+        for pool in &self.pools {
+            add(&mut sum, pool.counts());
+        }
+        sum
+    }
+
+    /// Checks the counts that must agree.
+    ///
+    /// # Panics
+    /// If they do not, which is a fault of this program.
+    pub fn check(&self) {
+        for pool in &self.pools {
+            pool.check();
+        }
+    }
+}
+
+fn add(sum: &mut Counts, counts: Counts) {
+    sum.granted += counts.granted;
+    sum.preempted += counts.preempted;
+    sum.shed_for_bulk += counts.shed_for_bulk;
+}
--- /dev/null
+++ b/crates/peridotdeck-core/src/pool.rs
@@ -0,0 +1,761 @@
+//! The scheduler of a pool, held by one owner node of the pool's data centre.
+//!
+//! Entry nodes ask the owner for a slot and stream the answer from the endpoint themselves, so
+//! priority, fairness and cold limits hold over all nodes at the cost of two small messages a
+//! request. A new owner is told by the entry nodes what they hold, and settles before it trusts its
+//! own count. `docs/design/POOLS.md` weighs the alternatives.
+
+use std::{cmp::Reverse, sync::Arc, time::Duration};
+
+use peridotdeck_policy::{Class, Pool, Snapshot};
+use peridotdeck_wire::{
+    Ask, Body, Deny, Done, Grant, Held, Outcome, Preempt, Queued, Reason, Summary,
+};
+
+use crate::{
+    engine, id, poison,
+    queue::{Entry, Queue},
+    size::Mean,
+    strategy::Strategy,
+};
+
+/// Time for which a new owner does not trust its own count.
+pub const SETTLE: Duration = Duration::from_secs(3);
+
+/// Bulk requests that wait in one pool at most; more are refused at the door.
+const MAX_BULK: usize = 10_000;
+
+/// Time since the last interactive request for which slots are kept free for the next.
+const RECENT: Duration = Duration::from_secs(10);
+
+/// One slot of this many is kept free of bulk while interactive work is recent.
+const RESERVE_PART: u32 = 10;
+
+/// Preemptions that one bulk attempt bears before it is left alone.
+const MAX_PREEMPTIONS: u8 = 3;
+
+/// Message to the entry node of an attempt.
+pub type Reply = (id::Node, Body);
+
+/// One slot in use.
+#[derive(Clone, Debug)]
+struct Run {
+    attempt: id::Attempt,
+    endpoint: id::Endpoint,
+    node: id::Node,
+    class: String,
+    bulk: bool,
+    fingerprint: id::Fingerprint,
+    suspect: bool,
+    since: id::Time,
+    stopping: bool,
+}
+
+/// Counts that prove the promises; all but `granted` and `preempted` stay 0.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Slots granted.
+    pub granted: u64,
+    /// Bulk attempts preempted.
+    pub preempted: u64,
+    /// Interactive requests refused while bulk could have been preempted.
+    pub shed_for_bulk: u64,
+}
+
+/// Queue and slots of one pool.
+#[derive(Clone, Debug)]
+pub struct Scheduler {
+    pool: Pool,
+    strategy: Strategy,
+    snapshot: Arc<Snapshot>,
+    engines: Vec<engine::State>,
+    queue: Queue,
+    runs: Vec<Run>,
+    settled: id::Time,
+    last_interactive: Option<id::Time>,
+    busy: Mean,
+    turn: usize,
+    proven: Vec<id::Fingerprint>,
+    preemptions: Vec<(id::Fingerprint, u8)>,
+    counts: Counts,
+}
+
+impl Scheduler {
+    /// Starts the scheduler of a pool that has been owned by another node or by none.
+    #[must_use]
+    pub fn new(pool: Pool, snapshot: Arc<Snapshot>, strategy: Strategy, now: id::Time) -> Self {
+        let mut scheduler = Self {
+            pool,
+            strategy,
+            snapshot: Arc::clone(&snapshot),
+            engines: Vec::new(),
+            queue: Queue::default(),
+            runs: Vec::new(),
+            settled: now + SETTLE,
+            last_interactive: None,
+            busy: Mean::default(),
+            turn: 0,
+            proven: Vec::new(),
+            preemptions: Vec::new(),
+            counts: Counts::default(),
+        };
+        scheduler.update(snapshot);
+        scheduler
+    }
+
+    /// Returns the pool.
+    #[must_use]
+    pub fn pool(&self) -> &Pool {
+        &self.pool
+    }
+
+    /// Returns the counts that prove the promises.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Returns what is known about each endpoint.
+    #[must_use]
+    pub fn engines(&self) -> &[engine::State] {
+        &self.engines
+    }
+
+    /// Returns the waiting requests.
+    #[must_use]
+    pub fn waiting(&self) -> &[Entry] {
+        self.queue.entries()
+    }
+
+    /// Follows a configuration change.
+    pub fn update(&mut self, snapshot: Arc<Snapshot>) {
+        if let Some(pool) = snapshot.pool(self.pool.id) {
+            self.pool = pool.clone();
+        }
+        let old = std::mem::take(&mut self.engines);
+        for &number in &self.pool.endpoints {
+            let Some(endpoint) = snapshot.endpoint(number) else {
+                continue;
+            };
+            let open = snapshot.is_open(endpoint);
+            let mut state = old
+                .iter()
+                .find(|state| state.id() == number)
+                .cloned()
+                .unwrap_or_else(|| engine::State::new(endpoint.clone(), open));
+            state.update(endpoint.clone(), open);
+            self.engines.push(state);
+        }
+        let engines = &self.engines;
+        self.runs
+            .retain(|run| engines.iter().any(|state| state.id() == run.endpoint));
+        self.snapshot = snapshot;
+    }
+
+    /// Handles a request for a slot.
+    pub fn ask(&mut self, node: id::Node, ask: Ask, now: id::Time, out: &mut Vec<Reply>) {
+        if let Some(run) = self.runs.iter().find(|run| run.attempt == ask.attempt) {
+            // The grant was lost on its way; the same grant again is harmless.
+            out.push((
+                node,
+                Grant {
+                    attempt: ask.attempt,
+                    endpoint: run.endpoint,
+                }
+                .into(),
+            ));
+            return;
+        }
+        let attempt = ask.attempt;
+        if self.queue.contains(attempt) {
+            out.push((node, Queued { attempt }.into()));
+            return;
+        }
+        let Some(entry) = self.entry(node, ask, now) else {
+            out.push((node, deny(attempt, Reason::NoEndpoint, Duration::ZERO)));
+            return;
+        };
+        if !entry.bulk {
+            self.last_interactive = Some(now);
+        }
+        if let Some(reply) = self.refuse(&entry, now) {
+            out.push((node, reply));
+            return;
+        }
+        self.queue.push(entry);
+        self.pump(now, out);
+        if self.queue.contains(attempt) {
+            out.push((node, Queued { attempt }.into()));
+        }
+    }
+
+    fn entry(&self, node: id::Node, ask: Ask, now: id::Time) -> Option<Entry> {
+        let class = self.snapshot.class(&ask.class)?;
+        let organisation = self.snapshot.organisation(&ask.organisation)?;
+        Some(Entry {
+            attempt: ask.attempt,
+            node,
+            tier: class.tier,
+            bulk: class.bulk,
+            weight: organisation.weight,
+            class: ask.class,
+            organisation: ask.organisation,
+            tokens: ask.tokens,
+            prompt: ask.prompt,
+            prefix: ask.prefix,
+            fingerprint: ask.fingerprint,
+            strikes: ask.strikes,
+            avoid: ask.avoid,
+            since: now.saturating_sub(Duration::from_millis(ask.waited_ms.into())),
+        })
+    }
+
+    /// Refuses at the door what cannot be served in time; later it would cost more.
+    fn refuse(&mut self, entry: &Entry, now: id::Time) -> Option<Body> {
+        if usize::from(entry.strikes) >= poison::QUARANTINE_STRIKES {
+            return Some(deny(entry.attempt, Reason::Quarantined, Duration::ZERO));
+        }
+        if self
+            .engines
+            .iter()
+            .all(|state| state.limit(now, false) == 0)
+        {
+            return Some(deny(entry.attempt, Reason::NoEndpoint, Duration::ZERO));
+        }
+        if self.strategy.is_baseline() {
+            return None;
+        }
+        if entry.bulk {
+            let waiting = self.queue.entries().iter().filter(|each| each.bulk).count();
+            let retry = Duration::from_secs(60);
+            return (waiting >= MAX_BULK).then(|| deny(entry.attempt, Reason::Overload, retry));
+        }
+        let class = self.snapshot.class(&entry.class)?;
+        let wait = self.wait(entry.tier, now);
+        let waited = now.saturating_sub(entry.since);
+        if waited + wait <= patience(class) {
+            return None;
+        }
+        // The expected wait counts preemptible bulk as free, so nothing is shed to spare bulk.
+        self.counts.shed_for_bulk += u64::from(self.preemptible() > self.waiting_interactive());
+        Some(deny(entry.attempt, Reason::Overload, wait))
+    }
+
+    /// Returns the expected wait of one more interactive request of a tier.
+    fn wait(&self, tier: u8, now: id::Time) -> Duration {
+        /// Service time in milliseconds assumed before the first answer.
+        const UNKNOWN_MS: f64 = 500.0;
+        let settling = self.is_settling(now);
+        let limit: u32 = self
+            .engines
+            .iter()
+            .map(|state| state.limit(now, settling))
+            .sum();
+        let free: u32 = self
+            .engines
+            .iter()
+            .map(|state| state.free(now, settling))
+            .sum();
+        let ahead = self
+            .queue
+            .entries()
+            .iter()
+            .filter(|each| !each.bulk && each.tier <= tier)
+            .count();
+        let available = free as usize + self.preemptible();
+        if ahead < available {
+            return Duration::ZERO;
+        }
+        let busy_ms = self.busy.value().unwrap_or(UNKNOWN_MS);
+        let turns = (ahead - available + 1) as f64 / f64::from(limit.max(1));
+        Duration::from_secs_f64(turns * busy_ms / 1e3)
+    }
+
+    fn waiting_interactive(&self) -> usize {
+        self.queue
+            .entries()
+            .iter()
+            .filter(|entry| !entry.bulk)
+            .count()
+    }
+
+    /// Returns the bulk runs that interactive work may displace.
+    fn preemptible(&self) -> usize {
+        self.victims().count()
+    }
+
+    /// Bulk runs beyond each class's guaranteed share, which its oldest runs keep.
+    fn victims(&self) -> impl Iterator<Item = &Run> {
+        self.runs.iter().filter(|run| {
+            let older = self.runs.iter().filter(|each| {
+                each.class == run.class && (each.since, each.attempt) < (run.since, run.attempt)
+            });
+            run.bulk
+                && !run.stopping
+                && older.count() >= self.guaranteed(&run.class)
+                && self.bears(run)
+        })
+    }
+
+    fn bears(&self, run: &Run) -> bool {
+        let at = self
+            .preemptions
+            .binary_search_by_key(&run.fingerprint, |each| each.0);
+        at.map_or(0, |at| self.preemptions[at].1) < MAX_PREEMPTIONS
+    }
+
+    /// Returns the slots that a class always gets while it waits.
+    fn guaranteed(&self, class: &str) -> usize {
+        let share = self
+            .snapshot
+            .class(class)
+            .map_or(0, |class| class.min_share_percent);
+        let slots: u32 = self.engines.iter().map(engine::State::slots).sum();
+        let part = (slots * u32::from(share)) as usize / 100;
+        if share > 0 { part.max(1) } else { 0 }
+    }
+
+    fn running(&self, class: &str) -> usize {
+        self.runs.iter().filter(|run| run.class == class).count()
+    }
+
+    fn is_settling(&self, now: id::Time) -> bool {
+        now < self.settled
+    }
+
+    /// Grants free slots, then preempts bulk for interactive requests that still wait.
+    fn pump(&mut self, now: id::Time, out: &mut Vec<Reply>) {
+        if self.strategy.is_baseline() {
+            return self.pump_baseline(now, out);
+        }
+        while let Some((attempt, endpoint)) = self.select(now) {
+            self.grant(attempt, endpoint, now, out);
+        }
+        self.preempt(now, out);
+    }
+
+    fn pump_baseline(&mut self, now: id::Time, out: &mut Vec<Reply>) {
+        while let Some(attempt) = self.queue.oldest() {
+            let alive: Vec<usize> = (0..self.engines.len())
+                .filter(|&at| self.engines[at].limit(now, false) > 0)
+                .collect();
+            let Some(&first) = alive.first() else { return };
+            self.turn += 1;
+            let at = match self.strategy {
+                Strategy::RoundRobin => alive[self.turn % alive.len()],
+                _ => alive
+                    .iter()
+                    .copied()
+                    .min_by_key(|&at| self.engines[at].in_flight())
+                    .unwrap_or(first),
+            };
+            self.grant(attempt, self.engines[at].id(), now, out);
+        }
+    }
+
+    fn select(&self, now: id::Time) -> Option<(id::Attempt, id::Endpoint)> {
+        let settling = self.is_settling(now);
+        if self
+            .engines
+            .iter()
+            .all(|state| state.free(now, settling) == 0)
+        {
+            return None;
+        }
+        let bulk_room = self.bulk_room(now, settling);
+        let starved = |entry: &Entry| self.running(&entry.class) < self.guaranteed(&entry.class);
+        let allowed = |entry: &Entry| {
+            (!entry.bulk || bulk_room || starved(entry))
+                && self.place(entry, now, settling).is_some()
+        };
+        let attempt = self.queue.next(starved, allowed)?;
+        let entry = self
+            .queue
+            .entries()
+            .iter()
+            .find(|entry| entry.attempt == attempt)?;
+        Some((attempt, self.place(entry, now, settling)?))
+    }
+
+    /// Tells whether bulk may take a slot beyond its guaranteed share.
+    fn bulk_room(&self, now: id::Time, settling: bool) -> bool {
+        let recent = self
+            .last_interactive
+            .is_some_and(|last| now.saturating_sub(last) < RECENT);
+        let limit: u32 = self
+            .engines
+            .iter()
+            .map(|state| state.limit(now, settling))
+            .sum();
+        let free: u32 = self
+            .engines
+            .iter()
+            .map(|state| state.free(now, settling))
+            .sum();
+        let reserve = if recent {
+            limit.div_ceil(RESERVE_PART)
+        } else {
+            0
+        };
+        free > reserve
+    }
+
+    /// Chooses the endpoint for a request, or none if it must wait.
+    fn place(&self, entry: &Entry, now: id::Time, settling: bool) -> Option<id::Endpoint> {
+        if self.must_run_alone(entry) {
+            return None;
+        }
+        let median = self.median_first_ms();
+        let free = self
+            .engines
+            .iter()
+            .filter(|state| state.free(now, settling) > 0);
+        let fit = free.filter(|state| {
+            let suspects = self
+                .runs
+                .iter()
+                .any(|run| run.endpoint == state.id() && run.suspect);
+            !(entry.strikes > 0 && suspects)
+        });
+        let best = fit.min_by(|one, other| {
+            let avoided = |state: &engine::State| entry.avoid.contains(&state.id());
+            avoided(one).cmp(&avoided(other)).then(
+                one.cost(entry.prefix, median)
+                    .total_cmp(&other.cost(entry.prefix, median)),
+            )
+        });
+        best.map(engine::State::id)
+    }
+
+    /// Copies of a request that has never finished run one at a time, so that a caller that sends
+    /// a crashing request many times at once cannot take down many endpoints.
+    fn must_run_alone(&self, entry: &Entry) -> bool {
+        self.proven.binary_search(&entry.fingerprint).is_err()
+            && self
+                .runs
+                .iter()
+                .any(|run| run.fingerprint == entry.fingerprint)
+    }
+
+    fn median_first_ms(&self) -> f64 {
+        let mut firsts: Vec<f64> = self
+            .engines
+            .iter()
+            .filter_map(engine::State::first_ms)
+            .collect();
+        firsts.sort_by(f64::total_cmp);
+        // The lower middle: with two endpoints the slow one must not set the standard.
+        firsts
+            .get(firsts.len().saturating_sub(1) / 2)
+            .copied()
+            .unwrap_or(1.0)
+    }
+
+    fn grant(
+        &mut self,
+        attempt: id::Attempt,
+        endpoint: id::Endpoint,
+        now: id::Time,
+        out: &mut Vec<Reply>,
+    ) {
+        let Some(entry) = self.queue.remove(attempt) else {
+            return;
+        };
+        let settling = self.is_settling(now);
+        let baseline = self.strategy.is_baseline();
+        let Some(state) = self.engines.iter_mut().find(|state| state.id() == endpoint) else {
+            return;
+        };
+        assert!(
+            baseline || state.free(now, settling) > 0,
+            "endpoint {endpoint} is granted beyond its limit"
+        );
+        state.take(entry.prefix, now);
+        self.queue.charge(&entry);
+        self.counts.granted += 1;
+        self.runs.push(Run {
+            attempt,
+            endpoint,
+            node: entry.node,
+            class: entry.class,
+            bulk: entry.bulk,
+            fingerprint: entry.fingerprint,
+            suspect: entry.strikes > 0,
+            since: now,
+            stopping: false,
+        });
+        out.push((entry.node, Grant { attempt, endpoint }.into()));
+    }
+
+    fn preempt(&mut self, now: id::Time, out: &mut Vec<Reply>) {
+        let settling = self.is_settling(now);
+        let free: u32 = self
+            .engines
+            .iter()
+            .map(|state| state.free(now, settling))
+            .sum();
+        let coming = self.runs.iter().filter(|run| run.stopping).count() + free as usize;
+        let wanted = self.waiting_interactive().saturating_sub(coming);
+        if wanted == 0 {
+            return;
+        }
+        let mut victims: Vec<(id::Time, id::Attempt)> =
+            self.victims().map(|run| (run.since, run.attempt)).collect();
+        // The youngest run has the least to generate again.
+        victims.sort_by_key(|&key| Reverse(key));
+        for (_, attempt) in victims.into_iter().take(wanted) {
+            self.stop(attempt, out);
+        }
+    }
+
+    fn stop(&mut self, attempt: id::Attempt, out: &mut Vec<Reply>) {
+        let Some(run) = self.runs.iter_mut().find(|run| run.attempt == attempt) else {
+            return;
+        };
+        assert!(run.bulk, "an interactive run is never preempted");
+        run.stopping = true;
+        self.counts.preempted += 1;
+        out.push((run.node, Preempt { attempt }.into()));
+        match self
+            .preemptions
+            .binary_search_by_key(&run.fingerprint, |each| each.0)
+        {
+            Ok(at) => self.preemptions[at].1 += 1,
+            Err(at) => self.preemptions.insert(at, (run.fingerprint, 1)),
+        }
+    }
+
+    /// Takes a slot back, or removes a request that still waits.
+    pub fn done(&mut self, done: &Done, now: id::Time, out: &mut Vec<Reply>) {
+        self.queue.remove(done.attempt);
+        if let Some(at) = self.runs.iter().position(|run| run.attempt == done.attempt) {
+            let run = self.runs.swap_remove(at);
+            self.learn(&run, done, now);
+        }
+        self.pump(now, out);
+    }
+
+    fn learn(&mut self, run: &Run, done: &Done, now: id::Time) {
+        if !run.bulk {
+            self.busy.add(now.saturating_sub(run.since));
+        }
+        if done.outcome == Outcome::Finished {
+            self.prove(run.fingerprint);
+            if let Ok(at) = self
+                .preemptions
+                .binary_search_by_key(&run.fingerprint, |each| each.0)
+            {
+                self.preemptions.remove(at);
+            }
+        }
+        if let Some(state) = self
+            .engines
+            .iter_mut()
+            .find(|state| state.id() == run.endpoint)
+        {
+            let first = Duration::from_millis(done.first_ms.into());
+            state.finish(done.outcome, first, now);
+        }
+    }
+
+    fn prove(&mut self, fingerprint: id::Fingerprint) {
+        /// Fingerprints remembered; all are forgotten together when it is full.
+        const MAX_PROVEN: usize = 8_192;
+        if self.proven.len() >= MAX_PROVEN {
+            self.proven.clear();
+        }
+        if let Err(at) = self.proven.binary_search(&fingerprint) {
+            self.proven.insert(at, fingerprint);
+        }
+    }
+
+    /// Takes an entry node's full statement of the slots that it holds.
+    ///
+    /// A new owner learns of grants that another node made; an old one notices slots whose return
+    /// was lost on its way.
+    pub fn hold(&mut self, node: id::Node, held: &[Held], now: id::Time, out: &mut Vec<Reply>) {
+        /// Age from which a grant must be part of the statement.
+        const KNOWN_AGE: Duration = Duration::from_secs(1);
+        let stated = |run: &Run| held.iter().any(|each| each.attempt == run.attempt);
+        let lost = |run: &Run| {
+            run.node == node && !stated(run) && now.saturating_sub(run.since) > KNOWN_AGE
+        };
+        self.release(lost);
+        for each in held {
+            self.adopt(node, each, now);
+        }
+        self.pump(now, out);
+    }
+
+    fn release(&mut self, lost: impl Fn(&Run) -> bool) {
+        for run in self.runs.extract_if(.., |run| lost(run)) {
+            if let Some(state) = self
+                .engines
+                .iter_mut()
+                .find(|state| state.id() == run.endpoint)
+            {
+                state.release();
+            }
+        }
+    }
+
+    fn adopt(&mut self, node: id::Node, held: &Held, now: id::Time) {
+        let known = self.runs.iter().any(|run| run.attempt == held.attempt);
+        let state = self
+            .engines
+            .iter_mut()
+            .find(|state| state.id() == held.endpoint);
+        let (false, Some(state)) = (known, state) else {
+            return;
+        };
+        state.adopt();
+        self.queue.remove(held.attempt);
+        self.runs.push(Run {
+            attempt: held.attempt,
+            endpoint: held.endpoint,
+            node,
+            class: held.class.clone(),
+            bulk: self
+                .snapshot
+                .class(&held.class)
+                .is_some_and(|class| class.bulk),
+            fingerprint: held.fingerprint,
+            suspect: false,
+            since: now,
+            stopping: false,
+        });
+    }
+
+    /// Frees what an entry node held that has died.
+    pub fn forget(&mut self, node: id::Node, now: id::Time, out: &mut Vec<Reply>) {
+        self.queue.drain(|entry| entry.node == node);
+        self.release(|run| run.node == node);
+        self.pump(now, out);
+    }
+
+    /// Learns from a load report.
+    pub fn report(
+        &mut self,
+        endpoint: id::Endpoint,
+        report: engine::Report,
+        now: id::Time,
+        out: &mut Vec<Reply>,
+    ) {
+        if let Some(state) = self.engines.iter_mut().find(|state| state.id() == endpoint) {
+            state.report(report, now);
+        }
+        self.pump(now, out);
+    }
+
+    /// Ends rests, marks slow endpoints, and refuses what has no endpoint left.
+    pub fn tick(&mut self, now: id::Time, out: &mut Vec<Reply>) {
+        let median = self.median_first_ms();
+        for state in &mut self.engines {
+            state.tick(now);
+            state.compare(median);
+        }
+        self.refuse_stranded(now, out);
+        self.pump(now, out);
+    }
+
+    /// Sends waiting requests elsewhere when no endpoint is open, as when operators take a data
+    /// centre out.
+    fn refuse_stranded(&mut self, now: id::Time, out: &mut Vec<Reply>) {
+        if self.engines.iter().any(|state| state.limit(now, false) > 0) {
+            return;
+        }
+        for entry in self.queue.drain(|_| true) {
+            out.push((
+                entry.node,
+                deny(entry.attempt, Reason::NoEndpoint, Duration::ZERO),
+            ));
+        }
+    }
+
+    /// Gives up the pool: every waiting request is sent to the new owner by its entry node.
+    pub fn retire(&mut self, out: &mut Vec<Reply>) {
+        for entry in self.queue.drain(|_| true) {
+            out.push((
+                entry.node,
+                deny(entry.attempt, Reason::NotOwner, Duration::ZERO),
+            ));
+        }
+    }
+
+    /// Returns the pool's state for gossip.
+    #[must_use]
+    pub fn summary(&self, stamp: u32, now: id::Time) -> Summary {
+        let settling = self.is_settling(now);
+        let free: u32 = self
+            .engines
+            .iter()
+            .map(|state| state.free(now, settling))
+            .sum();
+        let open = self.engines.iter().any(|state| state.limit(now, false) > 0);
+        let wait = if open {
+            self.wait(u8::MAX, now).as_millis() as u32
+        } else {
+            u32::MAX
+        };
+        Summary {
+            pool: self.pool.id,
+            stamp,
+            free: free + self.preemptible() as u32,
+            queued: self.waiting_interactive() as u32,
+            wait_ms: wait,
+        }
+    }
+
+    /// Checks the counts that must agree.
+    ///
+    /// # Panics
+    /// If they do not, which is a fault of this program.
+    pub fn check(&self) {
+        for state in &self.engines {
+            let runs = self
+                .runs
+                .iter()
+                .filter(|run| run.endpoint == state.id())
+                .count();
+            assert_eq!(
+                state.in_flight() as usize,
+                runs,
+                "slots of endpoint {}",
+                state.id()
+            );
+        }
+        let bulk = self
+            .queue
+            .entries()
+            .iter()
+            .filter(|entry| entry.bulk)
+            .count();
+        assert!(bulk <= MAX_BULK, "bulk queue is bounded");
+        assert_eq!(
+            self.counts.shed_for_bulk, 0,
+            "interactive work is never shed for bulk"
+        );
+    }
+}
+
+/// Returns how long a request of an interactive class may wait for a slot.
+#[must_use]
+pub fn patience(class: &Class) -> Duration {
+    /// A plain call that waits longer than this part of its target would miss it.
+    const WHOLE_PART: u32 = 2;
+    let target = if class.first_token_ms > 0 {
+        class.first_token_ms
+    } else {
+        class.whole_ms / WHOLE_PART
+    };
+    Duration::from_millis(target.into())
+}
+
+fn deny(attempt: id::Attempt, reason: Reason, retry: Duration) -> Body {
+    Deny {
+        attempt,
+        reason,
+        retry_ms: retry.as_millis() as u32,
+    }
+    .into()
+}
--- /dev/null
+++ b/crates/peridotdeck-router/src/lib.rs
@@ -0,0 +1,1 @@
+//! Under construction: see the README for what runs.
--- /dev/null
+++ b/crates/peridotdeck-settings/src/lib.rs
@@ -0,0 +1,20 @@
+//! Settings of an entry router: a TOML file, checked before anything starts.
+//!
+//! Unknown keys, missing keys and values out of range are refused with the file, the key and a
+//! remedy. The types are generated from `schema/settings.json`; `docs/OPERATORS.md` lists every key.
+
+mod check;
+#[allow(
+    clippy::all,
+    clippy::pedantic,
+    clippy::cargo,
+    dead_code,
+    missing_docs,
+    missing_debug_implementations,
+    rustdoc::all,
+    reason = "generated code follows the generator's style"
+)]
+mod generated;
+
+pub use check::{Error, load, parse};
+pub use generated::Settings;
--- /dev/null
+++ b/crates/peridotdeck-wire/src/codec.rs
@@ -0,0 +1,70 @@
+//! The compact encoding of an envelope.
+
+use quick_error::quick_error;
+
+use crate::Envelope;
+
+/// Protocol version, the first byte of a datagram; other versions are dropped and counted.
+pub const VERSION: u8 = 1;
+
+/// Largest datagram in bytes: it fits one Ethernet frame after IP and UDP headers, so a single
+/// lost fragment cannot lose a larger message.
+pub const MAX_DATAGRAM: usize = 1_400;
+
+quick_error! {
+    /// Why a datagram was refused or a message could not be encoded.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The bytes are no message of this protocol.
+        Malformed(cause: postcard::Error) {
+            display("malformed message: {cause}")
+            from()
+            source(cause)
+        }
+        /// Bytes follow the message.
+        Trailing(count: usize) {
+            display("{count} bytes follow the message")
+        }
+        /// The sender speaks another protocol version.
+        Version(version: u8) {
+            display("protocol version {version}, this build speaks {VERSION}")
+        }
+        /// The message exceeds [`MAX_DATAGRAM`]; send it as a JSON-RPC call.
+        Large(size: usize) {
+            display("message of {size} bytes exceeds a datagram of {MAX_DATAGRAM}")
+        }
+    }
+}
+
+/// Encodes a message for a datagram.
+///
+/// # Errors
+/// [`Error::Large`] if the message does not fit.
+pub fn encode(envelope: &Envelope) -> Result<Vec<u8>, Error> {
+    let bytes = postcard::to_extend(envelope, vec![VERSION])?;
+    if bytes.len() > MAX_DATAGRAM {
+        return Err(Error::Large(bytes.len()));
+    }
+    Ok(bytes)
+}
+
+/// Decodes one datagram.
+///
+/// # Errors
+/// Any malformed, oversized, trailing or foreign-version input is an error value, never a panic.
+pub fn decode(bytes: &[u8]) -> Result<Envelope, Error> {
+    if bytes.len() > MAX_DATAGRAM {
+        return Err(Error::Large(bytes.len()));
+    }
+    let Some((&version, message)) = bytes.split_first() else {
+        return Err(Error::Malformed(postcard::Error::DeserializeUnexpectedEnd));
+    };
+    if version != VERSION {
+        return Err(Error::Version(version));
+    }
+    let (envelope, rest): (Envelope, &[u8]) = postcard::take_from_bytes(message)?;
+    if !rest.is_empty() {
+        return Err(Error::Trailing(rest.len()));
+    }
+    Ok(envelope)
+}
--- /dev/null
+++ b/crates/peridotdeck-wire/src/lib.rs
@@ -0,0 +1,26 @@
+//! Messages between entry routers and their datagram encoding.
+//!
+//! The message types are generated from `schema/wire.json`; this crate adds only the encoding
+//! (postcard) and the limits that a receiver checks before it believes a datagram. Messages that
+//! do not fit a datagram travel as a JSON-RPC call instead, with the same types.
+//! See `docs/ARCHITECTURE.md`, section "Between routers".
+
+mod codec;
+#[allow(
+    clippy::all,
+    clippy::pedantic,
+    clippy::cargo,
+    dead_code,
+    missing_docs,
+    missing_debug_implementations,
+    rustdoc::all,
+    reason = "generated code follows the generator's style"
+)]
+mod generated;
+
+pub use codec::{Error, MAX_DATAGRAM, VERSION, decode, encode};
+pub use generated::{
+    Answer, Ask, Beat, Body, Claim, Claims, Delta, Deny, Done, Entry, Envelope, Fetch, Gossip,
+    Grant, Held, Holding, Member, Outcome, Part, Phase, Preempt, Queued, Reason, Settle, Strike,
+    Summary, Sync, Vote,
+};
