Run the whole path: routers, stand-ins, load tool

Cause: nothing ran end to end. A first run ended in an assertion of the core: a request that had waited past its class's patience at another pool was refused although bulk could give way. It is now served.

--- a/crates/peridotdeck-core/src/node.rs
+++ b/crates/peridotdeck-core/src/node.rs
@@ -410,12 +410,9 @@
     // Messages.
 
     fn receive(&mut self, envelope: Envelope, now: id::Time, out: &mut Outbox) {
-        let restarted = match self
-            .inbox
-            .accept(&envelope, &self.view, self.spread.last_nonce())
-        {
-            Ok(restarted) => restarted,
-            Err(_) => return,
+        let nonce = self.spread.last_nonce();
+        let Ok(restarted) = self.inbox.accept(&envelope, &self.view, nonce) else {
+            return;
         };
         if restarted {
             self.owner.forget(envelope.sender, now, &mut out.letters);
--- a/crates/peridotdeck-core/src/pool.rs
+++ b/crates/peridotdeck-core/src/pool.rs
@@ -233,7 +233,8 @@
         let class = self.snapshot.class(&entry.class)?;
         let wait = self.wait(entry.tier, now);
         let waited = now.saturating_sub(entry.since);
-        if waited + wait <= patience(class) {
+        // A slot that is free, or that bulk can give up, is never refused, however late it is.
+        if wait.is_zero() || waited + wait <= patience(class) {
             return None;
         }
         // The expected wait counts preemptible bulk as free, so nothing is shed to spare bulk.
--- /dev/null
+++ b/crates/peridotdeck-http/src/server.rs
@@ -0,0 +1,238 @@
+//! An accept loop with limits and a graceful stop.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use async_h1::server::ConnectionStatus;
+use async_std::{
+    io::WriteExt,
+    net::{TcpListener, TcpStream},
+    task::{self, JoinHandle},
+};
+use futures_lite::future::or;
+use http_types::{Request, Response, Result};
+
+/// Status and message for a head that is not HTTP, too long, or has too many headers.
+const BAD_HEAD: (&str, &str) = ("400 Bad Request", "unreadable request head");
+
+/// Status and message for a head that does not come in time.
+const SLOW_HEAD: (&str, &str) = ("408 Request Timeout", "request head took too long");
+
+/// Limits of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Longest time for a request's head, counted from the previous response on the connection.
+    pub head: Duration,
+    /// Open connections; more are closed at once.
+    pub connections: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head: Duration::from_secs(10),
+            connections: 8_192,
+        }
+    }
+}
+
+/// The connection that a request came on, found among the request's extensions.
+#[derive(Clone, Debug)]
+pub struct Connection(pub TcpStream);
+
+impl Connection {
+    /// Returns once the other end has closed the connection.
+    ///
+    /// Bytes that come meanwhile belong to a pipelined request; then closing is not noticed until
+    /// something is written.
+    pub async fn closed(&self) {
+        let mut byte = [0];
+        match self.0.peek(&mut byte).await {
+            Ok(0) | Err(_) => {}
+            Ok(_) => std::future::pending().await,
+        }
+    }
+}
+
+/// A running server; dropping it stops accepting.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    gate: Arc<Gate>,
+    accept: Option<JoinHandle<()>>,
+}
+
+/// State shared by the accept loop and the connections.
+#[derive(Debug, Default)]
+pub struct Gate {
+    shut: AtomicBool,
+    open: AtomicUsize,
+}
+
+impl Gate {
+    /// Closes every new connection at once while shut, as a crashed process would.
+    pub fn set_shut(&self, shut: bool) {
+        self.shut.store(shut, Ordering::SeqCst);
+    }
+
+    fn is_shut(&self) -> bool {
+        self.shut.load(Ordering::SeqCst)
+    }
+
+    /// Returns the open connections.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+}
+
+impl Server {
+    /// Binds an address and answers requests with `respond`.
+    ///
+    /// # Errors
+    /// If the address cannot be bound.
+    pub async fn start<F, Fut>(address: SocketAddr, limits: Limits, respond: F) -> io::Result<Self>
+    where
+        F: Fn(Request) -> Fut + Clone + Send + Sync + 'static,
+        Fut: Future<Output = Result<Response>> + Send + 'static,
+    {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let gate = Arc::new(Gate::default());
+        let accept = task::spawn(accept(listener, limits, Arc::clone(&gate), respond));
+        Ok(Self {
+            address,
+            gate,
+            accept: Some(accept),
+        })
+    }
+
+    /// Returns the address, with the port that the system chose.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the gate, through which a stand-in plays dead.
+    #[must_use]
+    pub fn gate(&self) -> Arc<Gate> {
+        Arc::clone(&self.gate)
+    }
+
+    /// Stops accepting; open connections go on.
+    pub async fn stop(mut self) {
+        if let Some(accept) = self.accept.take() {
+            accept.cancel().await;
+        }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        if let Some(accept) = self.accept.take() {
+            task::spawn(accept.cancel());
+        }
+    }
+}
+
+async fn accept<F, Fut>(listener: TcpListener, limits: Limits, gate: Arc<Gate>, respond: F)
+where
+    F: Fn(Request) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Result<Response>> + Send + 'static,
+{
+    /// Rest after a failed accept, which usually means that file descriptors ran out.
+    const REST: Duration = Duration::from_millis(50);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if gate.is_shut() || gate.open() >= limits.connections => drop(stream),
+            Ok((stream, peer)) => {
+                gate.open.fetch_add(1, Ordering::SeqCst);
+                let (gate, respond) = (Arc::clone(&gate), respond.clone());
+                task::spawn(async move {
+                    if let Err(cause) = handle(stream, limits, respond).await {
+                        log::debug!("event=connection_ended peer={peer} cause=\"{cause}\"");
+                    }
+                    gate.open.fetch_sub(1, Ordering::SeqCst);
+                });
+            }
+            Err(cause) => {
+                log::warn!("event=accept_failed cause=\"{cause}\"");
+                task::sleep(REST).await;
+            }
+        }
+    }
+}
+
+/// Answers the requests of one connection in turn.
+///
+/// A head that does not come in time or cannot be read is answered here, because `async-h1` would
+/// close the connection without a word.
+async fn handle<F, Fut>(stream: TcpStream, limits: Limits, respond: F) -> Result<()>
+where
+    F: Fn(Request) -> Fut,
+    Fut: Future<Output = Result<Response>>,
+{
+    stream.set_nodelay(true)?;
+    let connection = Connection(stream.clone());
+    let begun = AtomicBool::new(false);
+    let answer = |mut request: Request| {
+        begun.store(true, Ordering::SeqCst);
+        request.ext_mut().insert(connection.clone());
+        respond(request)
+    };
+    let mut server = async_h1::server::Server::new(stream.clone(), answer);
+    loop {
+        begun.store(false, Ordering::SeqCst);
+        let slow_head = async {
+            task::sleep(limits.head).await;
+            if begun.load(Ordering::SeqCst) {
+                std::future::pending::<()>().await;
+            }
+            None
+        };
+        match or(async { Some(server.accept_one().await) }, slow_head).await {
+            Some(Ok(ConnectionStatus::KeepAlive)) => {}
+            Some(Ok(ConnectionStatus::Close)) => return Ok(()),
+            Some(Err(cause)) => {
+                if !begun.load(Ordering::SeqCst) {
+                    refuse(stream, BAD_HEAD).await;
+                }
+                return Err(cause);
+            }
+            None => {
+                refuse(stream, SLOW_HEAD).await;
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// Writes an error in the callers' format and closes; the caller may be gone already.
+async fn refuse(mut stream: TcpStream, (status, message): (&str, &str)) {
+    let body = format!(
+        r#"{{"error":{{"message":"{message}","type":"invalid_request","verdict":"not_run"}}}}"#
+    );
+    let answer = format!(
+        "HTTP/1.1 {status}\r\ncontent-type: application/json\r\nconnection: close\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let _ = stream.write_all(answer.as_bytes()).await;
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+}
+
+/// Runs `work` unless the caller of `connection` goes away first.
+pub async fn unless_closed<T>(connection: &Connection, work: impl Future<Output = T>) -> Option<T> {
+    let gone = async {
+        connection.closed().await;
+        None
+    };
+    or(async { Some(work.await) }, gone).await
+}
--- /dev/null
+++ b/crates/peridotdeck-router/src/driver.rs
@@ -0,0 +1,428 @@
+//! The task that owns the decision core.
+//!
+//! Everything that happens comes in over one channel, so the core needs no lock and a decision is
+//! never interleaved with another. Tokens do not pass through here: a request's own task relays
+//! them and reports only its end.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use async_channel::{Receiver, Sender};
+use async_std::{future::timeout, task};
+use peridotdeck_core::{
+    Action, Event, Node, engine, id,
+    node::TICK,
+    request::{Call, Refusal},
+};
+use peridotdeck_http::client;
+use peridotdeck_policy::{Endpoint, Snapshot};
+use peridotdeck_wire::{Body, Envelope, Member};
+
+use crate::{clock::Clock, dial::Dial, metrics::Metrics, peers::Post};
+
+/// Inputs that may wait; more slow their senders down.
+const INPUTS: usize = 4_096;
+
+/// Orders that may wait for one request's task.
+const ORDERS: usize = 8;
+
+/// A look at the node, not on the request path.
+pub type Look = Box<dyn FnOnce(&Node, Duration) + Send>;
+
+/// Something for the core to handle.
+pub enum Input {
+    /// An event.
+    Event(Event),
+    /// A message, with the address that it came from.
+    Message(Envelope, IpAddr),
+    /// A new request.
+    Arrive(Call, Sender<(id::Request, Receiver<Order>)>),
+    /// A look at the node.
+    Look(Look),
+}
+
+impl std::fmt::Debug for Input {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(match self {
+            Self::Event(_) => "Event",
+            Self::Message(..) => "Message",
+            Self::Arrive(..) => "Arrive",
+            Self::Look(_) => "Look",
+        })
+    }
+}
+
+/// What a request's task is told.
+#[derive(Clone, Debug)]
+pub enum Order {
+    /// Send the request to an endpoint.
+    Run {
+        /// Id that the endpoint must echo.
+        attempt: id::Attempt,
+        /// Where to send it.
+        endpoint: Endpoint,
+    },
+    /// Close the attempt's connection.
+    Stop {
+        /// The attempt.
+        attempt: id::Attempt,
+    },
+    /// Tell the caller that there will be no answer.
+    Refuse(Refusal),
+    /// Give the caller an earlier answer.
+    Replay {
+        /// HTTP status.
+        status: u16,
+        /// Body.
+        body: String,
+    },
+}
+
+/// The way to the driver, for all other tasks.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    inputs: Sender<Input>,
+    /// What the platform's watches need to know without asking.
+    pub shared: Arc<Shared>,
+}
+
+/// Facts that the driver publishes to the other tasks.
+#[derive(Debug, Default)]
+pub struct Shared {
+    /// Configuration revision in force.
+    pub revision: AtomicU64,
+    /// Index of the VM list in use.
+    pub roster: AtomicU64,
+    /// Whether this node watches the platform.
+    pub watching: AtomicBool,
+    snapshot: Mutex<Option<Arc<Snapshot>>>,
+}
+
+impl Shared {
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn snapshot(&self) -> Option<Arc<Snapshot>> {
+        self.snapshot
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn set_snapshot(&self, snapshot: Option<Arc<Snapshot>>) {
+        *self.snapshot.lock().unwrap_or_else(PoisonError::into_inner) = snapshot;
+    }
+}
+
+impl Handle {
+    /// Creates the channel to a driver.
+    #[must_use]
+    pub fn new() -> (Self, Receiver<Input>) {
+        let (inputs, receiver) = async_channel::bounded(INPUTS);
+        (
+            Self {
+                inputs,
+                shared: Arc::default(),
+            },
+            receiver,
+        )
+    }
+
+    /// Hands over an event.
+    pub async fn send(&self, event: Event) {
+        self.input(Input::Event(event)).await;
+    }
+
+    /// Hands over an input; after the driver has stopped, nothing happens.
+    pub async fn input(&self, input: Input) {
+        let _ = self.inputs.send(input).await;
+    }
+
+    /// Hands over a request and returns its id and orders; none after the driver has stopped.
+    pub async fn arrive(&self, call: Call) -> Option<(id::Request, Receiver<Order>)> {
+        let (reply, answer) = async_channel::bounded(1);
+        self.input(Input::Arrive(call, reply)).await;
+        answer.recv().await.ok()
+    }
+
+    /// Looks at the node; none after the driver has stopped.
+    pub async fn look<T: Send + 'static>(
+        &self,
+        look: impl FnOnce(&Node, Duration) -> T + Send + 'static,
+    ) -> Option<T> {
+        let (reply, answer) = async_channel::bounded(1);
+        let look = move |node: &Node, now| {
+            let _ = reply.try_send(look(node, now));
+        };
+        self.input(Input::Look(Box::new(look))).await;
+        answer.recv().await.ok()
+    }
+}
+
+/// The core and the means to carry out its actions.
+#[derive(Debug)]
+pub struct Driver<D> {
+    node: Node,
+    clock: Clock,
+    inputs: Receiver<Input>,
+    handle: Handle,
+    dial: D,
+    post: Post<D>,
+    metrics: Arc<Metrics>,
+    seeds: Vec<SocketAddr>,
+    waiting: Vec<(id::Request, Sender<Order>)>,
+}
+
+impl<D: Dial> Driver<D> {
+    /// Prepares the driver of a node.
+    #[must_use]
+    pub fn new(
+        node: Node,
+        (handle, inputs): (Handle, Receiver<Input>),
+        dial: D,
+        post: Post<D>,
+        metrics: Arc<Metrics>,
+        seeds: Vec<SocketAddr>,
+    ) -> Self {
+        let waiting = Vec::new();
+        Self {
+            node,
+            clock: Clock::start(),
+            inputs,
+            handle,
+            dial,
+            post,
+            metrics,
+            seeds,
+            waiting,
+        }
+    }
+
+    /// Runs until the task is cancelled.
+    pub async fn run(mut self) {
+        let mut next_tick = Duration::ZERO;
+        loop {
+            let now = self.clock.now();
+            if now >= next_tick {
+                next_tick = now + TICK;
+                self.event(now, Event::Tick);
+            }
+            if let Ok(Ok(input)) = timeout(next_tick.saturating_sub(now), self.inputs.recv()).await
+            {
+                self.input(input);
+            }
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        let now = self.clock.now();
+        match input {
+            Input::Event(event) => self.event(now, event),
+            Input::Message(envelope, from) => {
+                if self.comes_from_member(&envelope, from) {
+                    self.event(now, Event::Message(envelope));
+                }
+            }
+            Input::Arrive(call, reply) => {
+                let request = self.node.next_id();
+                let (orders, receiver) = async_channel::bounded(ORDERS);
+                // Ids grow, so the list stays sorted.
+                self.waiting.push((request, orders));
+                let _ = reply.try_send((request, receiver));
+                log::info!(
+                    "event=arrived request={request:016x} class={} organisation={} service={}",
+                    call.class,
+                    call.organisation,
+                    call.service
+                );
+                self.event(now, Event::Arrive { request, call });
+            }
+            Input::Look(look) => look(&self.node, now),
+        }
+    }
+
+    /// A member speaks from the address that the VM list gives; a starting node knows none.
+    fn comes_from_member(&self, envelope: &Envelope, from: IpAddr) -> bool {
+        let Some(member) = self.node.view().member(envelope.sender) else {
+            return true;
+        };
+        member
+            .peers
+            .parse::<SocketAddr>()
+            .is_ok_and(|address| address.ip() == from)
+    }
+
+    fn event(&mut self, now: Duration, event: Event) {
+        let ends = matches!(event, Event::Ended { .. } | Event::Abandoned { .. });
+        let actions = self.node.handle(now, event);
+        let refuses = actions
+            .iter()
+            .any(|action| matches!(action, Action::Refuse { .. } | Action::Replay { .. }));
+        for action in actions {
+            self.act(action);
+        }
+        if ends || refuses {
+            self.drop_ended();
+        }
+        self.handle
+            .shared
+            .revision
+            .store(self.node.book().revision(), Ordering::Relaxed);
+        self.handle
+            .shared
+            .roster
+            .store(self.node.view().roster(), Ordering::Relaxed);
+    }
+
+    /// Closes the order channels of requests that have ended, which ends their tasks.
+    fn drop_ended(&mut self) {
+        let flights = self.node.desk().flights();
+        self.waiting.retain(|(request, _)| {
+            flights
+                .binary_search_by_key(request, |flight| flight.request)
+                .is_ok()
+        });
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Dispatch {
+                request,
+                attempt,
+                endpoint,
+            } => {
+                let found = self
+                    .node
+                    .snapshot()
+                    .and_then(|each| each.endpoint(endpoint))
+                    .cloned();
+                let Some(endpoint) = found else { return };
+                log::info!(
+                    "event=dispatched request={request:016x} attempt={attempt:016x} endpoint={} place={}",
+                    endpoint.id,
+                    endpoint.place
+                );
+                self.order(request, Order::Run { attempt, endpoint });
+            }
+            Action::Refuse { request, refusal } => {
+                log::info!(
+                    "event=refused request={request:016x} cause={} verdict={}",
+                    refusal.cause,
+                    refusal.verdict
+                );
+                self.order(request, Order::Refuse(refusal));
+            }
+            Action::Replay {
+                request,
+                status,
+                body,
+            } => {
+                log::info!("event=replayed request={request:016x} status={status}");
+                self.order(request, Order::Replay { status, body });
+            }
+            Action::Stop { attempt } => self.stop(attempt),
+            Action::Send { to, body } => self.post.send(to, body),
+            Action::Seek { body } => self.seek(&body),
+            Action::Watch(watch) => self.handle.shared.watching.store(watch, Ordering::Relaxed),
+            Action::Poll { endpoint } => self.poll(endpoint),
+            Action::Adopted { revision } => {
+                self.handle
+                    .shared
+                    .set_snapshot(self.node.snapshot().cloned());
+                log::info!("event=config_adopted revision={revision}");
+            }
+            Action::Rejected { revision, errors } => {
+                log::error!(
+                    "event=config_rejected revision={revision} errors=\"{}\"",
+                    errors.join("; ")
+                );
+            }
+        }
+    }
+
+    fn order(&self, request: id::Request, order: Order) {
+        let found = self
+            .waiting
+            .binary_search_by_key(&request, |(each, _)| *each);
+        if let Ok(at) = found
+            && self.waiting[at].1.try_send(order).is_err()
+        {
+            log::warn!("event=order_lost request={request:016x}");
+        }
+    }
+
+    fn stop(&self, attempt: id::Attempt) {
+        let flights = self.node.desk().flights();
+        if let Some(flight) = flights
+            .iter()
+            .find(|flight| flight.attempt() == Some(attempt))
+        {
+            self.order(flight.request, Order::Stop { attempt });
+        }
+    }
+
+    fn seek(&self, body: &Body) {
+        for &seed in &self.seeds {
+            let to = Member {
+                node: 0,
+                place: String::new(),
+                peers: String::new(),
+                callers: seed.to_string(),
+                leaving: false,
+            };
+            self.post.call(to, body.clone());
+        }
+    }
+
+    fn poll(&self, number: id::Endpoint) {
+        let found = self
+            .node
+            .snapshot()
+            .and_then(|snapshot| snapshot.endpoint(number));
+        let Some(endpoint) = found.cloned() else {
+            return;
+        };
+        let (dial, handle) = (self.dial.clone(), self.handle.clone());
+        let metrics = Arc::clone(&self.metrics);
+        task::spawn(async move {
+            match read_load(&dial, &endpoint).await {
+                Ok((report, bytes)) => {
+                    metrics.message("in", "load", bytes);
+                    handle
+                        .send(Event::Reported {
+                            endpoint: number,
+                            report,
+                        })
+                        .await;
+                }
+                Err(cause) => log::debug!("event=poll_failed endpoint={number} cause=\"{cause}\""),
+            }
+        });
+    }
+}
+
+/// Reads an endpoint's load report and returns its size in bytes with it.
+async fn read_load<D: Dial>(
+    dial: &D,
+    endpoint: &Endpoint,
+) -> http_types::Result<(engine::Report, usize)> {
+    /// Longest time for a report, which is worthless when it is old.
+    const PATIENCE: Duration = Duration::from_millis(900);
+    let address: SocketAddr = endpoint.address.parse()?;
+    let broken = |cause| http_types::Error::new(http_types::StatusCode::BadGateway, cause);
+    let stream = dial
+        .connect(&endpoint.place, address)
+        .await
+        .map_err(broken)?;
+    let request = http_types::Request::get(client::url(address, "/load")?);
+    let mut response = client::send(stream, request, PATIENCE)
+        .await
+        .map_err(broken)?;
+    let body = timeout(PATIENCE, response.body_bytes()).await??;
+    Ok((serde_json::from_slice(&body)?, body.len()))
+}
--- /dev/null
+++ b/crates/peridotdeck-router/src/peers.rs
@@ -0,0 +1,240 @@
+//! Messages between routers.
+//!
+//! Small messages travel as datagrams; the core repeats what gets lost. A message that does not fit
+//! a datagram travels as a JSON-RPC call to the peer's HTTP address, with the same types.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use async_std::{net::UdpSocket, task};
+use http_types::{Method, Request, mime};
+use jsonrpsee_types::{Id, Request as Call, Response, ResponsePayload};
+use peridotdeck_http::client;
+use peridotdeck_policy::digest_name;
+use peridotdeck_wire::{Body, Envelope, Error, MAX_DATAGRAM, Member, decode, encode};
+use serde_json::value::RawValue;
+
+use crate::{
+    dial::Dial,
+    driver::{Handle, Input},
+    metrics::Metrics,
+};
+
+/// Path of the peers' JSON-RPC interface.
+pub const PATH: &str = "/rpc/peer";
+
+/// Method that delivers one envelope.
+const DELIVER: &str = "peer.deliver";
+
+/// Longest time for a call between routers.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// Who this node is to its peers.
+#[derive(Clone, Copy, Debug)]
+pub struct Identity {
+    /// Number of the VM.
+    pub node: u32,
+    /// Start of the process.
+    pub incarnation: u64,
+    /// Digest of the data centre.
+    pub place: u32,
+}
+
+impl Identity {
+    /// Names a node in a data centre.
+    #[must_use]
+    pub fn new(node: u32, incarnation: u64, place: &str) -> Self {
+        Self {
+            node,
+            incarnation,
+            place: digest_name(place) as u32,
+        }
+    }
+}
+
+/// The sending side.
+#[derive(Clone, Debug)]
+pub struct Post<D> {
+    identity: Identity,
+    socket: Arc<UdpSocket>,
+    dial: D,
+    sequence: Arc<AtomicU64>,
+    metrics: Arc<Metrics>,
+    failures: Arc<Mutex<u64>>,
+}
+
+impl<D: Dial> Post<D> {
+    /// Prepares to send from a socket.
+    #[must_use]
+    pub fn new(identity: Identity, socket: Arc<UdpSocket>, dial: D, metrics: Arc<Metrics>) -> Self {
+        Self {
+            identity,
+            socket,
+            dial,
+            sequence: Arc::default(),
+            metrics,
+            failures: Arc::default(),
+        }
+    }
+
+    fn envelope(&self, body: Body) -> Envelope {
+        Envelope {
+            sender: self.identity.node,
+            incarnation: self.identity.incarnation,
+            place: self.identity.place,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
+            body,
+        }
+    }
+
+    /// Sends a message, by datagram if it fits.
+    pub fn send(&self, to: Member, body: Body) {
+        let Some(delay) = self.dial.datagram(&to.place) else {
+            return;
+        };
+        let envelope = self.envelope(body);
+        match encode(&envelope) {
+            Ok(bytes) => self.send_datagram(&to, bytes, kind(&envelope.body), delay),
+            Err(Error::Large(_)) => self.deliver(to, envelope),
+            Err(cause) => log::error!("event=encode_failed cause=\"{cause}\""),
+        }
+    }
+
+    fn send_datagram(&self, to: &Member, bytes: Vec<u8>, kind: &'static str, delay: Duration) {
+        let Ok(address) = to.peers.parse::<SocketAddr>() else {
+            log::warn!(
+                "event=bad_peer_address node={} address=\"{}\"",
+                to.node,
+                to.peers
+            );
+            return;
+        };
+        self.metrics.message("out", kind, bytes.len());
+        let socket = Arc::clone(&self.socket);
+        task::spawn(async move {
+            if !delay.is_zero() {
+                task::sleep(delay).await;
+            }
+            if let Err(cause) = socket.send_to(&bytes, address).await {
+                log::debug!("event=send_failed peer={address} cause=\"{cause}\"");
+            }
+        });
+    }
+
+    /// Sends a message as a JSON-RPC call.
+    pub fn call(&self, to: Member, body: Body) {
+        let envelope = self.envelope(body);
+        self.deliver(to, envelope);
+    }
+
+    fn deliver(&self, to: Member, envelope: Envelope) {
+        let post = self.clone();
+        task::spawn(async move {
+            if let Err(cause) = post.try_deliver(&to, &envelope).await {
+                *post.failures.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+                log::debug!("event=deliver_failed node={} cause=\"{cause}\"", to.node);
+            }
+        });
+    }
+
+    async fn try_deliver(&self, to: &Member, envelope: &Envelope) -> http_types::Result<()> {
+        let address: SocketAddr = to.callers.parse()?;
+        let params = RawValue::from_string(serde_json::to_string(&[envelope])?)?;
+        let call = Call::borrowed(DELIVER, Some(&params), Id::Number(envelope.sequence));
+        let text = serde_json::to_string(&call)?;
+        self.metrics
+            .message("out", kind(&envelope.body), text.len());
+        let mut request = Request::new(Method::Post, client::url(address, PATH)?);
+        request.set_body(text);
+        request.set_content_type(mime::JSON);
+        let broken = |cause: client::Error| {
+            http_types::Error::new(http_types::StatusCode::BadGateway, cause)
+        };
+        let stream = self
+            .dial
+            .connect(&to.place, address)
+            .await
+            .map_err(broken)?;
+        client::send(stream, request, PATIENCE)
+            .await
+            .map_err(broken)?;
+        Ok(())
+    }
+}
+
+/// Name of a message for the byte counters.
+fn kind(body: &Body) -> &'static str {
+    match body {
+        Body::Gossip(_) => "gossip",
+        Body::Ask(_) => "ask",
+        Body::Queued(_) => "queued",
+        Body::Grant(_) => "grant",
+        Body::Deny(_) => "deny",
+        Body::Done(_) => "done",
+        Body::Preempt(_) => "preempt",
+        Body::Holding(_) => "holding",
+        Body::Strike(_) => "strike",
+        Body::Claim(_) => "claim",
+        Body::Vote(_) => "vote",
+        Body::Settle(_) => "settle",
+        Body::Sync(_) => "sync",
+        Body::Claims(_) => "claims",
+        Body::Fetch(_) => "fetch",
+        Body::Delta(_) => "delta",
+    }
+}
+
+/// Receives datagrams until the task is cancelled; what cannot be read is counted and dropped.
+pub async fn receive(socket: Arc<UdpSocket>, handle: Handle, metrics: Arc<Metrics>) {
+    let mut buffer = vec![0; MAX_DATAGRAM + 1];
+    loop {
+        let (size, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(cause) => {
+                // A peer's closed port comes back as an error of this socket.
+                log::debug!("event=receive_failed cause=\"{cause}\"");
+                continue;
+            }
+        };
+        match decode(&buffer[..size]) {
+            Ok(envelope) => {
+                metrics.message("in", kind(&envelope.body), size);
+                handle.input(Input::Message(envelope, from.ip())).await;
+            }
+            Err(cause) => {
+                metrics.message("in", "malformed", size);
+                log::debug!("event=malformed_message peer={from} cause=\"{cause}\"");
+            }
+        }
+    }
+}
+
+/// Answers one JSON-RPC call of a peer.
+pub async fn answer(text: &[u8], from: IpAddr, handle: &Handle, metrics: &Metrics) -> String {
+    let Ok(call) = serde_json::from_slice::<Call<'_>>(text) else {
+        return error(Id::Null, -32_700, "the call is not JSON-RPC");
+    };
+    if call.method != DELIVER {
+        return error(call.id, -32_601, "unknown method");
+    }
+    let params = call.params.as_ref().map_or("", |params| params.get());
+    let Ok([envelope]) = serde_json::from_str::<[Envelope; 1]>(params) else {
+        return error(call.id, -32_602, "the parameter is not one envelope");
+    };
+    metrics.message("in", kind(&envelope.body), text.len());
+    handle.input(Input::Message(envelope, from)).await;
+    let payload = ResponsePayload::success(true);
+    serde_json::to_string(&Response::new(payload, call.id)).unwrap_or_default()
+}
+
+fn error(id: Id<'_>, code: i32, message: &str) -> String {
+    let object = jsonrpsee_types::ErrorObject::owned::<()>(code, message, None);
+    let payload = ResponsePayload::<()>::error(object);
+    serde_json::to_string(&Response::new(payload, id)).unwrap_or_default()
+}
