--- a/crates/peridotdeck-core/src/engine.rs
+++ b/crates/peridotdeck-core/src/engine.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use peridotdeck_policy::Endpoint;
-use peridotdeck_wire::Outcome;
+use peridotdeck_wire::{Outcome, Trust};
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
@@ -187,6 +187,32 @@
         self.in_flight += 1;
     }
 
+    /// Returns how much the endpoint is trusted with, for the next owner.
+    #[must_use]
+    pub fn trust(&self) -> Trust {
+        let finished = if let Phase::Cold { finished } = self.phase {
+            finished
+        } else {
+            0
+        };
+        Trust {
+            endpoint: self.endpoint.id,
+            warm: self.phase == Phase::Warm,
+            finished,
+        }
+    }
+
+    /// Takes over the last owner's trust.
+    pub fn believe(&mut self, trust: &Trust) {
+        self.phase = if trust.warm {
+            Phase::Warm
+        } else {
+            Phase::Cold {
+                finished: trust.finished,
+            }
+        };
+    }
+
     /// Returns a slot whose holder has vanished.
     ///
     /// # Panics
--- a/crates/peridotdeck-core/src/flight/desk.rs
+++ b/crates/peridotdeck-core/src/flight/desk.rs
@@ -981,13 +981,8 @@
             if statement.due <= scene.now {
                 statement.due = scene.now + STATEMENT;
                 let held = held(&self.flights, statement.pool);
-                out.tell(
-                    statement.owner,
-                    Holding {
-                        pool: statement.pool,
-                        held,
-                    },
-                );
+                let (pool, node) = (statement.pool, scene.view.me());
+                out.tell(statement.owner, Holding { pool, node, held });
             }
         }
     }
@@ -1021,7 +1016,6 @@
             attempt: running.attempt,
             endpoint: running.endpoint,
             class: flight.call.class.clone(),
-            organisation: flight.call.organisation.clone(),
             fingerprint: flight.call.fingerprint,
         })
         .collect()
--- a/crates/peridotdeck-core/src/member.rs
+++ b/crates/peridotdeck-core/src/member.rs
@@ -22,17 +22,20 @@
 /// Silence after which a node of another data centre counts as out of reach.
 pub const REMOTE_SILENCE: Duration = Duration::from_secs(6);
 
+/// Silence after which a live peer of the own data centre is probed.
+const PROBE_SILENCE: Duration = Duration::from_secs(1);
+
 /// Peers of the own data centre that a node tells in each round.
-const FANOUT: usize = 2;
+const FANOUT: usize = 1;
 
 /// Heartbeats of the own data centre in one message, newest first.
-const LOCAL_BEATS: usize = 32;
+const LOCAL_BEATS: usize = 48;
 
 /// Heartbeats of other data centres in one message, newest first.
 const REMOTE_BEATS: usize = 8;
 
 /// Pool summaries in one message, newest first.
-const SUMMARIES: usize = 24;
+const SUMMARIES: usize = 12;
 
 /// Nodes of a data centre that watch the configuration service.
 const WATCHERS: usize = 2;
@@ -318,29 +321,40 @@
         order.iter().take(WATCHERS).any(|&node| node == self.me)
     }
 
-    /// Counts one heartbeat and chooses whom to tell.
+    /// Counts one heartbeat and chooses whom to tell and whom to probe.
     ///
-    /// Peers that seem dead are told too, so that a healed connection is noticed. On average one
-    /// node of a data centre tells one node of each other data centre in a round.
-    pub fn beat(&mut self, rng: &mut SmallRng) -> Vec<Member> {
+    /// Random peers spread the news, the dead ones included, so that a healed connection is
+    /// noticed. Gossip alone leaves a long tail of late news; so the live peer that has been silent
+    /// longest is probed, and answers for itself. On average one node of a data centre tells one
+    /// node of each other data centre in a round.
+    pub fn beat(&mut self, now: id::Time, rng: &mut SmallRng) -> (Vec<id::Node>, Option<id::Node>) {
         self.counter += 1;
-        let local: Vec<&Member> = self
-            .others()
-            .filter(|each| each.place == self.place)
-            .collect();
-        let mut told: Vec<Member> = local
-            .choose_multiple(rng, FANOUT)
-            .map(|&each| each.clone())
-            .collect();
+        let local: Vec<id::Node> = self.others_in(&self.place).collect();
+        let mut told: Vec<id::Node> = local.choose_multiple(rng, FANOUT).copied().collect();
         let crowd = self.live(&self.place).len().max(1);
         for place in self.other_places() {
             if rng.random_ratio(1, crowd as u32) {
-                let remote: Vec<&Member> =
-                    self.others().filter(|each| each.place == place).collect();
-                told.extend(remote.choose(rng).map(|&each| each.clone()));
+                let remote: Vec<id::Node> = self.others_in(&place).collect();
+                told.extend(remote.choose(rng));
             }
         }
-        told
+        let probed = self.quietest(now).filter(|node| !told.contains(node));
+        (told, probed)
+    }
+
+    /// Returns the live peer of the own data centre that has been silent longest, if it is late.
+    fn quietest(&self, now: id::Time) -> Option<id::Node> {
+        let is_late = |peer: &&Peer| now.saturating_sub(peer.heard) > PROBE_SILENCE;
+        let is_local = |peer: &&Peer| self.live(&self.place).contains(&peer.beat.node);
+        let late = self.peers.iter().filter(is_late).filter(is_local);
+        late.min_by_key(|peer| peer.heard)
+            .map(|peer| peer.beat.node)
+    }
+
+    fn others_in<'a>(&'a self, place: &'a str) -> impl Iterator<Item = id::Node> + 'a {
+        self.others()
+            .filter(move |member| member.place == place)
+            .map(|member| member.node)
     }
 
     fn others(&self) -> impl Iterator<Item = &Member> {
--- a/crates/peridotdeck-core/src/node.rs
+++ b/crates/peridotdeck-core/src/node.rs
@@ -353,20 +353,24 @@
     }
 
     fn gossip(&mut self, now: id::Time, out: &mut Outbox) {
-        let told = self.view.beat(&mut self.rng);
+        let (told, probed) = self.view.beat(now, &mut self.rng);
         let own = self.owner.summaries(self.view.counter(), now);
         self.view.note(&own, now);
-        for member in told {
-            out.tell(member.node, self.digest(now));
+        for node in told {
+            out.tell(node, self.digest(false, now));
+        }
+        if let Some(node) = probed {
+            out.tell(node, self.digest(true, now));
         }
     }
 
-    fn digest(&self, now: id::Time) -> Gossip {
+    fn digest(&self, probe: bool, now: id::Time) -> Gossip {
         let pools = self
             .book
             .snapshot()
             .map_or_else(Vec::new, |each| self.view.summaries(each, now));
         Gossip {
+            probe,
             revision: self.book.revision(),
             roster: self.view.roster(),
             beats: self.view.beats(),
@@ -385,8 +389,8 @@
                 .follow(&self.view, &snapshot, now, &mut out.letters);
         }
         // Everyone in the data centre learns at once, so that the new owners start at once.
-        self.view.beat(&mut self.rng);
-        let digest = self.digest(now);
+        self.view.beat(now, &mut self.rng);
+        let digest = self.digest(false, now);
         for &node in self.view.live(self.view.place()) {
             out.tell(node, digest.clone());
         }
@@ -424,6 +428,7 @@
             Body::Ask(_) => {}
             Body::Done(done) => self.owner.done(&done, now, &mut out.letters),
             Body::Holding(holding) => self.owner.hold(from, &holding, now, &mut out.letters),
+            Body::Handover(handover) => self.owner.inherit(handover, now),
             Body::Queued(queued) => self.desk.queued(queued.attempt),
             Body::Grant(grant) => {
                 let (attempt, endpoint) = (grant.attempt, grant.endpoint);
@@ -474,6 +479,9 @@
     fn hear(&mut self, from: id::Node, gossip: &Gossip, now: id::Time, out: &mut Outbox) {
         self.view.hear(&gossip.beats, now);
         self.view.note(&gossip.pools, now);
+        if gossip.probe {
+            out.tell(from, self.digest(false, now));
+        }
         let newer = gossip.revision > self.book.revision().max(self.book.rejected());
         if newer || gossip.roster > self.view.roster() {
             self.fetch(from, now, out);
--- a/crates/peridotdeck-core/src/owner.rs
+++ b/crates/peridotdeck-core/src/owner.rs
@@ -1,9 +1,9 @@
 //! The pools that this node schedules.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use peridotdeck_policy::Snapshot;
-use peridotdeck_wire::{Ask, Body, Deny, Done, Holding, Reason, Summary};
+use peridotdeck_wire::{Ask, Body, Deny, Done, Handover, Holding, Reason, Summary};
 
 use crate::{
     Strategy, engine, id,
@@ -11,12 +11,16 @@
     pool::{Counts, Reply, Scheduler},
 };
 
+/// Age after which a handover says nothing about the present.
+const HANDOVER_AGE: Duration = Duration::from_secs(2);
+
 /// Schedulers, sorted by pool.
 #[derive(Clone, Debug)]
 pub struct Owner {
     strategy: Strategy,
     pools: Vec<Scheduler>,
     past: Counts,
+    handovers: Vec<(Handover, id::Time)>,
 }
 
 impl Owner {
@@ -27,6 +31,7 @@
             strategy,
             pools: Vec::new(),
             past: Counts::default(),
+            handovers: Vec::new(),
         }
     }
 
@@ -58,7 +63,10 @@
                 .is_some_and(|pool| view.owner(pool) == me)
         };
         for mut pool in self.pools.extract_if(.., |pool| !mine(pool.pool().id)) {
-            pool.retire(out);
+            let next = snapshot
+                .pool(pool.pool().id)
+                .and_then(|pool| view.owner(pool));
+            pool.retire(next.filter(|&next| Some(next) != me), out);
             add(&mut self.past, pool.counts());
         }
         for pool in snapshot
@@ -69,13 +77,36 @@
             if view.owner(pool) == me
                 && let Err(at) = self.find(pool.id)
             {
-                let scheduler =
-                    Scheduler::new(pool.clone(), Arc::clone(snapshot), self.strategy, now);
+                let (pool, snapshot) = (pool.clone(), Arc::clone(snapshot));
+                let handover = self.take_handover(pool.id);
+                let mut scheduler = Scheduler::new(pool, snapshot, self.strategy, now);
+                if let Some(handover) = handover {
+                    scheduler.inherit(&handover, now);
+                }
                 self.pools.insert(at, scheduler);
             }
         }
     }
 
+    fn take_handover(&mut self, pool: id::Pool) -> Option<Handover> {
+        let at = self
+            .handovers
+            .iter()
+            .position(|(each, _)| each.pool == pool)?;
+        Some(self.handovers.swap_remove(at).0)
+    }
+
+    /// Takes over a pool from its last owner, which may know of the change before this node does.
+    pub fn inherit(&mut self, handover: Handover, now: id::Time) {
+        self.handovers.retain(|(each, at)| {
+            each.pool != handover.pool && now.saturating_sub(*at) < HANDOVER_AGE
+        });
+        match self.find(handover.pool) {
+            Ok(at) => self.pools[at].inherit(&handover, now),
+            Err(_) => self.handovers.push((handover, now)),
+        }
+    }
+
     /// Follows a configuration change.
     pub fn update(&mut self, snapshot: &Arc<Snapshot>) {
         for pool in &mut self.pools {
--- a/crates/peridotdeck-core/src/pool.rs
+++ b/crates/peridotdeck-core/src/pool.rs
@@ -9,7 +9,8 @@
 
 use peridotdeck_policy::{Class, Pool, Snapshot};
 use peridotdeck_wire::{
-    Ask, Body, Deny, Done, Grant, Held, Outcome, Preempt, Queued, Reason, Summary,
+    Ask, Body, Deny, Done, Grant, Handover, Held, Holding, Outcome, Preempt, Queued, Reason,
+    Summary,
 };
 
 use crate::{
@@ -51,6 +52,17 @@
     stopping: bool,
 }
 
+impl Run {
+    fn held(&self) -> Held {
+        Held {
+            attempt: self.attempt,
+            endpoint: self.endpoint,
+            class: self.class.clone(),
+            fingerprint: self.fingerprint,
+        }
+    }
+}
+
 /// Counts that prove the promises; all but `granted` and `preempted` stay 0.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -694,14 +706,68 @@
         }
     }
 
-    /// Gives up the pool: every waiting request is sent to the new owner by its entry node.
-    pub fn retire(&mut self, out: &mut Vec<Reply>) {
+    /// Gives up the pool to its next owner, if there is one.
+    ///
+    /// Every waiting request is sent there by its entry node. The next owner learns what this one
+    /// knows, so it need not settle.
+    pub fn retire(&mut self, next: Option<id::Node>, out: &mut Vec<Reply>) {
         for entry in self.queue.drain(|_| true) {
             out.push((
                 entry.node,
                 deny(entry.attempt, Reason::NotOwner, Duration::ZERO),
             ));
         }
+        let Some(next) = next else { return };
+        let trust = self.engines.iter().map(engine::State::trust).collect();
+        out.push((
+            next,
+            Handover {
+                pool: self.pool.id,
+                trust,
+                runs: self.holdings(),
+            }
+            .into(),
+        ));
+    }
+
+    fn holdings(&self) -> Vec<Holding> {
+        let mut nodes: Vec<id::Node> = self.runs.iter().map(|run| run.node).collect();
+        nodes.sort_unstable();
+        nodes.dedup();
+        let held = |node| {
+            self.runs
+                .iter()
+                .filter(move |run| run.node == node)
+                .map(Run::held)
+                .collect()
+        };
+        nodes
+            .into_iter()
+            .map(|node| Holding {
+                pool: self.pool.id,
+                node,
+                held: held(node),
+            })
+            .collect()
+    }
+
+    /// Takes over what the last owner knew: nothing is left to settle.
+    pub fn inherit(&mut self, handover: &Handover, now: id::Time) {
+        for trust in &handover.trust {
+            if let Some(state) = self
+                .engines
+                .iter_mut()
+                .find(|state| state.id() == trust.endpoint)
+            {
+                state.believe(trust);
+            }
+        }
+        for holding in &handover.runs {
+            for held in &holding.held {
+                self.adopt(holding.node, held, now);
+            }
+        }
+        self.settled = now;
     }
 
     /// Returns the pool's state for gossip.
--- a/crates/peridotdeck-router/src/peers.rs
+++ b/crates/peridotdeck-router/src/peers.rs
@@ -179,6 +179,7 @@
         Body::Done(_) => "done",
         Body::Preempt(_) => "preempt",
         Body::Holding(_) => "holding",
+        Body::Handover(_) => "handover",
         Body::Strike(_) => "strike",
         Body::Claim(_) => "claim",
         Body::Vote(_) => "vote",
--- a/crates/peridotdeck-wire/src/generated.rs
+++ b/crates/peridotdeck-wire/src/generated.rs
@@ -350,6 +350,18 @@
 ///    {
 ///      "type": "object",
 ///      "required": [
+///        "Handover"
+///      ],
+///      "properties": {
+///        "Handover": {
+///          "$ref": "#/definitions/Handover"
+///        }
+///      },
+///      "additionalProperties": false
+///    },
+///    {
+///      "type": "object",
+///      "required": [
 ///        "Strike"
 ///      ],
 ///      "properties": {
@@ -457,6 +469,7 @@
     Done(Done),
     Preempt(Preempt),
     Holding(Holding),
+    Handover(Handover),
     Strike(Strike),
     Claim(Claim),
     Vote(Vote),
@@ -511,6 +524,11 @@
         Self::Holding(value)
     }
 }
+impl ::std::convert::From<Handover> for Body {
+    fn from(value: Handover) -> Self {
+        Self::Handover(value)
+    }
+}
 impl ::std::convert::From<Strike> for Body {
     fn from(value: Strike) -> Self {
         Self::Strike(value)
@@ -1045,6 +1063,7 @@
 ///  "required": [
 ///    "beats",
 ///    "pools",
+///    "probe",
 ///    "revision",
 ///    "roster"
 ///  ],
@@ -1061,6 +1080,10 @@
 ///        "$ref": "#/definitions/Summary"
 ///      }
 ///    },
+///    "probe": {
+///      "description": "Whether the receiver should answer with its own.",
+///      "type": "boolean"
+///    },
 ///    "revision": {
 ///      "description": "Configuration revision in force at the sender.",
 ///      "type": "integer",
@@ -1083,6 +1106,8 @@
 pub struct Gossip {
     pub beats: ::std::vec::Vec<Beat>,
     pub pools: ::std::vec::Vec<Summary>,
+    ///Whether the receiver should answer with its own.
+    pub probe: bool,
     ///Configuration revision in force at the sender.
     pub revision: u64,
     ///Index of the VM list that the sender follows.
@@ -1132,6 +1157,56 @@
         value.clone()
     }
 }
+///Passes a pool from its owner to the next one.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Passes a pool from its owner to the next one.",
+///  "type": "object",
+///  "required": [
+///    "pool",
+///    "runs",
+///    "trust"
+///  ],
+///  "properties": {
+///    "pool": {
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "runs": {
+///      "description": "Slots in use, by entry node.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/Holding"
+///      }
+///    },
+///    "trust": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/Trust"
+///      }
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Handover {
+    pub pool: u64,
+    ///Slots in use, by entry node.
+    pub runs: ::std::vec::Vec<Holding>,
+    pub trust: ::std::vec::Vec<Trust>,
+}
+impl ::std::convert::From<&Handover> for Handover {
+    fn from(value: &Handover) -> Self {
+        value.clone()
+    }
+}
 ///One slot in use.
 ///
 /// <details><summary>JSON schema</summary>
@@ -1144,8 +1219,7 @@
 ///    "attempt",
 ///    "class",
 ///    "endpoint",
-///    "fingerprint",
-///    "organisation"
+///    "fingerprint"
 ///  ],
 ///  "properties": {
 ///    "attempt": {
@@ -1165,9 +1239,6 @@
 ///      "type": "integer",
 ///      "format": "uint64",
 ///      "minimum": 0.0
-///    },
-///    "organisation": {
-///      "type": "string"
 ///    }
 ///  },
 ///  "additionalProperties": false
@@ -1181,7 +1252,6 @@
     pub class: ::std::string::String,
     pub endpoint: u32,
     pub fingerprint: u64,
-    pub organisation: ::std::string::String,
 }
 impl ::std::convert::From<&Held> for Held {
     fn from(value: &Held) -> Self {
@@ -1198,6 +1268,7 @@
 ///  "type": "object",
 ///  "required": [
 ///    "held",
+///    "node",
 ///    "pool"
 ///  ],
 ///  "properties": {
@@ -1207,6 +1278,12 @@
 ///        "$ref": "#/definitions/Held"
 ///      }
 ///    },
+///    "node": {
+///      "description": "Entry node that uses the slots.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
 ///    "pool": {
 ///      "type": "integer",
 ///      "format": "uint64",
@@ -1221,6 +1298,8 @@
 #[serde(deny_unknown_fields)]
 pub struct Holding {
     pub held: ::std::vec::Vec<Held>,
+    ///Entry node that uses the slots.
+    pub node: u32,
     pub pool: u64,
 }
 impl ::std::convert::From<&Holding> for Holding {
@@ -1859,6 +1938,52 @@
         value.clone()
     }
 }
+///How much an owner trusts an endpoint with.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "How much an owner trusts an endpoint with.",
+///  "type": "object",
+///  "required": [
+///    "endpoint",
+///    "finished",
+///    "warm"
+///  ],
+///  "properties": {
+///    "endpoint": {
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "finished": {
+///      "description": "Requests finished since it turned cold.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "warm": {
+///      "type": "boolean"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Trust {
+    pub endpoint: u32,
+    ///Requests finished since it turned cold.
+    pub finished: u32,
+    pub warm: bool,
+}
+impl ::std::convert::From<&Trust> for Trust {
+    fn from(value: &Trust) -> Self {
+        value.clone()
+    }
+}
 ///A witness's answer to a claim.
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/peridotdeck-wire/src/lib.rs
+++ b/crates/peridotdeck-wire/src/lib.rs
@@ -21,6 +21,6 @@
 pub use codec::{Error, MAX_DATAGRAM, VERSION, decode, encode};
 pub use generated::{
     Answer, Ask, Beat, Body, Claim, Claims, Delta, Deny, Done, Entry, Envelope, Fetch, Gossip,
-    Grant, Held, Holding, Member, Outcome, Part, Phase, Preempt, Queued, Reason, Settle, Strike,
-    Summary, Sync, Vote,
+    Grant, Handover, Held, Holding, Member, Outcome, Part, Phase, Preempt, Queued, Reason, Settle,
+    Strike, Summary, Sync, Trust, Vote,
 };
