Count load that others put on an endpoint; tell displaced drafts the truth

(1) A draft that was displaced and later refused was told not run, although it had run in part. (2) An owner that took a pool over while a paused node still held a slot of a cold endpoint granted that slot again after settling: the paused node cannot state what it holds. Ruled out for (2): two owners granting at once, and an entry node's own share. Change: a displacement counts as may have run. Reported load above the most that the owner had itself within the report's age counts against the limit, settling or not.

--- a/crates/peridotdeck-core/src/engine.rs
+++ b/crates/peridotdeck-core/src/engine.rs
@@ -33,7 +33,7 @@
 /// Time for which a prefix is assumed to stay cached.
 const PREFIX_AGE: Duration = Duration::from_secs(60);
 
-/// Age after which a report says nothing about the present.
+/// Age after which a report says nothing about the present; younger ones may be this late.
 const REPORT_AGE: Duration = Duration::from_secs(3);
 
 /// Load report of an endpoint, as its HTTP interface gives it.
@@ -80,6 +80,7 @@
     first: Mean,
     gap: Mean,
     report: Option<(Report, id::Time)>,
+    loads: Vec<(id::Time, u32)>,
     prefixes: Vec<(u64, id::Time)>,
 }
 
@@ -96,6 +97,7 @@
             first: Mean::default(),
             gap: Mean::default(),
             report: None,
+            loads: Vec::new(),
             prefixes: Vec::new(),
         }
     }
@@ -130,11 +132,10 @@
         self.open = open;
     }
 
-    /// Returns the requests that the endpoint may run now.
+    /// Returns the requests that this owner may have at the endpoint now.
     ///
-    /// While the owner is `settling`, slots that others granted may be unknown to it; then the
-    /// report counts as load and cold endpoints get nothing, so that two owners together never
-    /// exceed the cold limit.
+    /// Load that others put there counts against it. While the owner is `settling`, cold endpoints
+    /// get nothing, so that two owners together never exceed the cold limit.
     #[must_use]
     pub fn limit(&self, now: id::Time, settling: bool) -> u32 {
         if !self.open {
@@ -147,11 +148,32 @@
             Phase::Slow => 1,
             Phase::Down { .. } => 0,
         };
-        if settling {
-            limit.saturating_sub(self.reported(now))
-        } else {
-            limit
+        limit.saturating_sub(self.foreign_load(now))
+    }
+
+    /// Returns the reported load that this owner has not granted: of an owner before it, or of a
+    /// node that cannot tell what it holds.
+    ///
+    /// A report may be late, so it is held against the most that this owner had in the meantime.
+    fn foreign_load(&self, now: id::Time) -> u32 {
+        let Some((report, at)) = self.report else {
+            return 0;
+        };
+        if now.saturating_sub(at) > REPORT_AGE {
+            return 0;
         }
+        let most = self.loads.iter().map(|(_, load)| *load).max().unwrap_or(0);
+        (report.running + report.queued).saturating_sub(most.max(self.in_flight))
+    }
+
+    /// Remembers the load at every change, back to the oldest that a report may still show.
+    fn note_load(&mut self, now: id::Time) {
+        let old = self
+            .loads
+            .partition_point(|(at, _)| now.saturating_sub(*at) > REPORT_AGE);
+        // The last old one was in force at the beginning of the window.
+        self.loads.drain(..old.saturating_sub(1));
+        self.loads.push((now, self.in_flight));
     }
 
     /// Returns the free slots.
@@ -165,26 +187,19 @@
         earned.min(self.endpoint.slots)
     }
 
-    fn reported(&self, now: id::Time) -> u32 {
-        match self.report {
-            Some((report, at)) if now.saturating_sub(at) < REPORT_AGE => {
-                report.running + report.queued
-            }
-            _ => 0,
-        }
-    }
-
     /// Takes a slot.
     pub fn take(&mut self, prefix: u64, now: id::Time) {
         self.in_flight += 1;
+        self.note_load(now);
         if prefix != 0 {
             self.remember(prefix, now);
         }
     }
 
     /// Counts a slot that is in use already, told by the entry node that holds it.
-    pub fn adopt(&mut self) {
+    pub fn adopt(&mut self, now: id::Time) {
         self.in_flight += 1;
+        self.note_load(now);
     }
 
     /// Returns how much the endpoint is trusted with, for the next owner.
@@ -217,18 +232,19 @@
     ///
     /// # Panics
     /// If no slot is in use, which is a fault of this program.
-    pub fn release(&mut self) {
+    pub fn release(&mut self, now: id::Time) {
         assert!(
             self.in_flight > 0,
             "endpoint {} has negative load",
             self.endpoint.id
         );
         self.in_flight -= 1;
+        self.note_load(now);
     }
 
     /// Returns a slot and learns from how the attempt went.
     pub fn finish(&mut self, outcome: Outcome, first: Duration, now: id::Time) {
-        self.release();
+        self.release(now);
         match outcome {
             Outcome::Finished => self.succeed(first),
             Outcome::Unreachable | Outcome::Broken | Outcome::Silent => self.fail(now),
--- a/crates/peridotdeck-core/src/flight/desk.rs
+++ b/crates/peridotdeck-core/src/flight/desk.rs
@@ -629,7 +629,10 @@
         match end.outcome {
             Outcome::Finished => self.finish(at, running.endpoint, end, scene, out),
             Outcome::Cancelled => self.cancel(at, scene.now),
-            Outcome::Preempted => self.ask(at, scene, out),
+            Outcome::Preempted => {
+                self.flights[at].may_have_run = true;
+                self.ask(at, scene, out);
+            }
             Outcome::Refused | Outcome::Unreachable => self.retry(at, running.endpoint, scene, out),
             Outcome::Broken | Outcome::Silent | Outcome::Crossed => {
                 self.fail(at, &running, end.outcome, scene, out);
--- a/crates/peridotdeck-core/src/pool.rs
+++ b/crates/peridotdeck-core/src/pool.rs
@@ -593,21 +593,21 @@
         let lost = |run: &Run| {
             run.node == node && !stated(run) && now.saturating_sub(run.since) > KNOWN_AGE
         };
-        self.release(lost);
+        self.release(now, lost);
         for each in held {
             self.adopt(node, each, now);
         }
         self.pump(now, out);
     }
 
-    fn release(&mut self, lost: impl Fn(&Run) -> bool) {
+    fn release(&mut self, now: id::Time, lost: impl Fn(&Run) -> bool) {
         for run in self.runs.extract_if(.., |run| lost(run)) {
             if let Some(state) = self
                 .engines
                 .iter_mut()
                 .find(|state| state.id() == run.endpoint)
             {
-                state.release();
+                state.release(now);
             }
         }
     }
@@ -621,7 +621,7 @@
         let (false, Some(state)) = (known, state) else {
             return;
         };
-        state.adopt();
+        state.adopt(now);
         self.queue.remove(held.attempt);
         self.runs.push(Run {
             attempt: held.attempt,
@@ -642,7 +642,7 @@
     /// Frees what an entry node held that has died.
     pub fn forget(&mut self, node: id::Node, now: id::Time, out: &mut Vec<Reply>) {
         self.queue.drain(|entry| entry.node == node);
-        self.release(|run| run.node == node);
+        self.release(now, |run| run.node == node);
         self.pump(now, out);
     }
 
--- a/crates/peridotdeck-core/tests/testsuite/preemption.rs
+++ b/crates/peridotdeck-core/tests/testsuite/preemption.rs
@@ -72,3 +72,31 @@
         "8 run; the rest is told early when to come back"
     );
 }
+
+#[test]
+fn displaced_may_have_run() {
+    let mut world = World::warmed(&[("a", 1)], 5);
+    world.service_time = std::time::Duration::from_secs(60);
+    let drafts: Vec<u64> = (0..8)
+        .filter_map(|serial| world.send(0, call("draft", "matrah", serial)))
+        .collect();
+    world.run(100);
+    for serial in 0..7 {
+        world.send(0, call("counter", "barka", 100 + serial));
+    }
+    world.run(100);
+    // Operators take the only place out, so what waits is refused in the end.
+    world.config.places[0].out = true;
+    world.publish();
+    world.run(70_000);
+    let told: Vec<_> = drafts
+        .iter()
+        .filter_map(|draft| world.endings.get(draft))
+        .collect();
+    assert!(
+        told.iter()
+            .all(|ending| !matches!(ending, Ending::Refused(refusal)
+            if refusal.verdict == peridotdeck_core::Verdict::NotRun)),
+        "a displaced draft ran in part: {told:?}"
+    );
+}
