Test codec, settings, operators' library and generator

Cause: these doors had no tests. Change: one test module a feature, with random inputs for datagrams and configuration parts; the formatter leaves generated code alone, so the committed files equal the generator's output and a test can say so.

--- a/crates/peridotdeck-policy/src/generated.rs
+++ b/crates/peridotdeck-policy/src/generated.rs
@@ -6,12 +6,18 @@
     pub struct ConversionError(::std::borrow::Cow<'static, str>);
     impl ::std::error::Error for ConversionError {}
     impl ::std::fmt::Display for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Display::fmt(&self.0, f)
         }
     }
     impl ::std::fmt::Debug for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Debug::fmt(&self.0, f)
         }
     }
@@ -289,7 +295,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum Kind {
     #[serde(rename = "model")]
@@ -312,7 +318,9 @@
 }
 impl ::std::str::FromStr for Kind {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "model" => Ok(Self::Model),
             "plain" => Ok(Self::Plain),
@@ -322,7 +330,9 @@
 }
 impl ::std::convert::TryFrom<&str> for Kind {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
--- a/crates/peridotdeck-policy/src/lib.rs
+++ b/crates/peridotdeck-policy/src/lib.rs
@@ -31,6 +31,7 @@
     rustdoc::all,
     reason = "generated code follows the generator's style"
 )]
+#[rustfmt::skip]
 mod generated;
 mod part;
 mod snapshot;
--- /dev/null
+++ b/crates/peridotdeck-policy/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the operators' library.
+
+mod mistakes;
+mod parts;
+mod routes;
--- a/crates/peridotdeck-settings/src/generated.rs
+++ b/crates/peridotdeck-settings/src/generated.rs
@@ -6,12 +6,18 @@
     pub struct ConversionError(::std::borrow::Cow<'static, str>);
     impl ::std::error::Error for ConversionError {}
     impl ::std::fmt::Display for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Display::fmt(&self.0, f)
         }
     }
     impl ::std::fmt::Debug for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Debug::fmt(&self.0, f)
         }
     }
--- a/crates/peridotdeck-settings/src/lib.rs
+++ b/crates/peridotdeck-settings/src/lib.rs
@@ -14,6 +14,7 @@
     rustdoc::all,
     reason = "generated code follows the generator's style"
 )]
+#[rustfmt::skip]
 mod generated;
 
 pub use check::{Error, load, parse};
--- a/crates/peridotdeck-wire/src/generated.rs
+++ b/crates/peridotdeck-wire/src/generated.rs
@@ -6,12 +6,18 @@
     pub struct ConversionError(::std::borrow::Cow<'static, str>);
     impl ::std::error::Error for ConversionError {}
     impl ::std::fmt::Display for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Display::fmt(&self.0, f)
         }
     }
     impl ::std::fmt::Debug for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Debug::fmt(&self.0, f)
         }
     }
@@ -1394,7 +1400,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum Outcome {
     #[serde(rename = "finished")]
@@ -1435,7 +1441,9 @@
 }
 impl ::std::str::FromStr for Outcome {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "finished" => Ok(Self::Finished),
             "cancelled" => Ok(Self::Cancelled),
@@ -1451,7 +1459,9 @@
 }
 impl ::std::convert::TryFrom<&str> for Outcome {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -1542,7 +1552,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum Phase {
     #[serde(rename = "running")]
@@ -1571,7 +1581,9 @@
 }
 impl ::std::str::FromStr for Phase {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "running" => Ok(Self::Running),
             "ran" => Ok(Self::Ran),
@@ -1583,7 +1595,9 @@
 }
 impl ::std::convert::TryFrom<&str> for Phase {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -1694,7 +1708,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum Reason {
     #[serde(rename = "overload")]
@@ -1723,7 +1737,9 @@
 }
 impl ::std::str::FromStr for Reason {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "overload" => Ok(Self::Overload),
             "no-endpoint" => Ok(Self::NoEndpoint),
@@ -1735,7 +1751,9 @@
 }
 impl ::std::convert::TryFrom<&str> for Reason {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
--- a/crates/peridotdeck-wire/src/lib.rs
+++ b/crates/peridotdeck-wire/src/lib.rs
@@ -16,6 +16,7 @@
     rustdoc::all,
     reason = "generated code follows the generator's style"
 )]
+#[rustfmt::skip]
 mod generated;
 
 pub use codec::{Error, MAX_DATAGRAM, VERSION, decode, encode};
--- /dev/null
+++ b/crates/peridotdeck-wire/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the datagram encoding.
+
+mod codec;
