Add benchmarks, the cost measurement and experiments for faults

A starting node owns nothing until it has heard its data centre or waited 2 s, and an owner that still settles starts anew when it hears another peer.

--- a/crates/peridotdeck-core/src/flight/desk.rs
+++ b/crates/peridotdeck-core/src/flight/desk.rs
@@ -420,7 +420,7 @@
         let Some((pool, owner)) = choose(flight, scene) else {
             return self.find_no_pool(at, scene, out);
         };
-        let attempt = self.attempts.next();
+        let attempt = self.attempts.issue();
         self.flights[at].stage = Stage::Asking(Asking {
             attempt,
             pool,
--- a/crates/peridotdeck-core/src/id.rs
+++ b/crates/peridotdeck-core/src/id.rs
@@ -53,7 +53,7 @@
     }
 
     /// Returns a new number.
-    pub fn next(&mut self) -> u64 {
+    pub fn issue(&mut self) -> u64 {
         self.count = (self.count + 1) & ((1 << COUNT_BITS) - 1);
         self.base | self.count
     }
--- a/crates/peridotdeck-core/src/member.rs
+++ b/crates/peridotdeck-core/src/member.rs
@@ -22,6 +22,9 @@
 /// Silence after which a node of another data centre counts as out of reach.
 pub const REMOTE_SILENCE: Duration = Duration::from_secs(6);
 
+/// Time that a starting node gives its peers to be heard.
+const ACQUAINTANCE: Duration = Duration::from_secs(2);
+
 /// Silence after which a live peer of the own data centre is probed.
 const PROBE_SILENCE: Duration = Duration::from_secs(1);
 
@@ -68,6 +71,7 @@
     peers: Vec<Peer>,
     summaries: Vec<Seen>,
     live: Vec<(String, Vec<id::Node>)>,
+    listed: Option<id::Time>,
 }
 
 impl View {
@@ -85,6 +89,7 @@
             peers: Vec::new(),
             summaries: Vec::new(),
             live: Vec::new(),
+            listed: None,
         }
     }
 
@@ -276,6 +281,9 @@
 
     /// Works out anew who is alive; called at every tick, so that requests only look it up.
     pub fn refresh(&mut self, now: id::Time) {
+        if self.roster > 0 {
+            self.listed.get_or_insert(now);
+        }
         let mut live: Vec<(String, Vec<id::Node>)> = Vec::new();
         for member in &self.members {
             let other = member.node != self.me && !member.leaving;
@@ -306,6 +314,18 @@
         at.map_or(&[], |at| self.live[at].1.as_slice())
     }
 
+    /// Returns whether this node knows its data centre well enough to own anything there.
+    ///
+    /// A node that has just started has heard nobody and would take itself for the only one.
+    #[must_use]
+    pub fn is_acquainted(&self, now: id::Time) -> bool {
+        let waited = self
+            .listed
+            .is_some_and(|listed| now.saturating_sub(listed) >= ACQUAINTANCE);
+        let mut others = self.others_in(&self.place);
+        waited || (self.listed.is_some() && others.all(|node| self.heard(node).is_some()))
+    }
+
     /// Returns the number of live nodes in the fleet, at least this one.
     #[must_use]
     pub fn live_count(&self) -> usize {
--- a/crates/peridotdeck-core/src/node.rs
+++ b/crates/peridotdeck-core/src/node.rs
@@ -107,7 +107,7 @@
 
     /// Returns a new request id.
     pub fn next_id(&mut self) -> id::Request {
-        self.requests.next()
+        self.requests.issue()
     }
 
     /// Returns the configuration in force.
@@ -281,7 +281,7 @@
         let Some(snapshot) = self.book.snapshot().cloned() else {
             return;
         };
-        if !self.view.is_leaving() {
+        if !self.view.is_leaving() && self.view.is_acquainted(now) {
             self.owner
                 .follow(&self.view, &snapshot, now, &mut out.letters);
         }
--- a/crates/peridotdeck-core/src/owner.rs
+++ b/crates/peridotdeck-core/src/owner.rs
@@ -21,6 +21,7 @@
     pools: Vec<Scheduler>,
     past: Counts,
     handovers: Vec<(Handover, id::Time)>,
+    live: Vec<id::Node>,
 }
 
 impl Owner {
@@ -32,6 +33,7 @@
             pools: Vec::new(),
             past: Counts::default(),
             handovers: Vec::new(),
+            live: Vec::new(),
         }
     }
 
@@ -56,9 +58,15 @@
         now: id::Time,
         out: &mut Vec<Reply>,
     ) {
+        let live = view.live(view.place());
+        let changed = self.live != live;
         for pool in &mut self.pools {
             pool.forget_silent(view, now);
+            if changed {
+                pool.settle_longer(now);
+            }
         }
+        self.live = live.to_vec();
         let me = Some(view.me());
         let mine = |pool: id::Pool| {
             snapshot
--- a/crates/peridotdeck-core/src/pool.rs
+++ b/crates/peridotdeck-core/src/pool.rs
@@ -341,6 +341,14 @@
         now < self.settled
     }
 
+    /// Settles anew if it has not settled yet: a peer that has just been heard may have owned the
+    /// pool until now, and needs time to learn that it does not.
+    pub fn settle_longer(&mut self, now: id::Time) {
+        if self.is_settling(now) {
+            self.settled = now + SETTLE;
+        }
+    }
+
     /// Grants free slots, then preempts bulk for interactive requests that still wait.
     fn pump(&mut self, now: id::Time, out: &mut Vec<Reply>) {
         if self.strategy.is_baseline() {
--- a/crates/peridotdeck-load/src/experiment.rs
+++ b/crates/peridotdeck-load/src/experiment.rs
@@ -280,12 +280,29 @@
 
 /// Reads and checks an experiment.
 ///
+/// A file may name another one as its `base`, relative to itself; its own keys replace the base's.
+///
 /// # Errors
 /// Says what is wrong in which file.
 pub fn load(path: &Path) -> Result<Experiment, Error> {
+    let file = path.display().to_string();
+    let syntax = |cause| Error::Syntax(file.clone(), cause);
+    let mut table = read_table(path)?;
+    if let Some(base) = table.remove("base") {
+        let name = base.as_str().unwrap_or_default();
+        let mut merged = read_table(&path.with_file_name(name))?;
+        merged.extend(table);
+        table = merged;
+    }
+    let experiment = table.try_into().map_err(syntax)?;
+    check(&experiment).map_err(|what| Error::Value(file, what))?;
+    Ok(experiment)
+}
+
+fn read_table(path: &Path) -> Result<toml::Table, Error> {
     let file = path.display().to_string();
     let text = fs::read_to_string(path).map_err(|cause| Error::Read(file.clone(), cause))?;
-    parse(&text, &file)
+    toml::from_str(&text).map_err(|cause| Error::Syntax(file, cause))
 }
 
 /// Checks an experiment's text; `file` names it in errors.
@@ -329,6 +346,32 @@
             ));
         }
     }
+    let engines: usize = experiment
+        .models
+        .iter()
+        .map(|model| model.places.len())
+        .sum();
+    let plains: usize = experiment
+        .plains
+        .iter()
+        .map(|plain| plain.places.len())
+        .sum();
+    let routers: u32 = experiment.places.iter().map(|place| place.routers).sum();
+    for fault in &experiment.faults {
+        let (kind, index, count) = match &fault.kind {
+            Kind::Engine { index, .. } => ("engine", *index, engines),
+            Kind::Plain { index, .. } => ("plain endpoint", *index, plains),
+            Kind::RouterKill(index)
+            | Kind::RouterPause { index, .. }
+            | Kind::RouterReplace(index) => ("router", *index, routers as usize),
+            _ => continue,
+        };
+        if index >= count {
+            return Err(format!(
+                "a fault names {kind} {index}, but there are {count}"
+            ));
+        }
+    }
     if experiment.places.iter().all(|place| place.routers == 0) {
         return Err("no place has a router".to_owned());
     }
--- a/crates/peridotdeck-load/src/lib.rs
+++ b/crates/peridotdeck-load/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod arrivals;
 pub mod bound;
 pub mod caller;
+pub mod cost;
 pub mod experiment;
 pub mod fault;
 pub mod ops;
--- a/crates/peridotdeck-load/src/main.rs
+++ b/crates/peridotdeck-load/src/main.rs
@@ -5,7 +5,7 @@
 use async_std::task;
 use bpaf::Bpaf;
 use peridotdeck_core::Strategy;
-use peridotdeck_load::ops;
+use peridotdeck_load::{cost, ops};
 
 /// Load and experiments for peridotdeck.
 #[derive(Bpaf, Clone, Debug)]
@@ -32,36 +32,57 @@
         #[bpaf(positional("EXPERIMENT"))]
         experiment: PathBuf,
     },
+    /// Measures what control costs a node in a data centre, and prints the table of the capacity
+    /// page.
+    #[bpaf(command)]
+    Cost {
+        /// Routers in the data centre, one run for each number.
+        #[bpaf(argument("N"), some("name at least one number of nodes"))]
+        nodes: Vec<u32>,
+        /// Seconds for each measurement.
+        #[bpaf(argument("S"), fallback(5))]
+        seconds: u64,
+    },
 }
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
     peridotdeck_router::ops::abort_on_panic();
-    let Command::Run {
-        json,
-        svg,
-        strategy,
-        seed,
-        quiet,
-        experiment,
-    } = command().run();
-    let options = ops::Run {
-        experiment,
-        json,
-        svg,
-        strategy,
-        seed,
-        quiet,
-    };
-    match task::block_on(ops::run(&options)) {
+    match command().run() {
+        Command::Run {
+            json,
+            svg,
+            strategy,
+            seed,
+            quiet,
+            experiment,
+        } => run(&ops::Run {
+            experiment,
+            json,
+            svg,
+            strategy,
+            seed,
+            quiet,
+        }),
+        Command::Cost { nodes, seconds } => match task::block_on(cost::measure(&nodes, seconds)) {
+            Ok(table) => {
+                println!("{table}");
+                ExitCode::SUCCESS
+            }
+            Err(error) => fail(&error.to_string()),
+        },
+    }
+}
+
+fn run(options: &ops::Run) -> ExitCode {
+    match task::block_on(ops::run(options)) {
         Ok(report) if report.invariants.hold() => ExitCode::SUCCESS,
-        Ok(_) => {
-            eprintln!("peridotdeck-load: a promise was broken, see the invariants above");
-            ExitCode::FAILURE
-        }
-        Err(error) => {
-            eprintln!("peridotdeck-load: {error}");
-            ExitCode::FAILURE
-        }
+        Ok(_) => fail("a promise was broken, see the invariants above"),
+        Err(error) => fail(&error.to_string()),
     }
 }
+
+fn fail(message: &str) -> ExitCode {
+    eprintln!("peridotdeck-load: {message}");
+    ExitCode::FAILURE
+}
--- a/crates/peridotdeck-router/src/driver.rs
+++ b/crates/peridotdeck-router/src/driver.rs
@@ -10,7 +10,7 @@
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_channel::{Receiver, Sender};
@@ -101,6 +101,8 @@
     pub roster: AtomicU64,
     /// Whether this node watches the platform.
     pub watching: AtomicBool,
+    /// Time in nanoseconds that decisions have taken.
+    pub busy_ns: AtomicU64,
     snapshot: Mutex<Option<Arc<Snapshot>>>,
 }
 
@@ -258,6 +260,16 @@
     }
 
     fn event(&mut self, now: Duration, event: Event) {
+        let started = Instant::now();
+        self.handle_event(now, event);
+        let busy = started.elapsed().as_nanos() as u64;
+        self.handle
+            .shared
+            .busy_ns
+            .fetch_add(busy, Ordering::Relaxed);
+    }
+
+    fn handle_event(&mut self, now: Duration, event: Event) {
         let ends = matches!(event, Event::Ended { .. } | Event::Abandoned { .. });
         let actions = self.node.handle(now, event);
         let refuses = actions
--- a/crates/peridotdeck-router/src/metrics.rs
+++ b/crates/peridotdeck-router/src/metrics.rs
@@ -187,22 +187,28 @@
             .inc_by(bytes as u64);
     }
 
-    /// Returns the bytes of messages in one direction.
+    /// Returns the bytes of messages in one direction, by kind.
     #[must_use]
-    pub fn message_bytes(&self, direction: &str) -> u64 {
+    pub fn message_bytes(&self, direction: &str) -> Vec<(String, u64)> {
         let families = prometheus::core::Collector::collect(&self.messages);
         let metrics = families
             .iter()
             .flat_map(prometheus::proto::MetricFamily::get_metric);
-        let matching = metrics.filter(|metric| {
-            metric
-                .get_label()
-                .iter()
-                .any(|label| label.name() == "direction" && label.value() == direction)
-        });
-        matching
-            .map(|metric| metric.get_counter().get_value() as u64)
-            .sum()
+        let label = |metric: &prometheus::proto::Metric, name: &str| {
+            let found = metric.get_label().iter().find(|label| label.name() == name);
+            found
+                .map(|label| label.value().to_owned())
+                .unwrap_or_default()
+        };
+        metrics
+            .filter(|metric| label(metric, "direction") == direction)
+            .map(|metric| {
+                (
+                    label(metric, "kind"),
+                    metric.get_counter().get_value() as u64,
+                )
+            })
+            .collect()
     }
 
     /// Sets the gauges from the node's state and prints all series.
