Find slow endpoints by the gap between tokens; refuse hopeless claims early

A request cut off in mid-stream was judged by the wait since its arrival and refused. A cold engine was given a slot again before it had noticed that a displaced stream's reader was gone (one request beyond its limit). Bookings behind a cut waited 5 s for witnesses known to be out of reach. Change: the report of an attempt carries its mean gap; an endpoint with twice the pool's median gap is left to bulk, and probed after 4 s without an answer. The wait counts anew after an interruption. Slots closed early linger 300 ms at a cold endpoint. A claim whose witnesses are mostly out of reach is refused after 0.6 s. Any message of a peer is a sign of life. The load tool's balancer notices a paused router after 1 s and the VM list drops a dead one after 3 s.

--- a/crates/peridotdeck-core/benches/decision.rs
+++ b/crates/peridotdeck-core/benches/decision.rs
@@ -128,6 +128,7 @@
                 outcome: Outcome::Finished,
                 tokens: 100,
                 first_ms: 30,
+                gap_us: 0,
             };
             scheduler.done(&done, NOW, &mut out);
             black_box(out)
--- a/crates/peridotdeck-core/src/claim/round.rs
+++ b/crates/peridotdeck-core/src/claim/round.rs
@@ -9,6 +9,9 @@
 /// Time after which the claim is sent again to witnesses that have not granted it.
 const RESEND: Duration = Duration::from_millis(200);
 
+/// Effort while too few witnesses seem alive to win; the view may be a little late.
+const HOPELESS: Duration = Duration::from_millis(600);
+
 /// Longest effort; afterwards the caller is told.
 const PATIENCE: Duration = Duration::from_secs(5);
 
@@ -98,9 +101,9 @@
         }
     }
 
-    /// Returns where the round stands.
+    /// Returns where the round stands; `hopeless` if too few witnesses are alive to win.
     #[must_use]
-    pub fn state(&self, now: id::Time) -> State {
+    pub fn state(&self, now: id::Time, hopeless: bool) -> State {
         let taken = || {
             self.votes.iter().filter_map(|(_, answer)| match answer {
                 // A witness that has restarted may know this very claim from its peers.
@@ -125,7 +128,8 @@
         if granted > self.witnesses.len() / 2 {
             return State::Won;
         }
-        if now.saturating_sub(self.started) > PATIENCE {
+        let patience = if hopeless { HOPELESS } else { PATIENCE };
+        if now.saturating_sub(self.started) > patience {
             return State::Lost {
                 taken: taken().next().is_some(),
             };
--- a/crates/peridotdeck-core/src/engine.rs
+++ b/crates/peridotdeck-core/src/engine.rs
@@ -27,6 +27,21 @@
 /// Differences below this are noise, whatever the ratio.
 const SLOW_FLOOR_MS: f64 = 100.0;
 
+/// A gap between tokens this many times longer than the median marks an endpoint as slow too.
+const SLOW_GAP_FACTOR: f64 = 2.0;
+
+/// Differences of the gap below this are noise.
+const SLOW_GAP_FLOOR_MS: f64 = 4.0;
+
+/// Weight of the newest answer: a slow endpoint must show within a few.
+const NEWEST: f64 = 0.3;
+
+/// Time that an endpoint may take to notice that a stream's reader has gone.
+const LINGER: Duration = Duration::from_millis(300);
+
+/// Time without an answer after which a slow endpoint is probed with whatever waits.
+const PROBE: Duration = Duration::from_secs(4);
+
 /// Prefixes that an endpoint is assumed to hold in its cache.
 const PREFIXES: usize = 64;
 
@@ -69,6 +84,24 @@
     },
 }
 
+/// How fast an endpoint answered one request; zero where nothing was measured.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Speed {
+    /// Time to the first token.
+    pub first: Duration,
+    /// Mean gap between tokens.
+    pub gap: Duration,
+}
+
+/// Medians over a pool's endpoints.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Medians {
+    /// Time to the first token in milliseconds.
+    pub first_ms: f64,
+    /// Gap between tokens in milliseconds.
+    pub gap_ms: f64,
+}
+
 /// State of one endpoint.
 #[derive(Clone, Debug)]
 pub struct State {
@@ -81,6 +114,8 @@
     gap: Mean,
     report: Option<(Report, id::Time)>,
     loads: Vec<(id::Time, u32)>,
+    answered: id::Time,
+    closed: Vec<id::Time>,
     prefixes: Vec<(u64, id::Time)>,
 }
 
@@ -98,6 +133,8 @@
             gap: Mean::default(),
             report: None,
             loads: Vec::new(),
+            answered: id::Time::ZERO,
+            closed: Vec::new(),
             prefixes: Vec::new(),
         }
     }
@@ -144,13 +181,24 @@
         let limit = match self.phase {
             Phase::Warm => self.endpoint.slots,
             Phase::Cold { .. } if settling => 0,
-            Phase::Cold { finished } => self.cold_limit(finished),
+            Phase::Cold { finished } => self
+                .cold_limit(finished)
+                .saturating_sub(self.lingering(now)),
             Phase::Slow => 1,
             Phase::Down { .. } => 0,
         };
         limit.saturating_sub(self.foreign_load(now))
     }
 
+    /// Returns the streams that were closed early and may still run. A warm endpoint can bear them;
+    /// a cold one may not.
+    fn lingering(&self, now: id::Time) -> u32 {
+        self.closed
+            .iter()
+            .filter(|&&at| now.saturating_sub(at) < LINGER)
+            .count() as u32
+    }
+
     /// Returns the reported load that this owner has not granted: of an owner before it, or of a
     /// node that cannot tell what it holds.
     ///
@@ -243,19 +291,24 @@
     }
 
     /// Returns a slot and learns from how the attempt went.
-    pub fn finish(&mut self, outcome: Outcome, first: Duration, now: id::Time) {
+    pub fn finish(&mut self, outcome: Outcome, speed: Speed, now: id::Time) {
         self.release(now);
         match outcome {
-            Outcome::Finished => self.succeed(first),
+            Outcome::Finished => self.succeed(speed, now),
             Outcome::Unreachable | Outcome::Broken | Outcome::Silent => self.fail(now),
-            Outcome::Cancelled | Outcome::Preempted | Outcome::Refused | Outcome::Crossed => {}
+            Outcome::Cancelled | Outcome::Preempted | Outcome::Crossed => self.closed.push(now),
+            Outcome::Refused => {}
         }
     }
 
-    fn succeed(&mut self, first: Duration) {
+    fn succeed(&mut self, speed: Speed, now: id::Time) {
         self.failures = 0;
-        if first > Duration::ZERO {
-            self.first.add(first);
+        self.answered = now;
+        if speed.first > Duration::ZERO {
+            self.first.add_with(speed.first, NEWEST);
+        }
+        if speed.gap > Duration::ZERO {
+            self.gap.add_with(speed.gap, NEWEST);
         }
         if let Phase::Cold { finished } = &mut self.phase {
             *finished += 1;
@@ -282,6 +335,7 @@
         {
             self.turn_cold();
         }
+        self.closed.retain(|&at| now.saturating_sub(at) < LINGER);
         self.prefixes
             .retain(|&(_, used)| now.saturating_sub(used) < PREFIX_AGE);
     }
@@ -307,12 +361,22 @@
         }
     }
 
-    /// Compares with the median first-token time of the pool's other endpoints.
-    pub fn compare(&mut self, median_ms: f64) {
-        let Some(first_ms) = self.first.value() else {
-            return;
+    /// Compares with the medians of the pool's endpoints, in milliseconds.
+    pub fn compare(&mut self, median: Medians) {
+        let exceeds = |value: Option<f64>, median: f64, factor: f64, floor: f64| {
+            value.is_some_and(|value| value > median * factor && value > median + floor)
         };
-        let slow = first_ms > median_ms * SLOW_FACTOR && first_ms > median_ms + SLOW_FLOOR_MS;
+        let slow = exceeds(
+            self.first.value(),
+            median.first_ms,
+            SLOW_FACTOR,
+            SLOW_FLOOR_MS,
+        ) || exceeds(
+            self.gap.value(),
+            median.gap_ms,
+            SLOW_GAP_FACTOR,
+            SLOW_GAP_FLOOR_MS,
+        );
         match self.phase {
             Phase::Warm if slow => self.phase = Phase::Slow,
             Phase::Slow if !slow => self.phase = Phase::Warm,
@@ -320,6 +384,19 @@
         }
     }
 
+    /// Returns whether interactive work should go elsewhere: the endpoint is slow, and bulk or time
+    /// has not yet shown otherwise.
+    #[must_use]
+    pub fn is_shunned(&self, now: id::Time) -> bool {
+        self.phase == Phase::Slow && now.saturating_sub(self.answered) < PROBE
+    }
+
+    /// Returns the mean gap between tokens in milliseconds.
+    #[must_use]
+    pub fn gap_ms(&self) -> Option<f64> {
+        self.gap.value()
+    }
+
     /// Returns the mean time to the first token in milliseconds.
     #[must_use]
     pub fn first_ms(&self) -> Option<f64> {
--- a/crates/peridotdeck-core/src/event.rs
+++ b/crates/peridotdeck-core/src/event.rs
@@ -59,3 +59,12 @@
     /// Status and body of a short plain answer, to be kept for a caller that sends again.
     pub answer: Option<(u16, String)>,
 }
+
+impl End {
+    /// Returns the mean gap between tokens, if at least two came.
+    #[must_use]
+    pub fn gap(&self) -> Option<Duration> {
+        let first = self.first.filter(|_| self.tokens > 1)?;
+        Some(self.whole.saturating_sub(first) / (self.tokens - 1))
+    }
+}
--- a/crates/peridotdeck-core/src/flight.rs
+++ b/crates/peridotdeck-core/src/flight.rs
@@ -68,8 +68,9 @@
     pub request: id::Request,
     /// What the caller wants.
     pub call: request::Call,
-    /// When it arrived.
-    pub arrived: id::Time,
+    /// When it arrived, or when the answer that had begun was interrupted: the time from which the
+    /// wait counts against the class's patience.
+    pub since: id::Time,
     /// Where it stands.
     pub stage: Stage,
     /// Reservation of its idempotency key.
@@ -95,7 +96,7 @@
         Self {
             request,
             call,
-            arrived: now,
+            since: now,
             stage: Stage::Parked,
             round: None,
             failures: 0,
@@ -117,9 +118,9 @@
         }
     }
 
-    /// Returns the time since the request arrived.
+    /// Returns the time for which the request has waited.
     #[must_use]
     pub fn waited(&self, now: id::Time) -> Duration {
-        now.saturating_sub(self.arrived)
+        now.saturating_sub(self.since)
     }
 }
--- a/crates/peridotdeck-core/src/flight/desk.rs
+++ b/crates/peridotdeck-core/src/flight/desk.rs
@@ -336,7 +336,12 @@
                 scene.view.roster(),
             );
         }
-        match round.state(scene.now) {
+        let reachable = round
+            .witnesses()
+            .iter()
+            .filter(|&&node| scene.view.is_live(node, scene.now));
+        let hopeless = reachable.count() <= round.witnesses().len() / 2;
+        match round.state(scene.now, hopeless) {
             claim::State::Open => {
                 if let Some((witnesses, claim)) = round.send(scene.now) {
                     for witness in witnesses {
@@ -636,7 +641,11 @@
             return;
         };
         Self::return_slot(&running, &end, scene, out);
-        self.flights[at].delivered += end.tokens;
+        let flight = &mut self.flights[at];
+        flight.delivered += end.tokens;
+        if flight.delivered > 0 {
+            flight.since = scene.now;
+        }
         match end.outcome {
             Outcome::Finished => self.finish(at, running.endpoint, end, scene, out),
             Outcome::Cancelled => self.cancel(at, scene.now),
@@ -655,6 +664,7 @@
         let report = Done {
             tokens: end.tokens,
             first_ms: end.first.map_or(0, |first| first.as_millis().max(1) as u32),
+            gap_us: end.gap().map_or(0, |gap| gap.as_micros() as u32),
             ..done(running.attempt, running.pool, running.endpoint, end.outcome)
         };
         let current = scene
@@ -1071,6 +1081,7 @@
         outcome,
         tokens: 0,
         first_ms: 0,
+        gap_us: 0,
     }
 }
 
--- a/crates/peridotdeck-core/src/member.rs
+++ b/crates/peridotdeck-core/src/member.rs
@@ -209,6 +209,16 @@
         at.ok().map(|at| self.peers[at].beat.incarnation)
     }
 
+    /// Counts any message of a peer as a sign of life.
+    pub fn touch(&mut self, node: id::Node, now: id::Time) {
+        if let Ok(at) = self
+            .peers
+            .binary_search_by_key(&node, |peer| peer.beat.node)
+        {
+            self.peers[at].heard = now;
+        }
+    }
+
     /// Returns when a node was heard last.
     #[must_use]
     pub fn heard(&self, node: id::Node) -> Option<id::Time> {
--- a/crates/peridotdeck-core/src/node.rs
+++ b/crates/peridotdeck-core/src/node.rs
@@ -413,6 +413,7 @@
         let Ok(restarted) = self.inbox.accept(&envelope, &self.view, nonce) else {
             return;
         };
+        self.view.touch(envelope.sender, now);
         if restarted {
             self.owner.forget(envelope.sender, now, &mut out.letters);
         }
--- a/crates/peridotdeck-core/src/pool.rs
+++ b/crates/peridotdeck-core/src/pool.rs
@@ -431,17 +431,23 @@
         if self.must_run_alone(entry) {
             return None;
         }
-        let median = self.median_first_ms();
+        let median = self.medians().first_ms;
         let free = self
             .engines
             .iter()
             .filter(|state| state.free(now, settling) > 0);
+        let elsewhere = self
+            .engines
+            .iter()
+            .any(|state| state.phase() == engine::Phase::Warm);
         let fit = free.filter(|state| {
             let suspects = self
                 .runs
                 .iter()
                 .any(|run| run.endpoint == state.id() && run.suspect);
-            !(entry.strikes > 0 && suspects)
+            let spread = entry.strikes > 0 && suspects;
+            let shunned = !entry.bulk && elsewhere && state.is_shunned(now);
+            !spread && !shunned
         });
         let best = fit.min_by(|one, other| {
             let avoided = |state: &engine::State| entry.avoid.contains(&state.id());
@@ -463,18 +469,11 @@
                 .any(|run| run.fingerprint == entry.fingerprint)
     }
 
-    fn median_first_ms(&self) -> f64 {
-        let mut firsts: Vec<f64> = self
-            .engines
-            .iter()
-            .filter_map(engine::State::first_ms)
-            .collect();
-        firsts.sort_by(f64::total_cmp);
-        // The lower middle: with two endpoints the slow one must not set the standard.
-        firsts
-            .get(firsts.len().saturating_sub(1) / 2)
-            .copied()
-            .unwrap_or(1.0)
+    fn medians(&self) -> engine::Medians {
+        engine::Medians {
+            first_ms: median(self.engines.iter().filter_map(engine::State::first_ms)),
+            gap_ms: median(self.engines.iter().filter_map(engine::State::gap_ms)),
+        }
     }
 
     fn grant(
@@ -579,8 +578,11 @@
             .iter_mut()
             .find(|state| state.id() == run.endpoint)
         {
-            let first = Duration::from_millis(done.first_ms.into());
-            state.finish(done.outcome, first, now);
+            let speed = engine::Speed {
+                first: Duration::from_millis(done.first_ms.into()),
+                gap: Duration::from_micros(done.gap_us.into()),
+            };
+            state.finish(done.outcome, speed, now);
         }
     }
 
@@ -686,10 +688,10 @@
 
     /// Ends rests, marks slow endpoints, and refuses what has no endpoint left.
     pub fn tick(&mut self, now: id::Time, out: &mut Vec<Reply>) {
-        let median = self.median_first_ms();
+        let medians = self.medians();
         for state in &mut self.engines {
             state.tick(now);
-            state.compare(median);
+            state.compare(medians);
         }
         self.refuse_stranded(now, out);
         self.pump(now, out);
@@ -850,6 +852,16 @@
     }
 }
 
+/// The lower middle: with two endpoints the slow one must not set the standard.
+fn median(values: impl Iterator<Item = f64>) -> f64 {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_by(f64::total_cmp);
+    values
+        .get(values.len().saturating_sub(1) / 2)
+        .copied()
+        .unwrap_or(1.0)
+}
+
 /// Returns how long a request of an interactive class may wait for a slot.
 #[must_use]
 pub fn patience(class: &Class) -> Duration {
--- a/crates/peridotdeck-core/src/size.rs
+++ b/crates/peridotdeck-core/src/size.rs
@@ -74,10 +74,15 @@
 
     /// Adds a sample.
     pub fn add(&mut self, sample: id::Time) {
+        self.add_with(sample, NEWEST);
+    }
+
+    /// Adds a sample with its own weight, for means that must follow a change within few samples.
+    pub fn add_with(&mut self, sample: id::Time, newest: f64) {
         let sample = sample.as_secs_f64() * 1e3;
         self.value = Some(
             self.value
-                .map_or(sample, |old| old + NEWEST * (sample - old)),
+                .map_or(sample, |old| old + newest * (sample - old)),
         );
     }
 }
--- a/crates/peridotdeck-core/tests/testsuite/random.rs
+++ b/crates/peridotdeck-core/tests/testsuite/random.rs
@@ -194,6 +194,24 @@
     play(&steps, &[("a", 2), ("b", 2), ("c", 1)], true);
 }
 
+/// Found by a long run: an owner freed the slot of a node that had just woken and asked, because
+/// its last heartbeat was old.
+#[test]
+fn woken_holder() {
+    let steps = [
+        Step::Kill(171),
+        Step::Wait(21),
+        Step::Counter(200),
+        Step::Counter(220),
+        Step::Start(176),
+        Step::Pause {
+            seat: 250,
+            seconds: 103,
+        },
+    ];
+    play(&steps, &[("a", 2), ("b", 2), ("c", 1)], true);
+}
+
 /// Found by a long run: a restarted witness took a losing claim, learnt from a peer, for its own
 /// vote.
 #[test]
--- a/crates/peridotdeck-load/src/fault.rs
+++ b/crates/peridotdeck-load/src/fault.rs
@@ -19,6 +19,9 @@
 /// Time after which the balancer stops sending to a router that has died.
 const NOTICE: Duration = Duration::from_secs(1);
 
+/// Time after that until the VM list drops it.
+const LISTED: Duration = Duration::from_secs(2);
+
 /// Time after which no new work may reach a data centre that was taken out.
 const OUT: Duration = Duration::from_secs(3);
 
@@ -107,22 +110,35 @@
     Ok(())
 }
 
+/// A router dies; the balancer notices, and later the VM list.
 async fn kill(index: usize, shared: &Shared) {
     shared.write().await.kill(index).await;
     let shared = Arc::clone(shared);
     task::spawn(async move {
         task::sleep(NOTICE).await;
         shared.write().await.slots[index].up = false;
+        task::sleep(LISTED).await;
+        shared.write().await.unlist(index).await;
     });
 }
 
-/// Blocks the router's core, as SIGSTOP blocks a process; its sockets stay open.
+/// Blocks the router's core, as SIGSTOP blocks a process; its sockets stay open. The balancer's
+/// health checks notice.
 async fn pause(index: usize, seconds: f64, shared: &Shared) {
     let stage = shared.read().await;
-    if let Some(router) = &stage.slots[index].router {
-        let sleep = move |_: &_, _| std::thread::sleep(Duration::from_secs_f64(seconds));
-        router.handle().input(Input::Look(Box::new(sleep))).await;
-    }
+    let Some(router) = &stage.slots[index].router else {
+        return;
+    };
+    let pause = Duration::from_secs_f64(seconds);
+    let sleep = move |_: &_, _| std::thread::sleep(pause);
+    router.handle().input(Input::Look(Box::new(sleep))).await;
+    let shared = Arc::clone(shared);
+    task::spawn(async move {
+        task::sleep(NOTICE).await;
+        shared.write().await.slots[index].up = false;
+        task::sleep(pause.saturating_sub(NOTICE)).await;
+        shared.write().await.slots[index].up = true;
+    });
 }
 
 /// The balancer stops sending, the old router drains while the new one starts.
--- a/crates/peridotdeck-load/src/stage.rs
+++ b/crates/peridotdeck-load/src/stage.rs
@@ -200,6 +200,14 @@
         }
     }
 
+    /// Drops a dead router from the VM list.
+    pub async fn unlist(&mut self, index: usize) {
+        let node = self.slots[index].node;
+        let mut members = self.members().await;
+        members.retain(|member| member.node != node);
+        self.platform.list(members);
+    }
+
     /// Starts a new router in the place of one that has left, empty and with a new number.
     ///
     /// # Errors
--- a/crates/peridotdeck-wire/src/generated.rs
+++ b/crates/peridotdeck-wire/src/generated.rs
@@ -817,6 +817,7 @@
 ///    "attempt",
 ///    "endpoint",
 ///    "first_ms",
+///    "gap_us",
 ///    "outcome",
 ///    "pool",
 ///    "tokens"
@@ -839,6 +840,12 @@
 ///      "format": "uint32",
 ///      "minimum": 0.0
 ///    },
+///    "gap_us": {
+///      "description": "Mean gap between tokens in microseconds; 0 if fewer than two came.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
 ///    "outcome": {
 ///      "$ref": "#/definitions/Outcome"
 ///    },
@@ -866,6 +873,8 @@
     pub endpoint: u32,
     ///Time to the first token at the endpoint in milliseconds; 0 if none came.
     pub first_ms: u32,
+    ///Mean gap between tokens in microseconds; 0 if fewer than two came.
+    pub gap_us: u32,
     pub outcome: Outcome,
     pub pool: u64,
     ///Tokens delivered.
