--- /dev/null
+++ b/crates/peridotdeck-load/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the load tool: experiment files, arrivals and the bound.
+
+mod arrivals;
+mod files;
--- a/crates/peridotdeck-router/src/attempt.rs
+++ b/crates/peridotdeck-router/src/attempt.rs
@@ -7,7 +7,7 @@
 mod model;
 mod plain;
 
-pub use answer::{Answer, Whole};
+pub use answer::{Answer, Gone, Whole};
 pub use model::Model;
 pub use plain::Plain;
 
