--- a/crates/peridotdeck-load/src/bound.rs
+++ b/crates/peridotdeck-load/src/bound.rs
@@ -34,10 +34,9 @@
             }
             let total: f64 = demand.iter().sum();
             if total > 0.0 {
-                bounds.insert(
-                    class.name.clone(),
-                    serve(&demand, &mut room, class.bulk) / total,
-                );
+                let served = serve(&demand, &mut room, class.bulk);
+                // Sums in another order may differ in the last digit.
+                bounds.insert(class.name.clone(), (served / total).min(1.0));
             }
         }
     }
