Bear the silence of a long prompt

Cause: tried by hand with an unmodified client library: a prompt of 200000 tokens ended with 502 after four attempts, because the first token takes longer than the silence that a stream may have. Change: before the first token an engine gets 1 ms for each prompt token on top.

--- a/crates/peridotdeck-router/src/attempt/model.rs
+++ b/crates/peridotdeck-router/src/attempt/model.rs
@@ -16,6 +16,10 @@
 /// Longest error body in bytes that is passed on to the caller.
 const MAX_ERROR: usize = 64 * 1_024;
 
+/// Time that an engine may spend on a prompt token before the first output token; a slow engine
+/// spends a part of it.
+const PREFILL: Duration = Duration::from_millis(1);
+
 /// Data of the event that ends a stream.
 const DONE: &[u8] = b"[DONE]";
 
@@ -60,13 +64,18 @@
         };
         let streams = self.prompt.simple || self.prompt.stream;
         let patience = if streams {
-            target.silence
+            self.first_patience(target)
         } else {
             target.patience
         };
         send(dial, target, request, patience).await
     }
 
+    /// Silence to bear before the first token: a long prompt takes long to read.
+    fn first_patience(&self, target: &Target) -> Duration {
+        target.silence + PREFILL * self.prompt.tokens
+    }
+
     async fn receive(
         &self,
         response: Response,
@@ -99,7 +108,12 @@
         let id = target.id();
         let mut events = async_sse::decode(response.take_body());
         loop {
-            match timeout(target.silence, events.next()).await {
+            let silence = if first.is_some() {
+                target.silence
+            } else {
+                self.first_patience(target)
+            };
+            match timeout(silence, events.next()).await {
                 Err(_) => return Outcome::Silent,
                 Ok(None | Some(Err(_))) => return Outcome::Broken,
                 Ok(Some(Ok(Event::Retry(_)))) => {}
--- a/crates/peridotdeck-router/tests/testsuite/streams.rs
+++ b/crates/peridotdeck-router/tests/testsuite/streams.rs
@@ -132,3 +132,22 @@
         );
     });
 }
+
+#[test]
+fn long_prompt() {
+    block_on(async {
+        // The prompt takes 1.5 s to read, more than the silence that a stream may have.
+        let setting = Setting {
+            prefill_us: 500,
+            ..fast()
+        };
+        let site = Site::start(&[setting], 1).await;
+        let prompt = format!("{} about 5 words", "wick ".repeat(2_400));
+        let answer = value(send(site.address(), chat(site.address(), &prompt, false)).await).await;
+        assert_eq!(
+            answer["choices"][0]["message"]["content"].as_str().unwrap(),
+            text::answer(&prompt, 0)
+        );
+        assert_eq!(site.engines[0].counts().runs, 1);
+    });
+}
