--- a/crates/peridotdeck-core/src/flight.rs
+++ b/crates/peridotdeck-core/src/flight.rs
@@ -4,9 +4,13 @@
 //! slot, runs at an endpoint, and rests before another try. [`Desk`] holds all flights and makes
 //! every transition; each flight ends exactly once, by an answer, a refusal or the caller's leave.
 
+mod candidate;
 mod desk;
+mod scene;
 
-pub use desk::{Candidate, Counts, Desk, Outbox, Scene, candidates};
+pub use candidate::{Candidate, candidates};
+pub use desk::{Counts, Desk};
+pub use scene::{Outbox, Scene};
 
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/peridotdeck-core/src/flight/scene.rs
@@ -0,0 +1,38 @@
+//! What transitions look at and what they produce.
+
+use std::sync::Arc;
+
+use peridotdeck_policy::Snapshot;
+use peridotdeck_wire::Body;
+use rand::rngs::SmallRng;
+
+use crate::{Action, id, member::View};
+
+/// What a transition looks at besides the flights.
+#[derive(Debug)]
+pub struct Scene<'a> {
+    /// Time of the event.
+    pub now: id::Time,
+    /// Peers and owners.
+    pub view: &'a View,
+    /// Configuration in force.
+    pub snapshot: &'a Arc<Snapshot>,
+    /// Seeded random numbers.
+    pub rng: &'a mut SmallRng,
+}
+
+/// What transitions produce.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    /// Requests to the shell.
+    pub actions: Vec<Action>,
+    /// Messages to nodes, this one included.
+    pub letters: Vec<(id::Node, Body)>,
+}
+
+impl Outbox {
+    /// Adds a message.
+    pub fn tell(&mut self, node: id::Node, body: impl Into<Body>) {
+        self.letters.push((node, body.into()));
+    }
+}
