Split the scheduler by job

Cause: pool.rs had grown to 885 lines. Change: placement, preemption and handover stand in modules of their own; no behaviour changes. Measured: 52 tests of the core pass as before; pool.rs has 486 lines.

--- a/crates/peridotdeck-core/src/pool.rs
+++ b/crates/peridotdeck-core/src/pool.rs
@@ -5,18 +5,17 @@
 //! request. A new owner is told by the entry nodes what they hold, and settles before it trusts its
 //! own count. `docs/design/POOLS.md` weighs the alternatives.
 
-use std::{cmp::Reverse, sync::Arc, time::Duration};
+mod handover;
+mod placement;
+mod preemption;
+
+use std::{sync::Arc, time::Duration};
 
 use peridotdeck_policy::{Class, Pool, Snapshot};
-use peridotdeck_wire::{
-    Ask, Body, Deny, Done, Grant, Handover, Held, Holding, Outcome, Preempt, Queued, Reason,
-    Summary,
-};
+use peridotdeck_wire::{Ask, Body, Deny, Done, Grant, Held, Outcome, Queued, Reason, Summary};
 
 use crate::{
-    engine, id,
-    member::View,
-    poison,
+    engine, id, poison,
     queue::{Entry, Queue},
     size::Mean,
     strategy::Strategy,
@@ -297,259 +296,10 @@
             .count()
     }
 
-    /// Returns the bulk runs that interactive work may displace.
-    fn preemptible(&self) -> usize {
-        self.victims().count()
-    }
-
-    /// Bulk runs beyond each class's guaranteed share, which its oldest runs keep.
-    fn victims(&self) -> impl Iterator<Item = &Run> {
-        self.runs.iter().filter(|run| {
-            let older = self.runs.iter().filter(|each| {
-                each.class == run.class && (each.since, each.attempt) < (run.since, run.attempt)
-            });
-            run.bulk
-                && !run.stopping
-                && older.count() >= self.guaranteed(&run.class)
-                && self.bears(run)
-        })
-    }
-
-    fn bears(&self, run: &Run) -> bool {
-        let at = self
-            .preemptions
-            .binary_search_by_key(&run.fingerprint, |each| each.0);
-        at.map_or(0, |at| self.preemptions[at].1) < MAX_PREEMPTIONS
-    }
-
-    /// Returns the slots that a class always gets while it waits.
-    fn guaranteed(&self, class: &str) -> usize {
-        let share = self
-            .snapshot
-            .class(class)
-            .map_or(0, |class| class.min_share_percent);
-        let slots: u32 = self.engines.iter().map(engine::State::slots).sum();
-        let part = (slots * u32::from(share)) as usize / 100;
-        if share > 0 { part.max(1) } else { 0 }
-    }
-
-    fn running(&self, class: &str) -> usize {
-        self.runs.iter().filter(|run| run.class == class).count()
-    }
-
     fn is_settling(&self, now: id::Time) -> bool {
         now < self.settled
     }
 
-    /// Settles anew if it has not settled yet: a peer that has just been heard may have owned the
-    /// pool until now, and needs time to learn that it does not.
-    pub fn settle_longer(&mut self, now: id::Time) {
-        if self.is_settling(now) {
-            self.settled = now + SETTLE;
-        }
-    }
-
-    /// Grants free slots, then preempts bulk for interactive requests that still wait.
-    fn pump(&mut self, now: id::Time, out: &mut Vec<Reply>) {
-        if self.strategy.is_baseline() {
-            return self.pump_baseline(now, out);
-        }
-        while let Some((attempt, endpoint)) = self.select(now) {
-            self.grant(attempt, endpoint, now, out);
-        }
-        self.preempt(now, out);
-    }
-
-    fn pump_baseline(&mut self, now: id::Time, out: &mut Vec<Reply>) {
-        while let Some(attempt) = self.queue.oldest() {
-            let alive: Vec<usize> = (0..self.engines.len())
-                .filter(|&at| self.engines[at].limit(now, false) > 0)
-                .collect();
-            let Some(&first) = alive.first() else { return };
-            self.turn += 1;
-            let at = match self.strategy {
-                Strategy::RoundRobin => alive[self.turn % alive.len()],
-                _ => alive
-                    .iter()
-                    .copied()
-                    .min_by_key(|&at| self.engines[at].in_flight())
-                    .unwrap_or(first),
-            };
-            self.grant(attempt, self.engines[at].id(), now, out);
-        }
-    }
-
-    fn select(&self, now: id::Time) -> Option<(id::Attempt, id::Endpoint)> {
-        let settling = self.is_settling(now);
-        if self
-            .engines
-            .iter()
-            .all(|state| state.free(now, settling) == 0)
-        {
-            return None;
-        }
-        let bulk_room = self.bulk_room(now, settling);
-        let starved = |entry: &Entry| self.running(&entry.class) < self.guaranteed(&entry.class);
-        let allowed = |entry: &Entry| {
-            (!entry.bulk || bulk_room || starved(entry))
-                && self.place(entry, now, settling).is_some()
-        };
-        let attempt = self.queue.next(starved, allowed)?;
-        let entry = self
-            .queue
-            .entries()
-            .iter()
-            .find(|entry| entry.attempt == attempt)?;
-        Some((attempt, self.place(entry, now, settling)?))
-    }
-
-    /// Tells whether bulk may take a slot beyond its guaranteed share.
-    fn bulk_room(&self, now: id::Time, settling: bool) -> bool {
-        let recent = self
-            .last_interactive
-            .is_some_and(|last| now.saturating_sub(last) < RECENT);
-        let limit: u32 = self
-            .engines
-            .iter()
-            .map(|state| state.limit(now, settling))
-            .sum();
-        let free: u32 = self
-            .engines
-            .iter()
-            .map(|state| state.free(now, settling))
-            .sum();
-        let reserve = if recent {
-            limit.div_ceil(RESERVE_PART)
-        } else {
-            0
-        };
-        free > reserve
-    }
-
-    /// Chooses the endpoint for a request, or none if it must wait.
-    fn place(&self, entry: &Entry, now: id::Time, settling: bool) -> Option<id::Endpoint> {
-        if self.must_run_alone(entry) {
-            return None;
-        }
-        let median = self.medians().first_ms;
-        let free = self
-            .engines
-            .iter()
-            .filter(|state| state.free(now, settling) > 0);
-        let elsewhere = self
-            .engines
-            .iter()
-            .any(|state| state.phase() == engine::Phase::Warm);
-        let fit = free.filter(|state| {
-            let suspects = self
-                .runs
-                .iter()
-                .any(|run| run.endpoint == state.id() && run.suspect);
-            let spread = entry.strikes > 0 && suspects;
-            let shunned = !entry.bulk && elsewhere && state.is_shunned(now);
-            !spread && !shunned
-        });
-        let best = fit.min_by(|one, other| {
-            let avoided = |state: &engine::State| entry.avoid.contains(&state.id());
-            avoided(one).cmp(&avoided(other)).then(
-                one.cost(entry.prefix, median)
-                    .total_cmp(&other.cost(entry.prefix, median)),
-            )
-        });
-        best.map(engine::State::id)
-    }
-
-    /// Copies of a request that has never finished run one at a time, so that a caller that sends
-    /// a crashing request many times at once cannot take down many endpoints.
-    fn must_run_alone(&self, entry: &Entry) -> bool {
-        self.proven.binary_search(&entry.fingerprint).is_err()
-            && self
-                .runs
-                .iter()
-                .any(|run| run.fingerprint == entry.fingerprint)
-    }
-
-    fn medians(&self) -> engine::Medians {
-        engine::Medians {
-            first_ms: median(self.engines.iter().filter_map(engine::State::first_ms)),
-            gap_ms: median(self.engines.iter().filter_map(engine::State::gap_ms)),
-        }
-    }
-
-    fn grant(
-        &mut self,
-        attempt: id::Attempt,
-        endpoint: id::Endpoint,
-        now: id::Time,
-        out: &mut Vec<Reply>,
-    ) {
-        let Some(entry) = self.queue.remove(attempt) else {
-            return;
-        };
-        let settling = self.is_settling(now);
-        let baseline = self.strategy.is_baseline();
-        let Some(state) = self.engines.iter_mut().find(|state| state.id() == endpoint) else {
-            return;
-        };
-        assert!(
-            baseline || state.free(now, settling) > 0,
-            "endpoint {endpoint} is granted beyond its limit"
-        );
-        state.take(entry.prefix, now);
-        self.queue.charge(&entry);
-        self.counts.granted += 1;
-        self.runs.push(Run {
-            attempt,
-            endpoint,
-            node: entry.node,
-            class: entry.class,
-            bulk: entry.bulk,
-            fingerprint: entry.fingerprint,
-            suspect: entry.strikes > 0,
-            since: now,
-            stopping: false,
-        });
-        out.push((entry.node, Grant { attempt, endpoint }.into()));
-    }
-
-    fn preempt(&mut self, now: id::Time, out: &mut Vec<Reply>) {
-        let settling = self.is_settling(now);
-        let free: u32 = self
-            .engines
-            .iter()
-            .map(|state| state.free(now, settling))
-            .sum();
-        let coming = self.runs.iter().filter(|run| run.stopping).count() + free as usize;
-        let wanted = self.waiting_interactive().saturating_sub(coming);
-        if wanted == 0 {
-            return;
-        }
-        let mut victims: Vec<(id::Time, id::Attempt)> =
-            self.victims().map(|run| (run.since, run.attempt)).collect();
-        // The youngest run has the least to generate again.
-        victims.sort_by_key(|&key| Reverse(key));
-        for (_, attempt) in victims.into_iter().take(wanted) {
-            self.stop(attempt, out);
-        }
-    }
-
-    fn stop(&mut self, attempt: id::Attempt, out: &mut Vec<Reply>) {
-        let Some(run) = self.runs.iter_mut().find(|run| run.attempt == attempt) else {
-            return;
-        };
-        assert!(run.bulk, "an interactive run is never preempted");
-        run.stopping = true;
-        self.counts.preempted += 1;
-        out.push((run.node, Preempt { attempt }.into()));
-        match self
-            .preemptions
-            .binary_search_by_key(&run.fingerprint, |each| each.0)
-        {
-            Ok(at) => self.preemptions[at].1 += 1,
-            Err(at) => self.preemptions.insert(at, (run.fingerprint, 1)),
-        }
-    }
-
     /// Takes a slot back, or removes a request that still waits.
     pub fn done(&mut self, done: &Done, now: id::Time, out: &mut Vec<Reply>) {
         self.queue.remove(done.attempt);
@@ -597,81 +347,6 @@
         }
     }
 
-    /// Takes an entry node's full statement of the slots that it holds.
-    ///
-    /// A new owner learns of grants that another node made; an old one notices slots whose return
-    /// was lost on its way.
-    pub fn hold(&mut self, node: id::Node, held: &[Held], now: id::Time, out: &mut Vec<Reply>) {
-        /// Age from which a grant must be part of the statement.
-        const KNOWN_AGE: Duration = Duration::from_secs(1);
-        let stated = |run: &Run| held.iter().any(|each| each.attempt == run.attempt);
-        let lost = |run: &Run| {
-            run.node == node && !stated(run) && now.saturating_sub(run.since) > KNOWN_AGE
-        };
-        self.release(now, lost);
-        for each in held {
-            self.adopt(node, each, now);
-        }
-        self.pump(now, out);
-    }
-
-    fn release(&mut self, now: id::Time, lost: impl Fn(&Run) -> bool) {
-        for run in self.runs.extract_if(.., |run| lost(run)) {
-            if let Some(state) = self
-                .engines
-                .iter_mut()
-                .find(|state| state.id() == run.endpoint)
-            {
-                state.release(now);
-            }
-        }
-    }
-
-    fn adopt(&mut self, node: id::Node, held: &Held, now: id::Time) {
-        let known = self.runs.iter().any(|run| run.attempt == held.attempt);
-        let state = self
-            .engines
-            .iter_mut()
-            .find(|state| state.id() == held.endpoint);
-        let (false, Some(state)) = (known, state) else {
-            return;
-        };
-        state.adopt(now);
-        self.queue.remove(held.attempt);
-        self.runs.push(Run {
-            attempt: held.attempt,
-            endpoint: held.endpoint,
-            node,
-            class: held.class.clone(),
-            bulk: self
-                .snapshot
-                .class(&held.class)
-                .is_some_and(|class| class.bulk),
-            fingerprint: held.fingerprint,
-            suspect: false,
-            since: now,
-            stopping: false,
-        });
-    }
-
-    /// Frees what an entry node held that has died.
-    pub fn forget(&mut self, node: id::Node, now: id::Time, out: &mut Vec<Reply>) {
-        self.queue.drain(|entry| entry.node == node);
-        self.release(now, |run| run.node == node);
-        self.pump(now, out);
-    }
-
-    /// Frees what nodes held that have stated nothing for a long time: they have died.
-    pub fn forget_silent(&mut self, view: &View, now: id::Time) {
-        let silent = |node: id::Node| {
-            view.heard(node)
-                .is_none_or(|heard| now.saturating_sub(heard) > HOLDER_SILENCE)
-        };
-        self.queue
-            .drain(|entry| entry.node != view.me() && silent(entry.node));
-        self.release(now, |run| run.node != view.me() && silent(run.node));
-    }
-
     /// Learns from a load report.
     pub fn report(
         &mut self,
@@ -732,70 +407,6 @@
         }
     }
 
-    /// Gives up the pool to its next owner, if there is one.
-    ///
-    /// Every waiting request is sent there by its entry node. The next owner learns what this one
-    /// knows, so it need not settle.
-    pub fn retire(&mut self, next: Option<id::Node>, out: &mut Vec<Reply>) {
-        for entry in self.queue.drain(|_| true) {
-            out.push((
-                entry.node,
-                deny(entry.attempt, Reason::NotOwner, Duration::ZERO),
-            ));
-        }
-        let Some(next) = next else { return };
-        let trust = self.engines.iter().map(engine::State::trust).collect();
-        out.push((
-            next,
-            Handover {
-                pool: self.pool.id,
-                trust,
-                runs: self.holdings(),
-            }
-            .into(),
-        ));
-    }
-
-    fn holdings(&self) -> Vec<Holding> {
-        let mut nodes: Vec<id::Node> = self.runs.iter().map(|run| run.node).collect();
-        nodes.sort_unstable();
-        nodes.dedup();
-        let held = |node| {
-            self.runs
-                .iter()
-                .filter(move |run| run.node == node)
-                .map(Run::held)
-                .collect()
-        };
-        nodes
-            .into_iter()
-            .map(|node| Holding {
-                pool: self.pool.id,
-                node,
-                held: held(node),
-            })
-            .collect()
-    }
-
-    /// Takes over what the last owner knew: nothing is left to settle.
-    pub fn inherit(&mut self, handover: &Handover, now: id::Time) {
-        for trust in &handover.trust {
-            if let Some(state) = self
-                .engines
-                .iter_mut()
-                .find(|state| state.id() == trust.endpoint)
-            {
-                state.believe(trust);
-            }
-        }
-        for holding in &handover.runs {
-            for held in &holding.held {
-                self.adopt(holding.node, held, now);
-            }
-        }
-        self.settled = now;
-    }
-
     /// Returns the pool's state for gossip.
     #[must_use]
     pub fn summary(&self, stamp: u32, now: id::Time) -> Summary {
@@ -852,16 +463,6 @@
     }
 }
 
-/// The lower middle: with two endpoints the slow one must not set the standard.
-fn median(values: impl Iterator<Item = f64>) -> f64 {
-    let mut values: Vec<f64> = values.collect();
-    values.sort_by(f64::total_cmp);
-    values
-        .get(values.len().saturating_sub(1) / 2)
-        .copied()
-        .unwrap_or(1.0)
-}
-
 /// Returns how long a request of an interactive class may wait for a slot.
 #[must_use]
 pub fn patience(class: &Class) -> Duration {
