Give the way to the driver a file of its own; count slots in one place

Cause: driver.rs and peers.rs imported each other, and the sums over a pool's endpoints stood in three files. Change: handle.rs holds the channel and its types; limit and free of a pool are two methods. Measured: all tests pass.

--- a/crates/peridotdeck-core/src/pool.rs
+++ b/crates/peridotdeck-core/src/pool.rs
@@ -262,17 +262,8 @@
     fn wait(&self, tier: u8, now: id::Time) -> Duration {
         /// Service time in milliseconds assumed before the first answer.
         const UNKNOWN_MS: f64 = 500.0;
-        let settling = self.is_settling(now);
-        let limit: u32 = self
-            .engines
-            .iter()
-            .map(|state| state.limit(now, settling))
-            .sum();
-        let free: u32 = self
-            .engines
-            .iter()
-            .map(|state| state.free(now, settling))
-            .sum();
+        let limit = self.limit(now);
+        let free = self.free(now);
         let ahead = self
             .queue
             .entries()
@@ -288,6 +279,24 @@
         Duration::from_secs_f64(turns * busy_ms / 1e3)
     }
 
+    /// Returns the requests that all endpoints together may run now.
+    fn limit(&self, now: id::Time) -> u32 {
+        let settling = self.is_settling(now);
+        self.engines
+            .iter()
+            .map(|state| state.limit(now, settling))
+            .sum()
+    }
+
+    /// Returns the free slots of all endpoints.
+    fn free(&self, now: id::Time) -> u32 {
+        let settling = self.is_settling(now);
+        self.engines
+            .iter()
+            .map(|state| state.free(now, settling))
+            .sum()
+    }
+
     fn waiting_interactive(&self) -> usize {
         self.queue
             .entries()
@@ -410,12 +419,7 @@
     /// Returns the pool's state for gossip.
     #[must_use]
     pub fn summary(&self, stamp: u32, now: id::Time) -> Summary {
-        let settling = self.is_settling(now);
-        let free: u32 = self
-            .engines
-            .iter()
-            .map(|state| state.free(now, settling))
-            .sum();
+        let free = self.free(now);
         let open = self.engines.iter().any(|state| state.limit(now, false) > 0);
         let wait = if open {
             self.wait(u8::MAX, now).as_millis() as u32
--- a/crates/peridotdeck-core/src/pool/placement.rs
+++ b/crates/peridotdeck-core/src/pool/placement.rs
@@ -45,7 +45,7 @@
         {
             return None;
         }
-        let bulk_room = self.bulk_room(now, settling);
+        let bulk_room = self.bulk_room(now);
         let starved = |entry: &Entry| self.running(&entry.class) < self.guaranteed(&entry.class);
         let allowed = |entry: &Entry| {
             (!entry.bulk || bulk_room || starved(entry))
@@ -61,20 +61,12 @@
     }
 
     /// Tells whether bulk may take a slot beyond its guaranteed share.
-    pub(super) fn bulk_room(&self, now: id::Time, settling: bool) -> bool {
+    pub(super) fn bulk_room(&self, now: id::Time) -> bool {
         let recent = self
             .last_interactive
             .is_some_and(|last| now.saturating_sub(last) < RECENT);
-        let limit: u32 = self
-            .engines
-            .iter()
-            .map(|state| state.limit(now, settling))
-            .sum();
-        let free: u32 = self
-            .engines
-            .iter()
-            .map(|state| state.free(now, settling))
-            .sum();
+        let limit = self.limit(now);
+        let free = self.free(now);
         let reserve = if recent {
             limit.div_ceil(RESERVE_PART)
         } else {
--- a/crates/peridotdeck-core/src/pool/preemption.rs
+++ b/crates/peridotdeck-core/src/pool/preemption.rs
@@ -49,12 +49,7 @@
     }
 
     pub(super) fn preempt(&mut self, now: id::Time, out: &mut Vec<Reply>) {
-        let settling = self.is_settling(now);
-        let free: u32 = self
-            .engines
-            .iter()
-            .map(|state| state.free(now, settling))
-            .sum();
+        let free = self.free(now);
         let coming = self.runs.iter().filter(|run| run.stopping).count() + free as usize;
         let wanted = self.waiting_interactive().saturating_sub(coming);
         if wanted == 0 {
--- a/crates/peridotdeck-load/src/fault.rs
+++ b/crates/peridotdeck-load/src/fault.rs
@@ -7,7 +7,7 @@
 };
 
 use async_std::{sync::RwLock, task};
-use peridotdeck_router::driver::Input;
+use peridotdeck_router::handle::Input;
 
 use crate::{
     arrivals::Arrival,
--- a/crates/peridotdeck-router/src/callers.rs
+++ b/crates/peridotdeck-router/src/callers.rs
@@ -23,8 +23,8 @@
     attempt::{Answer, Model, Plain},
     carrier::{Carrier, Job},
     dial::Dial,
-    driver::Handle,
     fault::Fault,
+    handle::Handle,
     metrics::Metrics,
     prompt::Prompt,
 };
--- a/crates/peridotdeck-router/src/carrier.rs
+++ b/crates/peridotdeck-router/src/carrier.rs
@@ -15,8 +15,8 @@
 use crate::{
     attempt::{Answer, Model, Plain, Target, Whole},
     dial::Dial,
-    driver::{Handle, Order},
     fault::Fault,
+    handle::{Handle, Order},
     metrics::Metrics,
 };
 
--- a/crates/peridotdeck-router/src/lib.rs
+++ b/crates/peridotdeck-router/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry router: a shell of tasks around the decision core.
 //!
 //! - [`driver`]: one task that owns the [`peridotdeck_core::Node`] and carries out its actions;
+//!   [`handle`]: the way to it;
 //! - [`callers`]: the HTTP interface for callers, and [`carrier`]: the task of one request;
 //! - [`attempt`]: one try at an endpoint, streamed or whole;
 //! - [`peers`]: datagrams and JSON-RPC between routers;
@@ -17,6 +18,7 @@
 pub mod dial;
 pub mod driver;
 pub mod fault;
+pub mod handle;
 pub mod metrics;
 pub mod operators;
 pub mod ops;
--- a/crates/peridotdeck-router/src/operators.rs
+++ b/crates/peridotdeck-router/src/operators.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use tide::Request;
 
-use crate::{callers::State, dial::Dial, driver::Handle, peers};
+use crate::{callers::State, dial::Dial, handle::Handle, peers};
 
 /// Path of the operators' JSON-RPC interface.
 pub const PATH: &str = "/rpc/operator";
--- a/crates/peridotdeck-router/src/peers.rs
+++ b/crates/peridotdeck-router/src/peers.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     dial::Dial,
-    driver::{Handle, Input},
+    handle::{Handle, Input},
     metrics::Metrics,
 };
 
--- a/crates/peridotdeck-router/src/platform.rs
+++ b/crates/peridotdeck-router/src/platform.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, de::DeserializeOwned};
 
-use crate::{dial::Dial, driver::Handle};
+use crate::{dial::Dial, handle::Handle};
 
 /// Time for which a blocking query waits at the service.
 const WAIT: Duration = Duration::from_secs(10);
--- a/crates/peridotdeck-router/src/router.rs
+++ b/crates/peridotdeck-router/src/router.rs
@@ -16,11 +16,8 @@
 use peridotdeck_settings::Settings;
 
 use crate::{
-    callers,
-    dial::Dial,
-    driver::{Driver, Handle},
-    metrics::Metrics,
-    operators, peers, platform,
+    callers, dial::Dial, driver::Driver, handle::Handle, metrics::Metrics, operators, peers,
+    platform,
 };
 
 /// Time between two looks at a draining node.
