Free slots that nobody states any longer

Ruled out: a lost request (it waited at its owner), a silent holder. Change: each slot remembers when its holder last stated it, and is free 12 s after; this replaces the rule for silent nodes' slots.

--- a/crates/peridotdeck-core/src/pool.rs
+++ b/crates/peridotdeck-core/src/pool.rs
@@ -24,7 +24,8 @@
 /// Time for which a new owner does not trust its own count.
 pub const SETTLE: Duration = Duration::from_secs(3);
 
-/// Silence after which a node's slots are free again: its connections have closed by then.
+/// Time after which a slot is free again if its holder no longer states that it holds it, or a
+/// request is dropped whose node is silent. Holders state their slots every two seconds.
 const HOLDER_SILENCE: Duration = Duration::from_secs(12);
 
 /// Bulk requests that wait in one pool at most; more are refused at the door.
@@ -53,6 +54,8 @@
     fingerprint: id::Fingerprint,
     suspect: bool,
     since: id::Time,
+    /// When its holder last stated that it holds the slot.
+    confirmed: id::Time,
     stopping: bool,
 }
 
@@ -377,6 +380,9 @@
             state.tick(now);
             state.compare(medians);
         }
+        self.release(now, |run| {
+            now.saturating_sub(run.confirmed) > HOLDER_SILENCE
+        });
         self.refuse_stranded(now, out);
         self.pump(now, out);
         self.refuse_late(now, out);
--- a/crates/peridotdeck-core/src/pool/handover.rs
+++ b/crates/peridotdeck-core/src/pool/handover.rs
@@ -28,6 +28,13 @@
             run.node == node && !stated(run) && now.saturating_sub(run.since) > KNOWN_AGE
         };
         self.release(now, lost);
+        for run in self
+            .runs
+            .iter_mut()
+            .filter(|run| run.node == node && stated(run))
+        {
+            run.confirmed = now;
+        }
         for each in held {
             self.adopt(node, each, now);
         }
@@ -69,6 +76,7 @@
             fingerprint: held.fingerprint,
             suspect: false,
             since: now,
+            confirmed: now,
             stopping: false,
         });
     }
@@ -80,7 +88,7 @@
         self.pump(now, out);
     }
 
-    /// Frees what nodes held that have stated nothing for a long time: they have died.
+    /// Drops the requests of nodes that have been silent for a long time: they have died.
     pub fn forget_silent(&mut self, view: &View, now: id::Time) {
         let silent = |node: id::Node| {
             view.heard(node)
@@ -88,7 +96,6 @@
         };
         self.queue
             .drain(|entry| entry.node != view.me() && silent(entry.node));
-        self.release(now, |run| run.node != view.me() && silent(run.node));
     }
 
     /// Gives up the pool to its next owner, if there is one.
--- a/crates/peridotdeck-core/src/pool/placement.rs
+++ b/crates/peridotdeck-core/src/pool/placement.rs
@@ -161,6 +161,7 @@
             fingerprint: entry.fingerprint,
             suspect: entry.strikes > 0,
             since: now,
+            confirmed: now,
             stopping: false,
         });
         out.push((entry.node, Grant { attempt, endpoint }.into()));
--- a/crates/peridotdeck-core/tests/testsuite/random.rs
+++ b/crates/peridotdeck-core/tests/testsuite/random.rs
@@ -81,15 +81,16 @@
             count == live.max(1),
             "seat {seat} sees {count} of {live} live nodes"
         );
-        let interactive = node
+        let leftover: Vec<_> = node
             .desk()
             .flights()
             .iter()
-            .filter(|flight| flight.call.class != "draft");
-        assert_eq!(
-            interactive.count(),
-            0,
-            "no interactive request is left over"
+            .filter(|flight| flight.call.class != "draft")
+            .collect();
+        assert!(
+            leftover.is_empty(),
+            "seat {seat} at {:?}: {leftover:?}",
+            world.now
         );
     }
 }
@@ -237,3 +238,37 @@
     steps.extend([Step::Counter(0); 29]);
     play(&steps, &[("a", 2), ("b", 2), ("c", 1)], true);
 }
+
+/// Found by a long run: a request was left over after a node had left amid lost messages.
+#[test]
+fn leave_amid_losses() {
+    let mut steps = vec![
+        Step::Wait(129),
+        Step::Draft(155),
+        Step::Noise {
+            loss: 32,
+            copies: 70,
+            delay: 120,
+        },
+        Step::Stale,
+        Step::Start(104),
+        Step::Reorder { seat: 36, key: 52 },
+        Step::Draft(135),
+        Step::Crash(135),
+        Step::Wait(41),
+        Step::Noise {
+            loss: 169,
+            copies: 176,
+            delay: 124,
+        },
+        Step::Publish {
+            place: 28,
+            out: false,
+        },
+        Step::Wait(144),
+        Step::Heal,
+        Step::Drain(176),
+    ];
+    steps.extend([Step::Counter(0); 25]);
+    play(&steps, &[("a", 2), ("b", 2), ("c", 1)], true);
+}
