--- a/crates/peridotdeck-core/src/engine.rs
+++ b/crates/peridotdeck-core/src/engine.rs
@@ -36,6 +36,9 @@
 /// Weight of the newest answer: a slow endpoint must show within a few.
 const NEWEST: f64 = 0.3;
 
+/// Time over which the most load is remembered as one figure.
+const MOMENT: Duration = Duration::from_millis(250);
+
 /// Time that an endpoint may take to notice that a stream's reader has gone.
 const LINGER: Duration = Duration::from_millis(300);
 
@@ -214,14 +217,20 @@
         (report.running + report.queued).saturating_sub(most.max(self.in_flight))
     }
 
-    /// Remembers the load at every change, back to the oldest that a report may still show.
+    /// Remembers the most load in each of the last few moments, back to the oldest that a report
+    /// may still show.
     fn note_load(&mut self, now: id::Time) {
         let old = self
             .loads
             .partition_point(|(at, _)| now.saturating_sub(*at) > REPORT_AGE);
         // The last old one was in force at the beginning of the window.
         self.loads.drain(..old.saturating_sub(1));
-        self.loads.push((now, self.in_flight));
+        match self.loads.last_mut() {
+            Some((at, most)) if now.saturating_sub(*at) < MOMENT => {
+                *most = (*most).max(self.in_flight)
+            }
+            _ => self.loads.push((now, self.in_flight)),
+        }
     }
 
     /// Returns the free slots.
