--- a/crates/peridotdeck-core/src/engine.rs
+++ b/crates/peridotdeck-core/src/engine.rs
@@ -227,7 +227,7 @@
         self.loads.drain(..old.saturating_sub(1));
         match self.loads.last_mut() {
             Some((at, most)) if now.saturating_sub(*at) < MOMENT => {
-                *most = (*most).max(self.in_flight)
+                *most = (*most).max(self.in_flight);
             }
             _ => self.loads.push((now, self.in_flight)),
         }
