Run the router on the users' platform, thin but whole

Cause: the product had no way to the users' platform: it wants a VM list, numbered endpoints and a disk of settings in its own format. Ruled out: asking an owner for a slot, which costs a round trip between regions and settles little where engines batch and have room.

--- /dev/null
+++ b/crates/peridotdeck-core/src/dispatch/flight.rs
@@ -0,0 +1,109 @@
+//! One caller's request, and what may still be done with it.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    Key, Prefix,
+    config::{Organisation, Route},
+};
+use crate::id::{Fingerprint, Time};
+
+/// A part of a prompt, as the caller names it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Digest of the part and everything before it.
+    pub prefix: Prefix,
+    /// Tokens up to its end.
+    pub tokens: u32,
+}
+
+/// Size and beginning of a prompt; empty for calls without one.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Tokens to read.
+    pub tokens: u32,
+    /// Tokens that the answer may have.
+    pub output: u32,
+    /// Parts that other prompts may share, shortest prefix first.
+    pub shared: Vec<Part>,
+}
+
+/// What a request asks for, as the ingress has read it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ask {
+    /// Id that the caller gave.
+    pub id: String,
+    /// Host that the caller names.
+    pub host: String,
+    /// Path without the query.
+    pub path: String,
+    /// Key of an organisation.
+    pub key: Option<String>,
+    /// Time that the caller will wait.
+    pub patience: Option<Duration>,
+    /// Size and beginning of the prompt.
+    pub prompt: Prompt,
+}
+
+/// A request that was admitted.
+#[derive(Clone, Debug)]
+pub struct Flight {
+    /// Id that the caller gave.
+    pub id: String,
+    /// Its route, as configured when it came.
+    pub route: Arc<Route>,
+    /// Whose request it is, where keys are needed.
+    pub organisation: Option<Arc<Organisation>>,
+    /// Version of the configuration that admitted it.
+    pub version: u64,
+    /// Size and beginning of the prompt.
+    pub prompt: Prompt,
+    /// Digest of organisation and whole request.
+    pub fingerprint: Fingerprint,
+    /// When it came.
+    pub arrived: Time,
+    /// When caller or route give up.
+    pub until: Time,
+    /// Service that it is for.
+    pub service: String,
+    /// Endpoints that have been tried.
+    pub tried: Vec<Key>,
+    /// Attempts that may have run.
+    pub runs: u32,
+    /// Attempts that endpoints took back.
+    pub rejections: u32,
+    /// When it began to wait for an endpoint, if it waits.
+    pub waiting: Option<Time>,
+}
+
+impl Flight {
+    /// Returns the rank: the organisation's where it has one, or else the route's.
+    #[must_use]
+    pub fn rank(&self) -> u8 {
+        let own = self.organisation.as_ref().and_then(|each| each.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
+    /// Returns the name of the organisation, or an empty one.
+    #[must_use]
+    pub fn customer(&self) -> &str {
+        self.organisation
+            .as_ref()
+            .map_or("", |organisation| &organisation.name)
+    }
+
+    /// Returns whether a region may serve the request.
+    #[must_use]
+    pub fn may_run_in(&self, region: &str) -> bool {
+        let allows =
+            |regions: &[String]| regions.is_empty() || regions.iter().any(|each| each == region);
+        let organisation = self.organisation.as_ref();
+        allows(&self.route.regions) && organisation.is_none_or(|each| allows(&each.regions))
+    }
+
+    /// Returns the time that is left.
+    #[must_use]
+    pub fn left(&self, now: Time) -> Duration {
+        self.until.saturating_sub(now)
+    }
+}
--- /dev/null
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -0,0 +1,312 @@
+//! Which endpoint gets a request, or why none does.
+//!
+//! Every endpoint that may take the request is given a score in milliseconds, and the lowest wins.
+//! The score adds the expected time to the first answer, the endpoint's own work, what the request
+//! does to others there, and what reading a prompt again, moving cached prompts and crossing regions
+//! are worth in time. A cached prefix is used where it lies if that is near and free, or fetched
+//! from there by the endpoint that is.
+
+use std::{net::SocketAddrV4, time::Duration};
+
+use strum::{Display, IntoStaticStr};
+
+use super::{
+    Key,
+    config::{Model, Service},
+    endpoint::State,
+    flight::Flight,
+    prefix::Index,
+};
+use crate::id::Time;
+
+/// Prompt tokens that an engine reads in a millisecond, before its pace is known.
+const READ_PER_MS: f64 = 80.0;
+
+/// Time from a request to the first token of an idle engine, without reading.
+const FIRST_MS: f64 = 45.0;
+
+/// Round trip to an endpoint in another region.
+const FAR_MS: f64 = 60.0;
+
+/// Round trip to an endpoint in the same region.
+const NEAR_MS: f64 = 1.0;
+
+/// What crossing into another region is worth beside the time: traffic there is paid by volume.
+const REGION_SCORE: f64 = 40.0;
+
+/// What reading a thousand tokens again is worth beside the time.
+const REREAD_SCORE_PER_K: f64 = 110.0;
+
+/// What moving a thousand cached tokens is worth beside the time.
+const FETCH_SCORE_PER_K: f64 = 10.0;
+
+/// Time to begin a fetch between engines.
+const FETCH_MS: f64 = 8.0;
+
+/// Missing tokens below which a fetch is not worth its beginning.
+const FETCH_TOKENS: u32 = 100;
+
+/// Part of the target up to which an expected answer counts as safely on time.
+const SAFE_PART: f64 = 0.6;
+
+/// Score of a millisecond beyond that.
+const LATE_FACTOR: f64 = 4.0;
+
+/// Part of the reading time that a request costs each urgent stream beside it.
+const DISTURBANCE: f64 = 0.15;
+
+/// Urgent streams that count for that.
+const MOST_DISTURBED: u32 = 8;
+
+/// Unread tokens that an engine puts before an urgent request.
+const AHEAD_OF_URGENT: u32 = 4_096;
+
+/// Part of the other unread tokens that still delays an urgent request.
+const BEHIND_URGENT: f64 = 0.3;
+
+/// Score of one whole batch of requests beyond an engine's slots.
+const QUEUE_SCORE: f64 = 1_000.0;
+
+/// Score of an endpoint all of whose attempts fail, in targets of the route.
+const FAILURE_TARGETS: f64 = 5.0;
+
+/// Score of an endpoint whose connection has just ended without a word.
+const SUSPICION_SCORE: f64 = 80.0;
+
+/// Longest target of an urgent stream.
+pub const URGENT: Duration = Duration::from_millis(500);
+
+/// Why an endpoint cannot take a request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Bar {
+    /// It belongs to another service.
+    Service,
+    /// A region that may not serve the request.
+    Region,
+    /// Its data centre is taken out.
+    Closed,
+    /// It is about to leave.
+    Draining,
+    /// The request has been there.
+    Tried,
+    /// It could not be reached lately.
+    Resting,
+    /// It is cold, and another node counts what it bears.
+    ColdElsewhere,
+    /// It is cold and bears no more now.
+    Cold,
+}
+
+/// What one endpoint would do for a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    /// Score in milliseconds; lower is better.
+    pub score: f64,
+    /// Expected time to the answer or to the first event.
+    pub first: Duration,
+    /// Prompt tokens that it has read already.
+    pub cached: u32,
+    /// Prompt tokens that it will read.
+    pub unread: u32,
+    /// Where it should fetch the beginning of the prompt from.
+    pub source: Option<Key>,
+}
+
+/// What a placement looks at beside the request.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// All endpoints, sorted by key.
+    pub states: &'a [State],
+    /// Which prefixes lie where.
+    pub prefixes: &'a Index,
+    /// Data centres that are taken out.
+    pub closed: &'a [String],
+    /// The node's own data centre.
+    pub place: &'a str,
+    /// The node's own region.
+    pub region: &'a str,
+    /// Mean time of the service's answers in milliseconds, for services without a model.
+    pub plain_ms: f64,
+    /// The time.
+    pub now: Time,
+}
+
+impl View<'_> {
+    /// Returns the state of an endpoint.
+    #[must_use]
+    pub fn state(&self, key: Key) -> Option<&State> {
+        let at = self
+            .states
+            .binary_search_by_key(&key, |each| each.key)
+            .ok()?;
+        Some(&self.states[at])
+    }
+
+    /// Returns whether an endpoint may take the request, apart from how cold it is.
+    ///
+    /// # Errors
+    /// Why it may not.
+    pub fn admits(&self, state: &State, flight: &Flight) -> Result<(), Bar> {
+        let info = &state.info;
+        let bars = [
+            (info.service != flight.service, Bar::Service),
+            (!flight.may_run_in(&state.region), Bar::Region),
+            (self.closed.binary_search(&info.place).is_ok(), Bar::Closed),
+            (info.draining, Bar::Draining),
+            (flight.tried.contains(&state.key), Bar::Tried),
+            (state.is_resting(), Bar::Resting),
+        ];
+        match bars.iter().find(|(barred, _)| *barred) {
+            Some((_, bar)) => Err(*bar),
+            None => Ok(()),
+        }
+    }
+
+    /// Estimates what an endpoint would do for a request.
+    #[must_use]
+    pub fn estimate(&self, state: &State, flight: &Flight, service: &Service) -> Estimate {
+        let mut estimate = match &service.model {
+            Some(model) => self.estimate_model(state, flight, model),
+            None => self.estimate_plain(state),
+        };
+        let target = flight.route.target.as_secs_f64() * 1e3;
+        let first = estimate.first.as_secs_f64() * 1e3;
+        estimate.score += first + LATE_FACTOR * (first - SAFE_PART * target).max(0.0);
+        estimate.score += state.failure_rate(self.now) * FAILURE_TARGETS * target;
+        if state.region != self.region {
+            estimate.score += REGION_SCORE;
+        }
+        if state.is_suspected() {
+            estimate.score += SUSPICION_SCORE;
+        }
+        estimate
+    }
+
+    fn path_ms(&self, state: &State) -> f64 {
+        if state.region == self.region {
+            NEAR_MS
+        } else {
+            FAR_MS
+        }
+    }
+
+    fn estimate_plain(&self, state: &State) -> Estimate {
+        let load = state.load();
+        let slots = f64::from(state.info.slots.max(1));
+        let rounds = (f64::from(load.running + 1) / slots).max(1.0);
+        let first = self.path_ms(state) + self.plain_ms * rounds * state.pace();
+        // Spreads requests over equal endpoints before their queues grow.
+        let score = self.plain_ms * f64::from(load.running) / slots;
+        Estimate {
+            score,
+            first: Duration::from_secs_f64(first / 1e3),
+            cached: 0,
+            unread: 0,
+            source: None,
+        }
+    }
+
+    fn estimate_model(&self, state: &State, flight: &Flight, model: &Model) -> Estimate {
+        let cached = self.cached(state.key, flight);
+        let source = self.source(state, flight, cached);
+        let (known, fetch_ms) = match source {
+            Some((at, tokens)) => (tokens, self.fetch_ms(state, at, tokens - cached, model)),
+            None => (cached, 0.0),
+        };
+        let unread = flight.prompt.tokens.saturating_sub(known);
+        let load = state.load();
+        let urgent = is_urgent(flight);
+        let ahead = if urgent {
+            let first = load.unread.min(AHEAD_OF_URGENT);
+            f64::from(first) + BEHIND_URGENT * f64::from(load.unread - first)
+        } else {
+            f64::from(load.unread)
+        };
+        let reading = f64::from(unread) / READ_PER_MS;
+        let first = FIRST_MS + ahead / READ_PER_MS + reading;
+        let first = self.path_ms(state) + fetch_ms + first * state.pace();
+        let beyond = f64::from((load.running + 1).saturating_sub(model.slots));
+        let mut score = QUEUE_SCORE * beyond / f64::from(model.slots.max(1));
+        score += reading + DISTURBANCE * reading * f64::from(load.urgent.min(MOST_DISTURBED));
+        score += self.moving_score(flight, known, known - cached);
+        Estimate {
+            score,
+            first: Duration::from_secs_f64(first / 1e3),
+            cached,
+            unread,
+            source: source.map(|(at, _)| at),
+        }
+    }
+
+    /// What is lost by reading again what some endpoint holds, and by moving it.
+    fn moving_score(&self, flight: &Flight, known: u32, fetched: u32) -> f64 {
+        let best = flight.prompt.shared.iter().rev().find(|part| {
+            self.prefixes
+                .holders(part.prefix)
+                .any(|holding| self.state(holding.endpoint).is_some())
+        });
+        let again = best.map_or(0, |part| part.tokens.saturating_sub(known));
+        (f64::from(again) * REREAD_SCORE_PER_K + f64::from(fetched) * FETCH_SCORE_PER_K) / 1e3
+    }
+
+    /// Returns the tokens of the longest beginning that an endpoint has read.
+    fn cached(&self, key: Key, flight: &Flight) -> u32 {
+        let shared = flight.prompt.shared.iter().rev();
+        let held = |part: &&super::flight::Part| self.prefixes.holds(part.prefix, key);
+        shared.into_iter().find(held).map_or(0, |part| part.tokens)
+    }
+
+    /// Returns the nearest endpoint that holds more of the prompt, and how much it holds.
+    fn source(&self, state: &State, flight: &Flight, cached: u32) -> Option<(Key, u32)> {
+        let longer = flight.prompt.shared.iter().rev();
+        for part in longer.take_while(|part| part.tokens >= cached + FETCH_TOKENS) {
+            let holders = self.prefixes.holders(part.prefix);
+            let sources = holders
+                .filter(|holding| holding.endpoint != state.key)
+                .filter_map(|holding| self.state(holding.endpoint))
+                .filter(|other| Self::may_fetch(state, other, flight));
+            let nearest = sources.min_by_key(|other| {
+                let near = other.info.place == state.info.place;
+                (!near, other.load().unread, other.key)
+            });
+            if let Some(other) = nearest {
+                return Some((other.key, part.tokens));
+            }
+        }
+        None
+    }
+
+    fn may_fetch(state: &State, other: &State, flight: &Flight) -> bool {
+        let same_service = other.info.service == state.info.service;
+        same_service
+            && !other.is_resting()
+            && !other.is_suspected()
+            && flight.may_run_in(&other.region)
+    }
+
+    fn fetch_ms(&self, state: &State, source: Key, tokens: u32, model: &Model) -> f64 {
+        let Some(other) = self.state(source) else {
+            return 0.0;
+        };
+        let bits = f64::from(tokens) * model.token_bytes * 8.0;
+        let transfer = bits / (model.link_mbps.max(1.0) * 1e3);
+        if other.info.place == state.info.place {
+            FETCH_MS + transfer
+        } else {
+            FETCH_MS + 2.0 * transfer + FAR_MS
+        }
+    }
+
+    /// Returns the address of an endpoint.
+    #[must_use]
+    pub fn address(&self, key: Key) -> Option<SocketAddrV4> {
+        self.state(key).map(|state| state.info.address)
+    }
+}
+
+/// Returns whether a request is a stream with a short target.
+#[must_use]
+pub fn is_urgent(flight: &Flight) -> bool {
+    flight.route.target <= URGENT && flight.prompt.tokens > 0
+}
--- /dev/null
+++ b/crates/peridotdeck-core/src/dispatch/prefix.rs
@@ -0,0 +1,116 @@
+//! Which endpoints have read which beginnings of prompts.
+//!
+//! Engines keep what they have read, and a prompt that begins the same way need not be read again
+//! there. Nobody tells for certain what is kept; this index remembers what was sent where, by this
+//! node and by its peers, and forgets what has not been used for a while.
+
+use std::time::Duration;
+
+use super::{Key, Prefix};
+use crate::id::Time;
+
+/// Time after which a prefix that nobody used counts as displaced.
+const AGE: Duration = Duration::from_secs(90);
+
+/// Entries that are remembered at most; the oldest tenth gives way.
+const CAPACITY: usize = 16_384;
+
+/// An endpoint that has read a prefix.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holding {
+    /// What it has read.
+    pub prefix: Prefix,
+    /// The endpoint.
+    pub endpoint: Key,
+    /// When it was last used.
+    pub used: Time,
+}
+
+/// All holdings that are known, sorted by prefix and endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct Index {
+    holdings: Vec<Holding>,
+}
+
+impl Index {
+    /// Notes a use and returns whether the holding was unknown before.
+    pub fn note(&mut self, prefix: Prefix, endpoint: Key, now: Time) -> bool {
+        match self.find(prefix, endpoint) {
+            Ok(at) => {
+                self.holdings[at].used = now;
+                false
+            }
+            Err(at) => {
+                let used = now;
+                self.holdings.insert(
+                    at,
+                    Holding {
+                        prefix,
+                        endpoint,
+                        used,
+                    },
+                );
+                self.bound();
+                true
+            }
+        }
+    }
+
+    /// Returns whether an endpoint has read a prefix.
+    #[must_use]
+    pub fn holds(&self, prefix: Prefix, endpoint: Key) -> bool {
+        self.find(prefix, endpoint).is_ok()
+    }
+
+    /// Returns the endpoints that have read a prefix.
+    pub fn holders(&self, prefix: Prefix) -> impl Iterator<Item = &Holding> {
+        let begin = self.holdings.partition_point(|each| each.prefix < prefix);
+        self.holdings[begin..]
+            .iter()
+            .take_while(move |each| each.prefix == prefix)
+    }
+
+    /// Forgets one holding, which has proven wrong.
+    pub fn forget(&mut self, prefix: Prefix, endpoint: Key) {
+        if let Ok(at) = self.find(prefix, endpoint) {
+            self.holdings.remove(at);
+        }
+    }
+
+    /// Forgets everything about an endpoint that has lost its memory.
+    pub fn clear(&mut self, endpoint: Key) {
+        self.holdings.retain(|each| each.endpoint != endpoint);
+    }
+
+    /// Forgets what has not been used for long.
+    pub fn expire(&mut self, now: Time) {
+        self.holdings
+            .retain(|each| now.saturating_sub(each.used) < AGE);
+    }
+
+    /// Returns the number of holdings.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.holdings.len()
+    }
+
+    /// Returns whether nothing is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.holdings.is_empty()
+    }
+
+    fn find(&self, prefix: Prefix, endpoint: Key) -> Result<usize, usize> {
+        self.holdings
+            .binary_search_by_key(&(prefix, endpoint), |each| (each.prefix, each.endpoint))
+    }
+
+    fn bound(&mut self) {
+        if self.holdings.len() > CAPACITY {
+            let mut ages: Vec<Time> = self.holdings.iter().map(|each| each.used).collect();
+            let (_, oldest, _) = ages.select_nth_unstable(CAPACITY / 10);
+            let oldest = *oldest;
+            self.holdings.retain(|each| each.used > oldest);
+        }
+    }
+}
--- a/crates/peridotdeck-core/src/lib.rs
+++ b/crates/peridotdeck-core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod action;
 pub mod book;
 pub mod claim;
+pub mod dispatch;
 pub mod engine;
 pub mod event;
 pub mod flight;
--- /dev/null
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -0,0 +1,185 @@
+//! One attempt of a request at one endpoint, up to the head of its answer.
+
+use std::{sync::Arc, time::Duration};
+
+use async_io::Timer;
+use futures_lite::future;
+use http_body_util::Full;
+use hyper::{
+    HeaderMap, Request, Response, Version,
+    body::{Bytes, Incoming},
+    http::request,
+};
+use peridotdeck_core::{
+    dispatch::{
+        Key,
+        config::Kind,
+        dispatcher::{End, Order},
+        flight::Flight,
+    },
+    id::Time,
+};
+
+use crate::{
+    Ingress, Shared, clock,
+    ingress::Reply,
+    pool::{self, Link},
+};
+
+/// Longest idle time of a connection that carries a call which may run only once.
+const FRESH: Duration = Duration::from_millis(500);
+
+/// Longest idle time of a connection that carries anything else.
+const KEPT: Duration = Duration::from_secs(60);
+
+/// The head of an answer, and the connection that its body comes on.
+#[derive(Debug)]
+pub struct Answer {
+    /// What the head says.
+    pub reply: Reply,
+    /// Head and body.
+    pub response: Response<Incoming>,
+    /// The connection, to be kept after a whole body.
+    pub link: Link,
+    /// Time for which the endpoint keeps the connection.
+    pub keep_alive: Option<Duration>,
+}
+
+/// Why there is no head.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// How the attempt ended.
+    pub end: End,
+    /// What was seen.
+    pub cause: String,
+}
+
+impl Failure {
+    /// Names an end and what was seen.
+    #[must_use]
+    pub fn new(end: End, cause: &(impl ToString + ?Sized)) -> Self {
+        Self {
+            end,
+            cause: cause.to_string(),
+        }
+    }
+}
+
+/// A request as it is sent, once or again.
+#[derive(Debug)]
+pub struct Message {
+    /// Head as the caller sent it.
+    pub head: request::Parts,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+impl Message {
+    fn copy(&self, headers: HeaderMap) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        // The scheme and authority of an absolute target concern the caller's connection only.
+        let target = self.head.uri.path_and_query().cloned();
+        *request.uri_mut() = target.map_or_else(|| self.head.uri.clone(), Into::into);
+        *request.version_mut() = Version::HTTP_11;
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+/// Sends a request and waits for the head of the answer until `deadline`.
+///
+/// # Errors
+/// How the attempt ended, if there is no head that belongs to it.
+pub async fn send<I: Ingress>(
+    shared: &Arc<Shared<I>>,
+    message: &Message,
+    flight: &Flight,
+    order: &Order,
+    resume: Option<&str>,
+    deadline: Time,
+) -> Result<Answer, Failure> {
+    let mut link = open(shared, flight, order).await?;
+    let left = flight.left(clock::now());
+    if left.is_zero() {
+        return Err(Failure::new(End::Unreachable, "no time left"));
+    }
+    let headers = shared
+        .ingress
+        .forward(&message.head, flight, order, left, resume);
+    let answer = async {
+        match link.sender.send_request(message.copy(headers)).await {
+            Ok(response) => Ok(response),
+            Err(cause) => Err(failure(&cause)),
+        }
+    };
+    let late = async {
+        Timer::after(deadline.saturating_sub(clock::now())).await;
+        Err(Failure::new(End::TimedOut, "no answer in time"))
+    };
+    let response = future::or(answer, late).await?;
+    let (head, body) = response.into_parts();
+    let reply = shared.ingress.classify(&flight.id, &head);
+    if reply == Reply::Foreign {
+        let cause = format!("status {} belongs to no request of ours", head.status);
+        return Err(Failure::new(End::Garbled, &cause));
+    }
+    let keep_alive = shared.ingress.keep_alive(&head);
+    Ok(Answer {
+        reply,
+        response: Response::from_parts(head, body),
+        link,
+        keep_alive,
+    })
+}
+
+/// A canceled message never left this process; anything else may have arrived.
+fn failure(cause: &hyper::Error) -> Failure {
+    if cause.is_canceled() {
+        Failure::new(End::Unreachable, cause)
+    } else if cause.is_parse() {
+        Failure::new(End::Garbled, cause)
+    } else {
+        Failure::new(End::Broken, cause)
+    }
+}
+
+async fn open<I: Ingress>(
+    shared: &Arc<Shared<I>>,
+    flight: &Flight,
+    order: &Order,
+) -> Result<Link, Failure> {
+    let key = order.attempt.key();
+    let fresh = match flight.route.kind {
+        Kind::NonIdempotent => FRESH,
+        Kind::Idempotent | Kind::Stream => KEPT,
+    };
+    if let Some(link) = shared.pool.reuse(key, fresh) {
+        return Ok(link);
+    }
+    let watch = Arc::clone(shared);
+    let dialed = pool::dial(order.address, move || watch.suspect(key)).await;
+    shared.metrics.dialed(dialed.is_ok());
+    dialed.map_err(|cause| Failure::new(End::Unreachable, &cause))
+}
+
+/// Opens a connection to see whether an endpoint is there, and keeps it.
+pub async fn probe<I: Ingress>(
+    shared: &Arc<Shared<I>>,
+    key: Key,
+    address: std::net::SocketAddrV4,
+) -> bool {
+    let watch = Arc::clone(shared);
+    let dialed = pool::dial(address, move || watch.suspect(key)).await;
+    shared.metrics.dialed(dialed.is_ok());
+    match dialed {
+        Ok(link) => {
+            shared.pool.keep(key, link, None);
+            true
+        }
+        Err(cause) => {
+            log::info!("event=probe_failed endpoint={address} cause=\"{cause}\"");
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/peridotdeck-relay/src/fetch.rs
@@ -0,0 +1,88 @@
+//! One read on a connection of its own or on an open one, with a limit of time and size.
+
+use std::{net::SocketAddrV4, time::Duration};
+
+use async_io::Timer;
+use futures_lite::future;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, StatusCode, body::Bytes, header};
+use quick_error::quick_error;
+
+use crate::pool::{self, Link};
+
+/// Largest answer.
+const MOST_BYTES: usize = 16 << 20;
+
+quick_error! {
+    /// Why a read brought nothing.
+    #[derive(Debug)]
+    pub enum Error {
+        /// No connection was opened.
+        Dial(cause: pool::Error) {
+            display("{cause}")
+            from()
+            source(cause)
+        }
+        /// The connection broke.
+        Broken(cause: hyper::Error) {
+            display("connection broke: {cause}")
+            from()
+            source(cause)
+        }
+        /// The path cannot be asked for, or the answer exceeds the limit.
+        Invalid(cause: String) {
+            display("{cause}")
+        }
+        /// The answer did not come in time.
+        Late {
+            display("no answer in time")
+        }
+    }
+}
+
+/// A peer or a publisher that is read.
+#[derive(Debug)]
+pub struct Source {
+    address: SocketAddrV4,
+    link: Option<Link>,
+}
+
+impl Source {
+    /// Names where to read; the connection is opened with the first read.
+    #[must_use]
+    pub fn new(address: SocketAddrV4) -> Self {
+        Self {
+            address,
+            link: None,
+        }
+    }
+
+    /// Reads a path within a time. The connection is kept unless something goes wrong.
+    ///
+    /// # Errors
+    /// If there is no whole answer in time.
+    pub async fn get(&mut self, path: &str, time: Duration) -> Result<(StatusCode, Bytes), Error> {
+        let link = self.link.take().filter(|link| link.sender.is_ready());
+        let work = async {
+            let mut link = match link {
+                Some(link) => link,
+                None => pool::dial(self.address, || ()).await?,
+            };
+            let request = Request::get(path)
+                .header(header::HOST, self.address.to_string())
+                .body(Full::new(Bytes::new()))
+                .map_err(|cause| Error::Invalid(cause.to_string()))?;
+            let (head, body) = link.sender.send_request(request).await?.into_parts();
+            let body = Limited::new(body, MOST_BYTES).collect().await;
+            let body = body.map_err(|cause| Error::Invalid(cause.to_string()))?;
+            Ok((link, head.status, body.to_bytes()))
+        };
+        let late = async {
+            Timer::after(time).await;
+            Err(Error::Late)
+        };
+        let (link, status, body) = future::or(work, late).await?;
+        self.link = Some(link);
+        Ok((status, body))
+    }
+}
--- /dev/null
+++ b/crates/peridotdeck-relay/src/journey.rs
@@ -0,0 +1,423 @@
+//! One caller's request from its admission to its end.
+
+use std::{
+    pin::pin,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use async_io::Timer;
+use futures_lite::future;
+use http_body_util::BodyExt;
+use hyper::{
+    Response,
+    body::{Bytes, Incoming},
+    http::response,
+};
+use peridotdeck_core::{
+    Verdict,
+    dispatch::{
+        Key,
+        config::Kind,
+        dispatcher::{Attempt, End, Next, Order, Placement},
+        flight::Flight,
+        refusal::Refusal,
+    },
+};
+
+use crate::{
+    Ingress, Shared, clock,
+    exchange::{self, Failure, Message},
+    ingress::Reply,
+    pool::Link,
+    stream::Relay,
+};
+
+/// Longest time to read the rest of an answer that nobody needs, to keep the connection.
+const DRAIN: Duration = Duration::from_millis(50);
+
+/// What the caller gets.
+#[derive(Debug)]
+pub enum Outcome<I: Ingress> {
+    /// A whole answer of an endpoint.
+    Whole(Response<Bytes>),
+    /// The head of a stream, and its events.
+    Stream(response::Parts, Box<Relay<I>>),
+    /// No answer.
+    Refused(Refusal),
+}
+
+/// An answer that has begun.
+#[derive(Debug)]
+pub(crate) struct Started {
+    pub(crate) head: response::Parts,
+    pub(crate) first: Bytes,
+    pub(crate) body: Option<Incoming>,
+    pub(crate) link: Link,
+    pub(crate) keep_alive: Option<Duration>,
+}
+
+/// What an attempt came to.
+enum Arrival {
+    Whole(Response<Bytes>, Link, Option<Duration>),
+    Failed(Response<Bytes>, Link, Option<Duration>),
+    Started(Box<Started>),
+}
+
+/// A request, its attempts, and its end.
+#[derive(Debug)]
+pub struct Journey<I: Ingress> {
+    pub(crate) shared: Arc<Shared<I>>,
+    pub(crate) message: Message,
+    pub(crate) flight: Flight,
+    running: Option<Attempt>,
+    attempts: u32,
+    ended: bool,
+}
+
+impl<I: Ingress> Journey<I> {
+    /// Starts with an admitted request.
+    #[must_use]
+    pub fn new(shared: Arc<Shared<I>>, message: Message, flight: Flight) -> Self {
+        shared.open.fetch_add(1, Ordering::Relaxed);
+        Self {
+            shared,
+            message,
+            flight,
+            running: None,
+            attempts: 0,
+            ended: false,
+        }
+    }
+
+    /// Makes attempts until one succeeds or no more may be made.
+    pub async fn run(mut self) -> Outcome<I> {
+        let mut placed = self.place().await;
+        loop {
+            let order = match placed {
+                Ok(order) => order,
+                Err(refusal) => return self.refuse(refusal),
+            };
+            let (result, hedged) = self.attempt(&order, None).await;
+            if hedged {
+                self.finish(End::Silent, "slow");
+                self.flight.runs += 1;
+                placed = self.place().await;
+                continue;
+            }
+            match result {
+                Some(Ok(arrival)) => match self.arrive(&order, arrival) {
+                    Ok(outcome) => return *outcome,
+                    Err(journey) => self = *journey,
+                },
+                Some(Err(failure)) => {
+                    self.finish(failure.end, &failure.cause);
+                    if let Next::GiveUp(refusal) = self.next(failure.end) {
+                        return self.refuse(refusal);
+                    }
+                }
+                None => {}
+            }
+            placed = self.place().await;
+        }
+    }
+
+    /// Decides on an answer: passes it on, or tries again if that may help.
+    fn arrive(mut self, order: &Order, arrival: Arrival) -> Result<Box<Outcome<I>>, Box<Self>> {
+        let key = order.attempt.key();
+        match arrival {
+            Arrival::Whole(response, link, keep_alive) => {
+                self.shared.pool.keep(key, link, keep_alive);
+                self.finish(End::Finished, "");
+                self.end("answered", response.status().as_u16(), "");
+                Ok(Box::new(Outcome::Whole(response)))
+            }
+            Arrival::Failed(response, link, keep_alive) => {
+                self.shared.pool.keep(key, link, keep_alive);
+                self.finish(End::Failed, "");
+                if self.next(End::Failed) == Next::Again {
+                    return Err(Box::new(self));
+                }
+                self.end("failed", response.status().as_u16(), "endpoint answered so");
+                Ok(Box::new(Outcome::Whole(response)))
+            }
+            Arrival::Started(started) => {
+                let head = started.head.clone();
+                let relay = Relay::new(self, key, *started);
+                Ok(Box::new(Outcome::Stream(head, Box::new(relay))))
+            }
+        }
+    }
+
+    /// Makes one attempt; the flag says that another endpoint should be asked instead.
+    async fn attempt(
+        &mut self,
+        order: &Order,
+        resume: Option<&str>,
+    ) -> (Option<Result<Arrival, Failure>>, bool) {
+        let work = Self::answer(&self.shared, &self.message, &self.flight, order, resume);
+        let mut work = pin!(work);
+        let mut hedge = order.hedge;
+        loop {
+            let Some(patience) = hedge else {
+                return (Some(work.as_mut().await), false);
+            };
+            let impatient = async {
+                Timer::after(patience).await;
+                None
+            };
+            let result = future::or(async { Some(work.as_mut().await) }, impatient).await;
+            if result.is_some() {
+                return (result, false);
+            }
+            let now = clock::now();
+            if self.shared.dispatcher().may_hedge(&self.flight, now) {
+                return (None, true);
+            }
+            hedge = None;
+        }
+    }
+
+    async fn answer(
+        shared: &Arc<Shared<I>>,
+        message: &Message,
+        flight: &Flight,
+        order: &Order,
+        resume: Option<&str>,
+    ) -> Result<Arrival, Failure> {
+        let answer = exchange::send(shared, message, flight, order, resume, flight.until).await?;
+        let (head, mut body) = answer.response.into_parts();
+        let (link, keep_alive) = (answer.link, answer.keep_alive);
+        let end = match answer.reply {
+            Reply::Answer if flight.route.kind == Kind::Stream => {
+                let first = first_part(&mut body, flight).await?;
+                return Ok(Arrival::Started(Box::new(Started {
+                    head,
+                    body: first.is_some().then_some(body),
+                    first: first.unwrap_or_default(),
+                    link,
+                    keep_alive,
+                })));
+            }
+            Reply::Answer | Reply::Failure => {
+                let whole = whole(body, flight).await?;
+                let response = Response::from_parts(head, whole);
+                return Ok(if answer.reply == Reply::Answer {
+                    Arrival::Whole(response, link, keep_alive)
+                } else {
+                    Arrival::Failed(response, link, keep_alive)
+                });
+            }
+            Reply::Unclear => End::Failed,
+            Reply::Rejected => End::Rejected,
+            Reply::Misdirected | Reply::Foreign => End::Misdirected,
+        };
+        let cause = format!("status {}", head.status.as_u16());
+        if end == End::Rejected {
+            let rest = async { body.collect().await.is_ok() };
+            let late = async {
+                Timer::after(DRAIN).await;
+                false
+            };
+            if future::or(rest, late).await {
+                shared.pool.keep(order.attempt.key(), link, keep_alive);
+            }
+        }
+        Err(Failure { end, cause })
+    }
+
+    /// Waits until there is an endpoint, or until it is clear that there is none.
+    pub(crate) async fn place(&mut self) -> Result<Order, Refusal> {
+        loop {
+            let now = clock::now();
+            let placement = self.shared.dispatcher().place(&mut self.flight, now);
+            match placement {
+                Placement::Send(order) => {
+                    self.running = Some(order.attempt.clone());
+                    self.attempts += 1;
+                    self.log_placed(&order);
+                    return Ok(order);
+                }
+                Placement::Wait(pause) => {
+                    Timer::after(pause).await;
+                }
+                Placement::Refuse(refusal) => return Err(refusal),
+            }
+        }
+    }
+
+    /// Sends the rest of a broken stream to another endpoint.
+    pub(crate) async fn resume(&mut self, last: Option<&str>) -> Result<(Key, Started), Refusal> {
+        loop {
+            let order = self.place().await?;
+            let work = Self::answer(&self.shared, &self.message, &self.flight, &order, last).await;
+            let failure = match work {
+                Ok(Arrival::Started(started)) => return Ok((order.attempt.key(), *started)),
+                Ok(_) => Failure::new(End::Failed, "no stream"),
+                Err(failure) => failure,
+            };
+            self.finish(failure.end, &failure.cause);
+            if let Next::GiveUp(refusal) = self.next(failure.end) {
+                return Err(refusal);
+            }
+        }
+    }
+
+    /// Notes that the answer has begun.
+    pub(crate) fn note_read(&mut self) {
+        let now = clock::now();
+        let plain = self.flight.route.kind != Kind::Stream;
+        if let Some(attempt) = &mut self.running {
+            let mut dispatcher = self.shared.dispatcher();
+            dispatcher.note_read(attempt, plain, &self.flight, now);
+        }
+    }
+
+    /// Gives the attempt in progress back.
+    pub(crate) fn finish(&mut self, end: End, cause: &str) {
+        let Some(mut attempt) = self.running.take() else {
+            return;
+        };
+        let now = clock::now();
+        let plain = self.flight.route.kind != Kind::Stream;
+        let mut dispatcher = self.shared.dispatcher();
+        if plain && end == End::Finished {
+            dispatcher.note_read(&mut attempt, plain, &self.flight, now);
+        }
+        dispatcher.finish(&attempt, end, &self.flight, now);
+        drop(dispatcher);
+        self.shared
+            .metrics
+            .attempted(&self.flight.service, end.into());
+        if end != End::Finished {
+            log::info!(
+                "event=attempt_ended id={} endpoint_key={:08x} end={end} ms={} cause=\"{cause}\"",
+                self.flight.id,
+                attempt.key(),
+                now.saturating_sub(attempt.sent()).as_millis(),
+            );
+        }
+    }
+
+    /// Returns what follows a failed attempt.
+    pub(crate) fn next(&mut self, end: End) -> Next {
+        let now = clock::now();
+        self.shared.dispatcher().next(&mut self.flight, end, now)
+    }
+
+    fn refuse(mut self, refusal: Refusal) -> Outcome<I> {
+        let outcome = match refusal.verdict {
+            Verdict::NotRun => "refused",
+            Verdict::MayHaveRun | Verdict::Ran => "failed",
+        };
+        self.end_with(outcome, &refusal);
+        Outcome::Refused(refusal)
+    }
+
+    pub(crate) fn end_with(&mut self, outcome: &str, refusal: &Refusal) {
+        let wait = refusal.retry_after.unwrap_or_default().as_millis();
+        let cause = format!(
+            "{} verdict={} retry_after_ms={wait}",
+            refusal.cause, refusal.verdict
+        );
+        self.end(outcome, 0, &cause);
+    }
+
+    /// Logs and counts the end of the request.
+    pub(crate) fn end(&mut self, outcome: &str, status: u16, cause: &str) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let flight = &self.flight;
+        let time = clock::now().saturating_sub(flight.arrived);
+        self.shared.metrics.ended(&flight.route.name, outcome);
+        if outcome == "answered" {
+            let (class, organisation) = (&flight.route.name, flight.customer());
+            self.shared.metrics.whole(class, organisation, time);
+        }
+        log::info!(
+            "event=request_ended id={} route={} organisation={} version={} outcome={outcome} \
+             status={status} ms={} attempts={} runs={} rejections={} cause={cause}",
+            flight.id,
+            flight.route.name,
+            flight.customer(),
+            flight.version,
+            time.as_millis(),
+            self.attempts,
+            flight.runs,
+            flight.rejections,
+        );
+    }
+
+    fn log_placed(&self, order: &Order) {
+        let estimate = &order.estimate;
+        log::info!(
+            "event=request_placed id={} route={} endpoint={} attempt={} rank={} score={:.0} \
+             expected_ms={} prompt={} cached={} unread={} fetch={} running={} backlog={} \
+             left_ms={}",
+            self.flight.id,
+            self.flight.route.name,
+            order.instance,
+            self.attempts,
+            order.rank,
+            estimate.score,
+            estimate.first.as_millis(),
+            self.flight.prompt.tokens,
+            estimate.cached,
+            estimate.unread,
+            order.source.is_some(),
+            order.load.running,
+            order.load.unread,
+            self.flight.left(clock::now()).as_millis(),
+        );
+    }
+}
+
+impl<I: Ingress> Drop for Journey<I> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.finish(End::Cancelled, "caller left");
+            self.end("cancelled", 0, "caller left");
+        }
+        self.shared.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn within<T>(
+    flight: &Flight,
+    work: impl Future<Output = Result<T, Failure>>,
+) -> Result<T, Failure> {
+    let late = async {
+        Timer::after(flight.left(clock::now())).await;
+        Err(Failure::new(End::TimedOut, "answer not whole in time"))
+    };
+    future::or(work, late).await
+}
+
+async fn whole(body: Incoming, flight: &Flight) -> Result<Bytes, Failure> {
+    let read = async {
+        match body.collect().await {
+            Ok(whole) => Ok(whole.to_bytes()),
+            Err(cause) => Err(Failure::new(End::Broken, &cause)),
+        }
+    };
+    within(flight, read).await
+}
+
+/// Returns the first part of a stream, or none if it ends without one.
+async fn first_part(body: &mut Incoming, flight: &Flight) -> Result<Option<Bytes>, Failure> {
+    let read = async {
+        loop {
+            match body.frame().await {
+                None => return Ok(None),
+                Some(Err(cause)) => return Err(Failure::new(End::Broken, &cause)),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    };
+    within(flight, read).await
+}
--- /dev/null
+++ b/crates/peridotdeck-relay/src/server.rs
@@ -0,0 +1,243 @@
+//! An accept loop with limits and a graceful stop.
+
+use std::{
+    error::Error,
+    io,
+    net::{SocketAddr, TcpListener, TcpStream},
+    pin::{Pin, pin},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use async_channel::Receiver;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use hyper::{
+    Request, Response,
+    body::{Body, Bytes, Frame, Incoming, SizeHint},
+    server::conn::http1,
+    service::service_fn,
+};
+use smol_hyper::rt::FuturesIo;
+use socket2::{Domain, Socket, Type};
+
+use crate::{clock, pool};
+
+/// Connections that the system queues until they are accepted.
+const BACKLOG: i32 = 1_024;
+
+/// Rest after a failed accept, which usually means that file descriptors ran out.
+const REST: Duration = Duration::from_millis(20);
+
+/// Smallest buffer that the protocol library takes.
+const LEAST_HEAD_BYTES: usize = 8 << 10;
+
+/// Limits of a connection, as they are now.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Bytes of a head.
+    pub head_bytes: usize,
+    /// Longest time without a request.
+    pub idle: Duration,
+}
+
+/// What a connection is doing.
+#[derive(Debug)]
+struct Activity {
+    // Requests in progress in the upper half, milliseconds of the last end in the lower.
+    requests: AtomicU64,
+    last_ms: AtomicU64,
+}
+
+impl Activity {
+    fn new() -> Self {
+        Self {
+            requests: AtomicU64::new(0),
+            last_ms: AtomicU64::new(millis()),
+        }
+    }
+
+    fn idle(&self) -> Option<Duration> {
+        if self.requests.load(Ordering::Relaxed) > 0 {
+            return None;
+        }
+        let last = self.last_ms.load(Ordering::Relaxed);
+        Some(Duration::from_millis(millis().saturating_sub(last)))
+    }
+}
+
+fn millis() -> u64 {
+    clock::now().as_millis() as u64
+}
+
+/// Marks a connection as busy until it is dropped.
+#[derive(Debug)]
+struct Busy(Arc<Activity>);
+
+impl Busy {
+    fn new(activity: &Arc<Activity>) -> Self {
+        activity.requests.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(activity))
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.last_ms.store(millis(), Ordering::Relaxed);
+        self.0.requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A body that keeps its connection busy until it is sent.
+#[derive(Debug)]
+pub struct Tracked<B> {
+    body: Pin<Box<B>>,
+    _busy: Busy,
+}
+
+impl<B: Body> Body for Tracked<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        self.body.as_mut().poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Listens at an address.
+///
+/// # Errors
+/// If the address is not this machine's, or taken.
+pub fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Async::new(TcpListener::from(socket))
+}
+
+/// Answers the requests of every connection that comes, until the sender of `closing` is dropped.
+///
+/// Then the listener and idle connections are closed, and the other connections end with the answer
+/// in progress.
+pub async fn accept<L, F, Fut, B>(
+    listener: Async<TcpListener>,
+    closing: Receiver<()>,
+    limits: L,
+    respond: F,
+) where
+    L: Fn() -> Limits + Clone + Send + Sync + 'static,
+    F: Fn(Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    loop {
+        let closed = async {
+            // An error means that the sender was dropped.
+            let _ = closing.recv().await;
+            None
+        };
+        let accepted = future::or(async { Some(listener.accept().await) }, closed).await;
+        let Some(accepted) = accepted else { return };
+        match accepted {
+            Ok((stream, _)) => {
+                let (closing, limits, respond) = (closing.clone(), limits.clone(), respond.clone());
+                async_std::task::spawn(async move {
+                    if let Err(cause) = serve(stream, closing, limits, respond).await {
+                        log::debug!("event=connection_ended cause=\"{cause}\"");
+                    }
+                });
+            }
+            Err(cause) => {
+                log::warn!("event=accept_failed cause=\"{cause}\"");
+                Timer::after(REST).await;
+            }
+        }
+    }
+}
+
+/// Why a connection is told to end.
+enum Stop {
+    Ended(Result<(), hyper::Error>),
+    Closing,
+    Idle,
+}
+
+async fn serve<L, F, Fut, B>(
+    stream: Async<TcpStream>,
+    closing: Receiver<()>,
+    limits: L,
+    respond: F,
+) -> Result<(), Box<dyn Error + Send + Sync>>
+where
+    L: Fn() -> Limits,
+    F: Fn(Request<Incoming>) -> Fut,
+    Fut: Future<Output = Response<B>>,
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    pool::tune(stream.get_ref())?;
+    let activity = Arc::new(Activity::new());
+    let service = service_fn(|request| {
+        let busy = Busy::new(&activity);
+        let response = respond(request);
+        async move {
+            let response = response.await;
+            Ok::<_, std::convert::Infallible>(response.map(|body| Tracked {
+                body: Box::pin(body),
+                _busy: busy,
+            }))
+        }
+    });
+    let connection = http1::Builder::new()
+        .max_buf_size(limits().head_bytes.max(LEAST_HEAD_BYTES))
+        .serve_connection(FuturesIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let ended = async { Stop::Ended(connection.as_mut().await) };
+    let closed = async {
+        // An error means that the sender was dropped.
+        let _ = closing.recv().await;
+        Stop::Closing
+    };
+    let idle = async {
+        wait_idle(&activity, &limits).await;
+        Stop::Idle
+    };
+    let stop = future::or(ended, future::or(closed, idle)).await;
+    match stop {
+        Stop::Ended(result) => return Ok(result?),
+        Stop::Closing | Stop::Idle => connection.as_mut().graceful_shutdown(),
+    }
+    let late = async {
+        wait_idle(&activity, &limits).await;
+        Ok(())
+    };
+    Ok(future::or(connection, late).await?)
+}
+
+async fn wait_idle(activity: &Activity, limits: &impl Fn() -> Limits) {
+    loop {
+        let limit = limits().idle;
+        match activity.idle() {
+            Some(idle) if idle >= limit => return,
+            Some(idle) => Timer::after(limit.saturating_sub(idle)).await,
+            None => Timer::after(limit).await,
+        };
+    }
+}
--- a/crates/peridotdeck-schema/src/lib.rs
+++ b/crates/peridotdeck-schema/src/lib.rs
@@ -14,7 +14,8 @@
 use typify::{TypeSpace, TypeSpaceSettings};
 
 /// Pairs of a schema file and the generated module, both relative to the repository's root.
-pub const TARGETS: [(&str, &str); 3] = [
+pub const TARGETS: [(&str, &str); 4] = [
+    ("schema/beat.json", "crates/peridotdeck-wire/src/beat.rs"),
     (
         "schema/config.json",
         "crates/peridotdeck-policy/src/generated.rs",
--- a/crates/peridotdeck-wire/src/codec.rs
+++ b/crates/peridotdeck-wire/src/codec.rs
@@ -1,6 +1,7 @@
 //! The compact encoding of an envelope.
 
 use quick_error::quick_error;
+use serde::{Serialize, de::DeserializeOwned};
 
 use crate::Envelope;
 
@@ -36,23 +37,39 @@
     }
 }
 
-/// Encodes a message for a datagram.
+/// Encodes an envelope for a datagram.
 ///
 /// # Errors
 /// [`Error::Large`] if the message does not fit.
 pub fn encode(envelope: &Envelope) -> Result<Vec<u8>, Error> {
-    let bytes = postcard::to_extend(envelope, vec![VERSION])?;
+    pack(envelope)
+}
+
+/// Decodes one datagram that should hold an envelope.
+///
+/// # Errors
+/// Any malformed, oversized, trailing or foreign-version input is an error value, never a panic.
+pub fn decode(bytes: &[u8]) -> Result<Envelope, Error> {
+    unpack(bytes)
+}
+
+/// Encodes any message type of this crate for a datagram.
+///
+/// # Errors
+/// [`Error::Large`] if the message does not fit.
+pub fn pack<T: Serialize>(message: &T) -> Result<Vec<u8>, Error> {
+    let bytes = postcard::to_extend(message, vec![VERSION])?;
     if bytes.len() > MAX_DATAGRAM {
         return Err(Error::Large(bytes.len()));
     }
     Ok(bytes)
 }
 
-/// Decodes one datagram.
+/// Decodes one datagram that should hold a message of a type of this crate.
 ///
 /// # Errors
 /// Any malformed, oversized, trailing or foreign-version input is an error value, never a panic.
-pub fn decode(bytes: &[u8]) -> Result<Envelope, Error> {
+pub fn unpack<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
     if bytes.len() > MAX_DATAGRAM {
         return Err(Error::Large(bytes.len()));
     }
@@ -62,9 +79,9 @@
     if version != VERSION {
         return Err(Error::Version(version));
     }
-    let (envelope, rest): (Envelope, &[u8]) = postcard::take_from_bytes(message)?;
+    let (decoded, rest) = postcard::take_from_bytes(message)?;
     if !rest.is_empty() {
         return Err(Error::Trailing(rest.len()));
     }
-    Ok(envelope)
+    Ok(decoded)
 }
--- a/crates/peridotdeck-wire/src/lib.rs
+++ b/crates/peridotdeck-wire/src/lib.rs
@@ -5,6 +5,18 @@
 //! do not fit a datagram travel as a JSON-RPC call instead, with the same types.
 //! See `docs/ARCHITECTURE.md`, section "Between routers".
 
+#[allow(
+    clippy::all,
+    clippy::pedantic,
+    clippy::cargo,
+    dead_code,
+    missing_docs,
+    missing_debug_implementations,
+    rustdoc::all,
+    reason = "generated code follows the generator's style"
+)]
+#[rustfmt::skip]
+pub mod beat;
 mod codec;
 #[allow(
     clippy::all,
@@ -19,7 +31,7 @@
 #[rustfmt::skip]
 mod generated;
 
-pub use codec::{Error, MAX_DATAGRAM, VERSION, decode, encode};
+pub use codec::{Error, MAX_DATAGRAM, VERSION, decode, encode, pack, unpack};
 pub use generated::{
     Answer, Ask, Beat, Body, Claim, Claims, Delta, Deny, Done, Entry, Envelope, Fetch, Gossip,
     Grant, Handover, Held, Holding, Member, Outcome, Part, Phase, Preempt, Queued, Reason, Settle,
