Keep requests in their region, and judge an endpoint's pace by its peers'

Cause: at a burst all nodes sent to the one engine of another region that had nothing unread by digests 200 ms old; 40,000 tokens met there within 0.7 s, and cast breakdowns beside them took 890 ms. Pace and failures by chance drove portal calls abroad as well. Ruled out: lost beats (47 joins, no silence), wrong own counts (backlog matched the sends of the same region). Change: a region costs 120 ms of score, pace counts only beyond 1.5 times the median, a failure rate below 0.15 counts as chance; ends log first_ms and pause_ms.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -685,10 +685,21 @@
             place: &self.options.place,
             region: &self.region,
             plain_ms: plain.map_or(PLAIN_MS, |mean| mean.value),
+            usual_pace: self.usual_pace(service),
             now,
         }
     }
 
+    fn usual_pace(&self, service: &str) -> f64 {
+        let peers = self
+            .states
+            .iter()
+            .filter(|state| state.info.service == service);
+        let mut paces: Vec<f64> = peers.map(State::pace).collect();
+        paces.sort_by(f64::total_cmp);
+        paces.get(paces.len() / 2).copied().unwrap_or(1.0)
+    }
+
     fn rank(
         &self,
         flight: &Flight,
--- a/crates/peridotdeck-core/src/dispatch/endpoint.rs
+++ b/crates/peridotdeck-core/src/dispatch/endpoint.rs
@@ -15,7 +15,7 @@
 const HALF_LIFE: Duration = Duration::from_secs(3);
 
 /// Weight of the newest answer in the pace.
-const NEWEST: f64 = 0.2;
+const NEWEST: f64 = 0.1;
 
 /// Bounds of the pace: one answer must not condemn or exalt an endpoint.
 const PACE: (f64, f64) = (0.5, 12.0);
--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -31,8 +31,9 @@
 /// Round trip to an endpoint in the same region.
 const NEAR_MS: f64 = 1.0;
 
-/// What crossing into another region is worth beside the time: traffic there is paid by volume.
-const REGION_SCORE: f64 = 40.0;
+/// What crossing into another region is worth beside the time: traffic there is paid by volume, and
+/// the load there is known late, so many nodes may choose the same endpoint at once.
+const REGION_SCORE: f64 = 120.0;
 
 /// What reading a thousand tokens again is worth beside the time.
 const REREAD_SCORE_PER_K: f64 = 110.0;
@@ -70,6 +71,9 @@
 /// Score of an endpoint all of whose attempts fail, in targets of the route.
 const FAILURE_TARGETS: f64 = 5.0;
 
+/// Part of failures that any endpoint may show by chance.
+const CHANCE: f64 = 0.15;
+
 /// Score of an endpoint whose connection has just ended without a word.
 const SUSPICION_SCORE: f64 = 80.0;
 
@@ -128,6 +132,8 @@
     pub region: &'a str,
     /// Mean time of the service's answers in milliseconds, for services without a model.
     pub plain_ms: f64,
+    /// Median pace of the service's endpoints.
+    pub usual_pace: f64,
     /// The time.
     pub now: Time,
 }
@@ -173,7 +179,8 @@
         let target = flight.route.target.as_secs_f64() * 1e3;
         let first = estimate.first.as_secs_f64() * 1e3;
         estimate.score += first + LATE_FACTOR * (first - SAFE_PART * target).max(0.0);
-        estimate.score += state.failure_rate(self.now) * FAILURE_TARGETS * target;
+        let failing = (state.failure_rate(self.now) - CHANCE).max(0.0);
+        estimate.score += failing * FAILURE_TARGETS * target;
         if state.region != self.region {
             estimate.score += REGION_SCORE;
         }
@@ -183,6 +190,14 @@
         estimate
     }
 
+    /// Returns how much slower an endpoint is than its peers; a slow day slows them all.
+    fn pace(&self, state: &State) -> f64 {
+        /// Differences within this factor are noise.
+        const NOISE: f64 = 1.5;
+        let pace = state.pace() / self.usual_pace.max(0.1);
+        self.usual_pace.clamp(0.5, 3.0) * if pace > NOISE { pace } else { 1.0 }
+    }
+
     fn path_ms(&self, state: &State) -> f64 {
         if state.region == self.region {
             NEAR_MS
@@ -195,7 +210,7 @@
         let load = state.load();
         let slots = f64::from(state.info.slots.max(1));
         let rounds = (f64::from(load.running + 1) / slots).max(1.0);
-        let first = self.path_ms(state) + self.plain_ms * rounds * state.pace();
+        let first = self.path_ms(state) + self.plain_ms * rounds * self.pace(state);
         // Spreads requests over equal endpoints before their queues grow.
         let score = self.plain_ms * f64::from(load.running) / slots;
         Estimate {
@@ -225,7 +240,7 @@
         };
         let reading = f64::from(unread) / READ_PER_MS;
         let first = FIRST_MS + ahead / READ_PER_MS + reading;
-        let first = self.path_ms(state) + fetch_ms + first * state.pace();
+        let first = self.path_ms(state) + fetch_ms + first * self.pace(state);
         let beyond = f64::from((load.running + 1).saturating_sub(model.slots));
         let mut score = QUEUE_SCORE * beyond / f64::from(model.slots.max(1));
         score += reading + DISTURBANCE * reading * f64::from(load.urgent.min(MOST_DISTURBED));
--- a/crates/peridotdeck-relay/src/journey.rs
+++ b/crates/peridotdeck-relay/src/journey.rs
@@ -71,6 +71,10 @@
     pub(crate) message: Message,
     pub(crate) flight: Flight,
     running: Option<Attempt>,
+    /// Time from the arrival to the first event that was passed on.
+    pub(crate) first: Option<Duration>,
+    /// Longest time between two events that were passed on.
+    pub(crate) pause: Duration,
     attempts: u32,
     ended: bool,
 }
@@ -85,6 +89,8 @@
             message,
             flight,
             running: None,
+            first: None,
+            pause: Duration::ZERO,
             attempts: 0,
             ended: false,
         }
@@ -337,12 +343,15 @@
         }
         log::info!(
             "event=request_ended id={} route={} organisation={} version={} outcome={outcome} \
-             status={status} ms={} attempts={} runs={} rejections={} cause={cause}",
+             status={status} ms={} first_ms={} pause_ms={} attempts={} runs={} rejections={} \
+             cause={cause}",
             flight.id,
             flight.route.name,
             flight.customer(),
             flight.version,
             time.as_millis(),
+            self.first.unwrap_or(time).as_millis(),
+            self.pause.as_millis(),
             self.attempts,
             flight.runs,
             flight.rejections,
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -11,9 +11,12 @@
 use futures_lite::{future, stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Bytes, Frame, Incoming};
-use peridotdeck_core::dispatch::{
-    Key,
-    dispatcher::{End, Next},
+use peridotdeck_core::{
+    dispatch::{
+        Key,
+        dispatcher::{End, Next},
+    },
+    id::Time,
 };
 use quick_error::quick_error;
 
@@ -48,6 +51,7 @@
     body: Option<Incoming>,
     events: Events,
     first_sent: bool,
+    sent: Time,
     deadline: Timer,
 }
 
@@ -65,6 +69,7 @@
             body: started.body,
             events,
             first_sent: false,
+            sent: Time::ZERO,
             deadline: Timer::after(left),
         }
     }
@@ -87,7 +92,7 @@
     async fn next(&mut self) -> Result<Option<Bytes>, Cut> {
         loop {
             if let Some(bytes) = self.events.take() {
-                self.note_first();
+                self.note_sent();
                 return Ok(Some(bytes));
             }
             let Some(body) = &mut self.body else {
@@ -106,13 +111,21 @@
         }
     }
 
-    fn note_first(&mut self) {
-        if !std::mem::replace(&mut self.first_sent, true) {
+    /// Notes when events go to the caller: the first, and the longest pause between two.
+    fn note_sent(&mut self) {
+        let now = clock::now();
+        let first = !std::mem::replace(&mut self.first_sent, true);
+        if first {
             let flight = &self.journey.flight;
-            let time = clock::now().saturating_sub(flight.arrived);
+            let time = now.saturating_sub(flight.arrived);
             let metrics = &self.journey.shared.metrics;
             metrics.first(&flight.route.name, flight.customer(), time);
+            self.journey.first = Some(time);
+        } else {
+            let pause = now.saturating_sub(self.sent);
+            self.journey.pause = self.journey.pause.max(pause);
         }
+        self.sent = now;
     }
 
     /// The endpoint has ended the stream well; whatever is left belongs to it.
