Score waiting by the class's target, and company at an engine

Cause: every class weighed a millisecond of waiting the same, so bulk was moved away from the engine that had read its subject for waits that its target of 2 s bears; with that alone, bulk piled up at holders, ran longer and was lost in crashes. Change: waiting is scored relative to the target; each request that runs at an engine costs a little, more for long prompts.

--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -47,14 +47,17 @@
 /// Missing tokens below which a fetch is not worth its beginning.
 const FETCH_TOKENS: u32 = 100;
 
+/// Score of a target's worth of waiting as long as the answer is safely on time.
+const WAIT_SCORE: f64 = 200.0;
+
 /// Part of the target up to which an expected answer counts as safely on time.
 const SAFE_PART: f64 = 0.6;
 
-/// Score of a millisecond beyond that.
-const LATE_FACTOR: f64 = 4.0;
+/// Score of a target's worth of waiting beyond that.
+const LATE_SCORE: f64 = 2_000.0;
 
 /// Part of the reading time that a request costs each urgent stream beside it.
-const DISTURBANCE: f64 = 0.15;
+const DISTURBANCE: f64 = 0.3;
 
 /// Urgent streams that count for that.
 const MOST_DISTURBED: u32 = 8;
@@ -65,6 +68,12 @@
 /// Part of the other unread tokens that still delays an urgent request.
 const BEHIND_URGENT: f64 = 0.3;
 
+/// Part of the reading time that a request costs each other stream beside it.
+const SLOWDOWN: f64 = 0.04;
+
+/// Score of each request that runs already: it slows the others' tokens.
+const COMPANY_SCORE: f64 = 4.0;
+
 /// Score of one whole batch of requests beyond an engine's slots.
 const QUEUE_SCORE: f64 = 1_000.0;
 
@@ -178,7 +187,8 @@
         };
         let target = flight.route.target.as_secs_f64() * 1e3;
         let first = estimate.first.as_secs_f64() * 1e3;
-        estimate.score += first + LATE_FACTOR * (first - SAFE_PART * target).max(0.0);
+        let part = first / target.max(1.0);
+        estimate.score += WAIT_SCORE * part + LATE_SCORE * (part - SAFE_PART).max(0.0);
         let failing = (state.failure_rate(self.now) - CHANCE).max(0.0);
         estimate.score += failing * FAILURE_TARGETS * target;
         if state.region != self.region {
@@ -244,6 +254,7 @@
         let beyond = f64::from((load.running + 1).saturating_sub(model.slots));
         let mut score = QUEUE_SCORE * beyond / f64::from(model.slots.max(1));
         score += reading + DISTURBANCE * reading * f64::from(load.urgent.min(MOST_DISTURBED));
+        score += (SLOWDOWN * reading + COMPANY_SCORE) * f64::from(load.running);
         score += self.moving_score(flight, known, known - cached);
         Estimate {
             score,
