--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -39,7 +39,7 @@
 const REREAD_SCORE_PER_K: f64 = 110.0;
 
 /// What moving a thousand cached tokens is worth beside the time.
-const FETCH_SCORE_PER_K: f64 = 10.0;
+const FETCH_SCORE_PER_K: f64 = 25.0;
 
 /// Time to begin a fetch between engines.
 const FETCH_MS: f64 = 8.0;
