Tell other data centres news twice, and callers of a blind node to come back later

Change: rounds each 250 ms with the news of the last two; Retry-After of a node without configuration is a third of the caller's time, spread, 4 s at most.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -43,6 +43,10 @@
 /// Shortest and longest time that a refused caller is told to stay away.
 const RETURN: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(2));
 
+/// Longest time that callers are told to stay away from a node without a configuration: what
+/// publishes it is down, and nobody knows for how long.
+const BLIND: Duration = Duration::from_secs(4);
+
 /// Part of the caller's time that it may be told to stay away: callers ignore longer ones.
 const RETURN_PART: f64 = 0.3;
 
@@ -600,8 +604,9 @@
         now: Time,
     ) -> Result<Flight, Refusal> {
         let Some(config) = self.registry.config().cloned() else {
-            let wait = Some(RETURN.0);
-            return Err(Refusal::not_run(Cause::Unconfigured, wait));
+            let patience = ask.patience.unwrap_or(BLIND);
+            let wait = self.spread(patience.mul_f64(RETURN_PART).min(BLIND));
+            return Err(Refusal::not_run(Cause::Unconfigured, Some(wait)));
         };
         let refuse = |cause| Err(Refusal::not_run(cause, None));
         let Some(route) = config.route(&ask.host, &ask.path) else {
@@ -813,6 +818,11 @@
         Placement::Refuse(give_up(flight, Cause::NoEndpoint, Some(wait)))
     }
 
+    /// Returns a time in the last third up to `most`, so that callers do not return together.
+    fn spread(&mut self, most: Duration) -> Duration {
+        most.mul_f64(1.0 - self.rng.random::<f64>() / 3.0)
+    }
+
     /// Returns spread over the time in which endpoints come back, within what callers heed.
     fn return_time(&mut self, flight: &Flight, now: Time) -> Duration {
         let most = flight.left(now).mul_f64(RETURN_PART).min(RETURN.1);
--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -22,7 +22,7 @@
 const BUSY: Duration = Duration::from_millis(25);
 
 /// Time between two rounds of beats to other data centres.
-const ROUND: Duration = Duration::from_millis(200);
+const ROUND: Duration = Duration::from_millis(250);
 
 /// Silence after which a peer of the own data centre counts as dead.
 const DEAD: Duration = Duration::from_millis(1_500);
@@ -45,8 +45,8 @@
 /// Time for which the largest size of the fleet is remembered.
 const SIZE_MEMORY: Duration = Duration::from_secs(30);
 
-/// Time for which news are told: some beats are lost, and rounds take turns.
-const NEWS: Duration = Duration::from_millis(1_200);
+/// Time for which news are told: two rounds, because some beats are lost.
+const NEWS: Duration = Duration::from_millis(550);
 
 /// News in one beat, so that it fits a datagram.
 const MOST_NEWS: usize = 24;
