Know what engines hold: by part, once read, and listed after a restart

Parts were also fetched from engines that had not read them yet. Change: the index goes by a part's own id, as engines list it; a node that does not start for the first time asks up to 16 engines for their list; a part is a source only 300 ms after it was sent.

--- a/crates/peridotdeck-core/src/dispatch.rs
+++ b/crates/peridotdeck-core/src/dispatch.rs
@@ -36,7 +36,7 @@
 
 /// Digest of an endpoint's id and start: a restarted endpoint has another.
 pub type Key = u32;
-/// Digest of the first parts of a prompt.
+/// Digest of a part of prompts.
 pub type Prefix = u64;
 /// Digest of a data centre's name.
 pub type Place = u32;
--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -7,14 +7,14 @@
 use strum::{Display, IntoStaticStr};
 
 use super::{
-    Key, Node,
+    Key, Node, Prefix,
     budget::{Bound, Budget},
     config::{Kind, Service},
     endpoint::{Load, State},
     fleet::{Fleet, Heard, Status},
     flight::{Ask, Flight},
     place,
-    placement::{Bar, Estimate, View, is_urgent},
+    placement::{Bar, Estimate, Held, View, is_urgent},
     prefix::Index,
     refusal::{Cause, Refusal},
     registry::{self, Area, Change, Registry, Report},
@@ -62,6 +62,9 @@
 /// Time between two clean-ups of what expires slowly.
 const CLEAN_UP: Duration = Duration::from_secs(2);
 
+/// Endpoints whose memory a node that has just started asks for.
+const MOST_INQUIRIES: usize = 16;
+
 /// Time after a broken attempt in which a failed probe proves that the endpoint crashed.
 const CRASH: Duration = Duration::from_secs(2);
 
@@ -89,6 +92,8 @@
     pub repeats: Bound,
     /// Random number of the process.
     pub incarnation: u64,
+    /// Whether endpoints may hold prompts from before this process: it is no first start.
+    pub inherits: bool,
 }
 
 /// What to do with a request now.
@@ -218,9 +223,14 @@
     revision: u64,
 }
 
+/// An endpoint whose memory should be listed.
+pub type Inquiry = Probe;
+
 /// What time brought.
 #[derive(Clone, Debug, Default)]
 pub struct Due {
+    /// Endpoints whose memory should be listed.
+    pub inquiries: Vec<Inquiry>,
     /// Beats to send.
     pub beats: Vec<(Node, beat::Beat)>,
     /// Connections to try.
@@ -264,6 +274,7 @@
     failing: Vec<Mean>,
     ahead: Vec<(Ahead, Time)>,
     clean_up_due: Time,
+    inquiries: Vec<Inquiry>,
     rng: SmallRng,
 }
 
@@ -287,6 +298,7 @@
             failing: Vec::new(),
             ahead: Vec::new(),
             clean_up_due: now,
+            inquiries: Vec::new(),
             rng: SmallRng::seed_from_u64(options.incarnation),
             options,
         }
@@ -354,6 +366,7 @@
     }
 
     fn follow(&mut self, change: &Change, now: Time) {
+        let first = self.states.is_empty() && self.options.inherits;
         for endpoint in &change.removed {
             self.remove(endpoint);
         }
@@ -365,6 +378,10 @@
                     let region = region(&self.options.regions, &endpoint.place);
                     let mut state = State::new(endpoint.clone(), region, now);
                     state.foreign = self.fleet.load(key);
+                    if first {
+                        let address = endpoint.address;
+                        self.inquiries.push(Inquiry { key, address });
+                    }
                     self.states.insert(at, state);
                 }
             }
@@ -508,6 +525,7 @@
             due.beats = self.fleet.beats(&status, now);
         }
         due.probes = self.probes(now);
+        due.inquiries = self.inquiries();
         due.errands = self.errands(now);
         if now >= self.clean_up_due {
             self.clean_up_due = now + CLEAN_UP;
@@ -519,6 +537,31 @@
         due
     }
 
+    /// Memory is listed by endpoints with a model only, which the configuration tells; the list
+    /// delays the endpoint, so a node of a large fleet asks only some, near ones first.
+    fn inquiries(&mut self) -> Vec<Inquiry> {
+        let Some(config) = self.registry.config() else {
+            return Vec::new();
+        };
+        let wanted = std::mem::take(&mut self.inquiries);
+        let states = wanted.iter().filter_map(|inquiry| {
+            let at = self
+                .states
+                .binary_search_by_key(&inquiry.key, |each| each.key);
+            Some((inquiry, &self.states[at.ok()?]))
+        });
+        let mut due: Vec<(bool, Inquiry)> = states
+            .filter(|(_, state)| {
+                let service = config.service(&state.info.service);
+                service.is_some_and(|service| service.model.is_some())
+            })
+            .map(|(inquiry, state)| (state.info.place != self.options.place, *inquiry))
+            .collect();
+        due.sort_by_key(|(far, _)| *far);
+        due.truncate(MOST_INQUIRIES);
+        due.into_iter().map(|(_, inquiry)| inquiry).collect()
+    }
+
     fn probes(&mut self, now: Time) -> Vec<Probe> {
         let mut probes = Vec::new();
         for state in &mut self.states {
@@ -544,6 +587,15 @@
             .collect()
     }
 
+    /// Takes in what an endpoint's memory holds.
+    pub fn inventory(&mut self, key: Key, parts: &[Prefix], now: Time) {
+        if self.find(key).is_ok() {
+            for part in parts {
+                self.prefixes.note(*part, key, now);
+            }
+        }
+    }
+
     /// Takes in the result of a probe.
     pub fn probed(&mut self, key: Key, accepted: bool, now: Time) {
         let Some(state) = self.state_mut(key) else {
@@ -681,11 +733,11 @@
         self.hold(flight, &bars, now)
     }
 
-    fn view<'a>(&'a self, service: &str, now: Time) -> View<'a> {
+    fn view<'a>(&'a self, service: &str, held: &'a [Held], now: Time) -> View<'a> {
         let plain = self.plain.iter().find(|mean| mean.name == service);
         View {
             states: &self.states,
-            prefixes: &self.prefixes,
+            held,
             closed: self.registry.closed(),
             place: &self.options.place,
             region: &self.region,
@@ -695,6 +747,24 @@
         }
     }
 
+    /// Returns what each endpoint holds of a prompt's beginning.
+    fn held(&self, flight: &Flight, now: Time) -> Vec<Held> {
+        let held = |state: &State| {
+            let mut held = Held::default();
+            for part in &flight.prompt.shared {
+                let Some(age) = self.prefixes.age(part.prefix, state.key, now) else {
+                    break;
+                };
+                if held.read == held.sent && Index::is_read(age) {
+                    held.read = part.tokens;
+                }
+                held.sent = part.tokens;
+            }
+            held
+        };
+        self.states.iter().map(held).collect()
+    }
+
     fn usual_pace(&self, service: &str) -> f64 {
         let peers = self
             .states
@@ -712,7 +782,8 @@
         now: Time,
         bars: &mut Vec<Bar>,
     ) -> Vec<(Key, Estimate)> {
-        let view = self.view(&flight.service, now);
+        let held = self.held(flight, now);
+        let view = self.view(&flight.service, &held, now);
         let mut ranked = Vec::new();
         for state in &self.states {
             match view.admits(state, flight) {
@@ -732,7 +803,8 @@
         };
         let unknown = Service::default();
         let service = config.service(&flight.service).unwrap_or(&unknown);
-        let view = self.view(&flight.service, now);
+        let held = self.held(flight, now);
+        let view = self.view(&flight.service, &held, now);
         let explain = |state: &State| {
             let admitted = view.admits(state, flight);
             let estimate = admitted.map(|()| view.estimate(state, flight, service));
@@ -777,7 +849,7 @@
             }
         }
         self.fleet.touch();
-        let view = self.view(&flight.service, now);
+        let view = self.view(&flight.service, &[], now);
         let source = estimate.source.and_then(|source| view.address(source));
         let hedge = hedge(flight, &estimate);
         let load = Load {
@@ -901,7 +973,7 @@
             && flight.runs + 1 < flight.route.attempts
             && flight.left(now) > WORTHWHILE;
         let others = |state: &State| {
-            let view = self.view(&flight.service, now);
+            let view = self.view(&flight.service, &[], now);
             view.admits(state, flight).is_ok()
         };
         allowed && self.states.iter().any(others) && self.budget.take(&flight.service, nodes, now)
--- a/crates/peridotdeck-core/src/dispatch/flight.rs
+++ b/crates/peridotdeck-core/src/dispatch/flight.rs
@@ -11,7 +11,7 @@
 /// A part of a prompt, as the caller names it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Part {
-    /// Digest of the part and everything before it.
+    /// Digest of the part's id, which also stands for everything before it.
     pub prefix: Prefix,
     /// Tokens up to its end.
     pub tokens: u32,
--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -6,7 +6,7 @@
 //! are worth in time. A cached prefix is used where it lies if that is near and free, or fetched
 //! from there by the endpoint that is.
 
-use std::{net::SocketAddrV4, time::Duration};
+use std::{cmp::Reverse, net::SocketAddrV4, time::Duration};
 
 use strum::{Display, IntoStaticStr};
 
@@ -15,7 +15,6 @@
     config::{Model, Service},
     endpoint::State,
     flight::Flight,
-    prefix::Index,
 };
 use crate::id::Time;
 
@@ -122,17 +121,28 @@
     pub cached: u32,
     /// Prompt tokens that it will read.
     pub unread: u32,
+    /// Prompt tokens that some endpoint has read already.
+    pub known: u32,
     /// Where it should fetch the beginning of the prompt from.
     pub source: Option<Key>,
 }
 
+/// Tokens of a prompt's beginning that an endpoint holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Held {
+    /// Tokens that have been sent to it, so that it has read them when its turn comes.
+    pub sent: u32,
+    /// Tokens that it has surely read, so that another endpoint can fetch them.
+    pub read: u32,
+}
+
 /// What a placement looks at beside the request.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
     /// All endpoints, sorted by key.
     pub states: &'a [State],
-    /// Which prefixes lie where.
-    pub prefixes: &'a Index,
+    /// What each of the endpoints holds of the prompt's beginning.
+    pub held: &'a [Held],
     /// Data centres that are taken out.
     pub closed: &'a [String],
     /// The node's own data centre.
@@ -228,12 +238,13 @@
             first: Duration::from_secs_f64(first / 1e3),
             cached: 0,
             unread: 0,
+            known: 0,
             source: None,
         }
     }
 
     fn estimate_model(&self, state: &State, flight: &Flight, model: &Model) -> Estimate {
-        let cached = self.cached(state.key, flight);
+        let cached = self.held(state.key);
         let source = self.source(state, flight, cached);
         let (known, fetch_ms) = match source {
             Some((at, tokens)) => (tokens, self.fetch_ms(state, at, tokens - cached, model)),
@@ -255,52 +266,47 @@
         let mut score = QUEUE_SCORE * beyond / f64::from(model.slots.max(1));
         score += reading + DISTURBANCE * reading * f64::from(load.urgent.min(MOST_DISTURBED));
         score += (SLOWDOWN * reading + COMPANY_SCORE) * f64::from(load.running);
-        score += self.moving_score(flight, known, known - cached);
+        score += self.moving_score(known, known - cached);
         Estimate {
             score,
             first: Duration::from_secs_f64(first / 1e3),
             cached,
             unread,
+            known: self.most_held(),
             source: source.map(|(at, _)| at),
         }
     }
 
     /// What is lost by reading again what some endpoint holds, and by moving it.
-    fn moving_score(&self, flight: &Flight, known: u32, fetched: u32) -> f64 {
-        let best = flight.prompt.shared.iter().rev().find(|part| {
-            self.prefixes
-                .holders(part.prefix)
-                .any(|holding| self.state(holding.endpoint).is_some())
-        });
-        let again = best.map_or(0, |part| part.tokens.saturating_sub(known));
+    fn moving_score(&self, known: u32, fetched: u32) -> f64 {
+        let again = self.most_held().saturating_sub(known);
         (f64::from(again) * REREAD_SCORE_PER_K + f64::from(fetched) * FETCH_SCORE_PER_K) / 1e3
     }
 
-    /// Returns the tokens of the longest beginning that an endpoint has read.
-    fn cached(&self, key: Key, flight: &Flight) -> u32 {
-        let shared = flight.prompt.shared.iter().rev();
-        let held = |part: &&super::flight::Part| self.prefixes.holds(part.prefix, key);
-        shared.into_iter().find(held).map_or(0, |part| part.tokens)
+    fn most_held(&self) -> u32 {
+        self.held.iter().map(|held| held.sent).max().unwrap_or(0)
     }
 
-    /// Returns the nearest endpoint that holds more of the prompt, and how much it holds.
+    /// Returns the tokens of the prompt's beginning that an endpoint holds.
+    fn held(&self, key: Key) -> u32 {
+        let at = self.states.binary_search_by_key(&key, |each| each.key);
+        at.ok()
+            .and_then(|at| self.held.get(at))
+            .map_or(0, |held| held.sent)
+    }
+
+    /// Returns the nearest endpoint that holds the most of the prompt, and how much it holds.
     fn source(&self, state: &State, flight: &Flight, cached: u32) -> Option<(Key, u32)> {
-        let longer = flight.prompt.shared.iter().rev();
-        for part in longer.take_while(|part| part.tokens >= cached + FETCH_TOKENS) {
-            let holders = self.prefixes.holders(part.prefix);
-            let sources = holders
-                .filter(|holding| holding.endpoint != state.key)
-                .filter_map(|holding| self.state(holding.endpoint))
-                .filter(|other| Self::may_fetch(state, other, flight));
-            let nearest = sources.min_by_key(|other| {
+        let others = self.states.iter().zip(self.held);
+        others
+            .filter(|(other, held)| {
+                held.read >= cached + FETCH_TOKENS && Self::may_fetch(state, other, flight)
+            })
+            .max_by_key(|(other, held)| {
                 let near = other.info.place == state.info.place;
-                (!near, other.load().unread, other.key)
-            });
-            if let Some(other) = nearest {
-                return Some((other.key, part.tokens));
-            }
-        }
-        None
+                (held.read, near, Reverse(other.load().unread), other.key)
+            })
+            .map(|(other, held)| (other.key, held.read))
     }
 
     fn may_fetch(state: &State, other: &State, flight: &Flight) -> bool {
--- a/crates/peridotdeck-core/src/dispatch/prefix.rs
+++ b/crates/peridotdeck-core/src/dispatch/prefix.rs
@@ -1,8 +1,9 @@
-//! Which endpoints have read which beginnings of prompts.
+//! Which endpoints have read which parts of prompts.
 //!
-//! Engines keep what they have read, and a prompt that begins the same way need not be read again
-//! there. Nobody tells for certain what is kept; this index remembers what was sent where, by this
-//! node and by its peers, and forgets what has not been used for a while.
+//! Engines keep what they have read, and a part need not be read again if all parts before it are
+//! there too. Nobody tells for certain what is kept; this index remembers what was sent where, by
+//! this node and by its peers, and what endpoints list when a node starts, and forgets what has not
+//! been used for a while.
 
 use std::time::Duration;
 
@@ -12,6 +13,9 @@
 /// Time after which a prefix that nobody used counts as displaced.
 const AGE: Duration = Duration::from_secs(90);
 
+/// Time from a send until an endpoint has surely read the part, and another can fetch it.
+const READING: Duration = Duration::from_millis(300);
+
 /// Entries that are remembered at most; the oldest tenth gives way.
 const CAPACITY: usize = 16_384;
 
@@ -22,6 +26,8 @@
     pub prefix: Prefix,
     /// The endpoint.
     pub endpoint: Key,
+    /// When it was sent there first.
+    pub since: Time,
     /// When it was last used.
     pub used: Time,
 }
@@ -41,33 +47,24 @@
                 false
             }
             Err(at) => {
-                let used = now;
-                self.holdings.insert(
-                    at,
-                    Holding {
-                        prefix,
-                        endpoint,
-                        used,
-                    },
-                );
+                let holding = Holding {
+                    prefix,
+                    endpoint,
+                    since: now,
+                    used: now,
+                };
+                self.holdings.insert(at, holding);
                 self.bound();
                 true
             }
         }
     }
 
-    /// Returns whether an endpoint has read a prefix.
+    /// Returns how long ago a prefix was first sent to an endpoint, if it was.
     #[must_use]
-    pub fn holds(&self, prefix: Prefix, endpoint: Key) -> bool {
-        self.find(prefix, endpoint).is_ok()
-    }
-
-    /// Returns the endpoints that have read a prefix.
-    pub fn holders(&self, prefix: Prefix) -> impl Iterator<Item = &Holding> {
-        let begin = self.holdings.partition_point(|each| each.prefix < prefix);
-        self.holdings[begin..]
-            .iter()
-            .take_while(move |each| each.prefix == prefix)
+    pub fn age(&self, prefix: Prefix, endpoint: Key, now: Time) -> Option<Duration> {
+        let at = self.find(prefix, endpoint).ok()?;
+        Some(now.saturating_sub(self.holdings[at].since))
     }
 
     /// Forgets one holding, which has proven wrong.
@@ -88,6 +85,12 @@
             .retain(|each| now.saturating_sub(each.used) < AGE);
     }
 
+    /// Returns whether a part that was sent this long ago can be fetched.
+    #[must_use]
+    pub fn is_read(age: Duration) -> bool {
+        age >= READING
+    }
+
     /// Returns the number of holdings.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -6,7 +6,7 @@
 use futures_lite::future;
 use http_body_util::Full;
 use hyper::{
-    HeaderMap, Request, Response, Version,
+    HeaderMap, Request, Response, StatusCode, Version,
     body::{Bytes, Incoming},
     http::request,
 };
@@ -14,7 +14,7 @@
     dispatch::{
         Key,
         config::Kind,
-        dispatcher::{End, Order},
+        dispatcher::{End, Inquiry, Order},
         flight::Flight,
     },
     id::Time,
@@ -22,6 +22,7 @@
 
 use crate::{
     Ingress, Shared, clock,
+    fetch::Source,
     ingress::Reply,
     pool::{self, Link},
 };
@@ -29,6 +30,9 @@
 /// Longest idle time of a connection that carries a call which may run only once.
 const FRESH: Duration = Duration::from_millis(500);
 
+/// Longest time for an endpoint's list of its memory.
+const INQUIRY: Duration = Duration::from_secs(1);
+
 /// Longest idle time of a connection that carries anything else.
 const KEPT: Duration = Duration::from_secs(60);
 
@@ -183,3 +187,33 @@
         }
     }
 }
+
+/// Asks an endpoint which prompt parts its memory holds.
+pub async fn inquire<I: Ingress>(shared: &Arc<Shared<I>>, inquiry: Inquiry) {
+    let Some(path) = shared.ingress.inventory_path() else {
+        return;
+    };
+    let read = Source::new(inquiry.address).get(path, INQUIRY).await;
+    let listed = match read {
+        Ok((StatusCode::OK, body)) => shared
+            .ingress
+            .inventory(&body)
+            .map_err(|cause| cause.to_string()),
+        Ok((status, _)) => Err(format!("status {status}")),
+        Err(cause) => Err(cause.to_string()),
+    };
+    let key = inquiry.key;
+    match listed {
+        Ok(parts) => {
+            log::info!(
+                "event=memory_listed endpoint_key={key:08x} parts={}",
+                parts.len()
+            );
+            let mut dispatcher = shared.dispatcher();
+            dispatcher.inventory(key, &parts, clock::now());
+        }
+        Err(cause) => {
+            log::info!("event=memory_unlisted endpoint_key={key:08x} cause=\"{cause}\"");
+        }
+    }
+}
--- a/crates/peridotdeck-relay/src/ingress.rs
+++ b/crates/peridotdeck-relay/src/ingress.rs
@@ -4,6 +4,7 @@
 
 use hyper::{HeaderMap, http::request, http::response};
 use peridotdeck_core::dispatch::{
+    Prefix,
     dispatcher::Order,
     flight::{Ask, Flight},
     refusal::{Cause, Refusal},
@@ -55,6 +56,15 @@
     /// Returns the time for which an endpoint keeps an idle connection, if it says.
     fn keep_alive(&self, head: &response::Parts) -> Option<Duration>;
 
+    /// Returns the path at which an endpoint lists the prompt parts in its memory, if it does.
+    fn inventory_path(&self) -> Option<&str>;
+
+    /// Reads such a list.
+    ///
+    /// # Errors
+    /// If it is none.
+    fn inventory(&self, body: &[u8]) -> Result<Vec<Prefix>, serde_json::Error>;
+
     /// Returns status and headers that tell a caller of a refusal.
     fn refuse(&self, id: Option<&str>, refusal: &Refusal) -> (hyper::StatusCode, HeaderMap);
 }
--- a/crates/peridotdeck-relay/src/journey.rs
+++ b/crates/peridotdeck-relay/src/journey.rs
@@ -362,8 +362,8 @@
         let estimate = &order.estimate;
         log::info!(
             "event=request_placed id={} route={} endpoint={} attempt={} rank={} score={:.0} \
-             expected_ms={} prompt={} cached={} unread={} fetch={} running={} backlog={} \
-             left_ms={}",
+             expected_ms={} prompt={} shared={} known={} cached={} unread={} fetch={} running={} \
+             backlog={} left_ms={}",
             self.flight.id,
             self.flight.route.name,
             order.instance,
@@ -372,6 +372,12 @@
             estimate.score,
             estimate.first.as_millis(),
             self.flight.prompt.tokens,
+            self.flight
+                .prompt
+                .shared
+                .last()
+                .map_or(0, |part| part.tokens),
+            estimate.known,
             estimate.cached,
             estimate.unread,
             order.source.is_some(),
--- a/crates/peridotdeck-relay/src/node.rs
+++ b/crates/peridotdeck-relay/src/node.rs
@@ -159,6 +159,10 @@
             let (shared, peers) = (Arc::clone(shared), peers.clone());
             task::spawn(async move { peers.fetch(&shared, errand).await });
         }
+        for inquiry in due.inquiries {
+            let shared = Arc::clone(shared);
+            task::spawn(async move { exchange::inquire(&shared, inquiry).await });
+        }
         for probe in due.probes {
             let shared = Arc::clone(shared);
             task::spawn(async move {
