Read a part again for free where nobody used it lately, or fetch it

Change: each estimate takes the cheaper of reading and fetching; peers are told of every use of a longest beginning, so that the last use is known in all regions.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -92,6 +92,8 @@
     pub repeats: Bound,
     /// Random number of the process.
     pub incarnation: u64,
+    /// Time after its last use in which reading a part of a prompt again is paid for.
+    pub reuse: Duration,
     /// Whether endpoints may hold prompts from before this process: it is no first start.
     pub inherits: bool,
 }
@@ -412,9 +414,8 @@
         let heard = self.fleet.hear(beat, now);
         self.follow_loads(&heard);
         for holding in &beat.holdings {
-            if self.find(holding.endpoint).is_ok()
-                && self.prefixes.note(holding.prefix, holding.endpoint, now)
-            {
+            if self.find(holding.endpoint).is_ok() {
+                self.prefixes.note(holding.prefix, holding.endpoint, now);
                 let near = beat.place == place(&self.options.place);
                 if near {
                     self.fleet
@@ -739,7 +740,7 @@
             states: &self.states,
             held,
             closed: self.registry.closed(),
-            place: &self.options.place,
+            recent: 0,
             region: &self.region,
             plain_ms: plain.map_or(PLAIN_MS, |mean| mean.value),
             usual_pace: self.usual_pace(service),
@@ -765,6 +766,14 @@
         self.states.iter().map(held).collect()
     }
 
+    /// Returns how many tokens of a prompt's beginning were used anywhere lately.
+    fn recent(&self, flight: &Flight, now: Time) -> u32 {
+        let lately = |at: Time| now.saturating_sub(at) < self.options.reuse;
+        let mut parts = flight.prompt.shared.iter().rev();
+        let recent = parts.find(|part| self.prefixes.last_use(part.prefix).is_some_and(lately));
+        recent.map_or(0, |part| part.tokens)
+    }
+
     fn usual_pace(&self, service: &str) -> f64 {
         let peers = self
             .states
@@ -783,7 +792,8 @@
         bars: &mut Vec<Bar>,
     ) -> Vec<(Key, Estimate)> {
         let held = self.held(flight, now);
-        let view = self.view(&flight.service, &held, now);
+        let mut view = self.view(&flight.service, &held, now);
+        view.recent = self.recent(flight, now);
         let mut ranked = Vec::new();
         for state in &self.states {
             match view.admits(state, flight) {
@@ -804,7 +814,8 @@
         let unknown = Service::default();
         let service = config.service(&flight.service).unwrap_or(&unknown);
         let held = self.held(flight, now);
-        let view = self.view(&flight.service, &held, now);
+        let mut view = self.view(&flight.service, &held, now);
+        view.recent = self.recent(flight, now);
         let explain = |state: &State| {
             let admitted = view.admits(state, flight);
             let estimate = admitted.map(|()| view.estimate(state, flight, service));
@@ -842,8 +853,10 @@
         flight.waiting = None;
         flight.tried.push(key);
         if service.model.is_some() {
+            let longest = flight.prompt.shared.last();
             for part in &flight.prompt.shared {
-                if self.prefixes.note(part.prefix, key, now) {
+                // Peers learn of every new holding, and of every use of the longest beginning.
+                if self.prefixes.note(part.prefix, key, now) || Some(part) == longest {
                     self.fleet.tell(part.prefix, key, true, now);
                 }
             }
--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -49,13 +49,13 @@
 const NEWS: Duration = Duration::from_millis(550);
 
 /// News in one beat, so that it fits a datagram.
-const MOST_NEWS: usize = 24;
+const MOST_NEWS: usize = 40;
 
 /// Loads in one beat, so that it fits a datagram.
-const MOST_LOADS: usize = 48;
+const MOST_LOADS: usize = 40;
 
 /// Members in one beat, so that it fits a datagram.
-const MOST_MEMBERS: usize = 32;
+const MOST_MEMBERS: usize = 24;
 
 /// A peer.
 #[derive(Clone, Debug)]
@@ -195,6 +195,10 @@
 
     /// Notes a prompt prefix that an endpoint has read.
     pub fn tell(&mut self, prefix: Prefix, endpoint: Key, own: bool, now: Time) {
+        let known = |news: &News| (news.prefix, news.endpoint, news.own) == (prefix, endpoint, own);
+        if self.news.iter().any(known) {
+            return;
+        }
         self.news.push(News {
             prefix,
             endpoint,
--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -145,8 +145,8 @@
     pub held: &'a [Held],
     /// Data centres that are taken out.
     pub closed: &'a [String],
-    /// The node's own data centre.
-    pub place: &'a str,
+    /// Tokens of the prompt's beginning that some endpoint has used lately.
+    pub recent: u32,
     /// The node's own region.
     pub region: &'a str,
     /// Mean time of the service's answers in milliseconds, for services without a model.
@@ -191,10 +191,25 @@
     /// Estimates what an endpoint would do for a request.
     #[must_use]
     pub fn estimate(&self, state: &State, flight: &Flight, service: &Service) -> Estimate {
-        let mut estimate = match &service.model {
-            Some(model) => self.estimate_model(state, flight, model),
-            None => self.estimate_plain(state),
+        let Some(model) = &service.model else {
+            return self.weigh(self.estimate_plain(state), state, flight);
         };
+        let reading = self.estimate_model(state, flight, model, None);
+        let reading = self.weigh(reading, state, flight);
+        let Some(source) = self.source(state, flight, reading.cached) else {
+            return reading;
+        };
+        let fetching = self.estimate_model(state, flight, model, Some(source));
+        let fetching = self.weigh(fetching, state, flight);
+        if fetching.score < reading.score {
+            fetching
+        } else {
+            reading
+        }
+    }
+
+    /// Adds what holds for every kind of endpoint to a score.
+    fn weigh(&self, mut estimate: Estimate, state: &State, flight: &Flight) -> Estimate {
         let target = flight.route.target.as_secs_f64() * 1e3;
         let first = estimate.first.as_secs_f64() * 1e3;
         let part = first / target.max(1.0);
@@ -243,9 +258,14 @@
         }
     }
 
-    fn estimate_model(&self, state: &State, flight: &Flight, model: &Model) -> Estimate {
+    fn estimate_model(
+        &self,
+        state: &State,
+        flight: &Flight,
+        model: &Model,
+        source: Option<(Key, u32)>,
+    ) -> Estimate {
         let cached = self.held(state.key);
-        let source = self.source(state, flight, cached);
         let (known, fetch_ms) = match source {
             Some((at, tokens)) => (tokens, self.fetch_ms(state, at, tokens - cached, model)),
             None => (cached, 0.0),
@@ -277,9 +297,9 @@
         }
     }
 
-    /// What is lost by reading again what some endpoint holds, and by moving it.
+    /// What is lost by reading again what some endpoint has read lately, and by moving it.
     fn moving_score(&self, known: u32, fetched: u32) -> f64 {
-        let again = self.most_held().saturating_sub(known);
+        let again = self.recent.saturating_sub(known);
         (f64::from(again) * REREAD_SCORE_PER_K + f64::from(fetched) * FETCH_SCORE_PER_K) / 1e3
     }
 
--- a/crates/peridotdeck-core/src/dispatch/prefix.rs
+++ b/crates/peridotdeck-core/src/dispatch/prefix.rs
@@ -85,6 +85,16 @@
             .retain(|each| now.saturating_sub(each.used) < AGE);
     }
 
+    /// Returns when a prefix was last used at any endpoint.
+    #[must_use]
+    pub fn last_use(&self, prefix: Prefix) -> Option<Time> {
+        let begin = self.holdings.partition_point(|each| each.prefix < prefix);
+        let holders = self.holdings[begin..]
+            .iter()
+            .take_while(|each| each.prefix == prefix);
+        holders.map(|each| each.used).max()
+    }
+
     /// Returns whether a part that was sent this long ago can be fetched.
     #[must_use]
     pub fn is_read(age: Duration) -> bool {
