--- /dev/null
+++ b/crates/peridotdeck-core/tests/testsuite/dispatch.rs
@@ -0,0 +1,197 @@
+//! Support: a small fleet of dispatchers with a configuration and endpoints.
+
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+    time::Duration,
+};
+
+use peridotdeck_core::dispatch::{
+    Dispatcher, Node, Prefix,
+    budget::Bound,
+    config::{Config, Kind, Model, Organisation, Route, Service, Share},
+    dispatcher::{Options, Order, Placement},
+    flight::{Ask, Flight, Part, Prompt},
+    registry::{Area, Change, Endpoint, Fact, Report},
+};
+
+pub const REGIONS: [(&str, &str); 3] = [
+    ("augsburg", "schwaben"),
+    ("muenchen", "oberbayern"),
+    ("nuernberg", "franken"),
+];
+
+pub fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+pub fn node(number: u8) -> Node {
+    Ipv4Addr::new(10, 0, 0, number)
+}
+
+pub fn options(number: u8, place: &str) -> Options {
+    Options {
+        node: node(number),
+        place: place.to_owned(),
+        regions: REGIONS
+            .iter()
+            .map(|(place, region)| ((*place).to_owned(), (*region).to_owned()))
+            .collect(),
+        seeds: vec![node(1), node(2)],
+        repeats: Bound {
+            ratio: 0.2,
+            fixed: 50.0,
+            window: Duration::from_secs(10),
+        },
+        incarnation: u64::from(number),
+        reuse: Duration::from_secs(10),
+        inherits: false,
+    }
+}
+
+/// A route of the one service with a batching engine, or of the plain one.
+pub fn route(name: &str, kind: Kind, attempts: u32) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "host".to_owned(),
+        prefix: format!("/{name}/"),
+        kind,
+        timeout: Duration::from_secs(10),
+        target: Duration::from_secs(1),
+        split: vec![Share {
+            service: service_of(kind).to_owned(),
+            weight: 1,
+        }],
+        attempts,
+        ..Route::default()
+    }
+}
+
+fn service_of(kind: Kind) -> &'static str {
+    if kind == Kind::Stream { "text" } else { "desk" }
+}
+
+pub fn config(version: u64) -> Config {
+    let urgent = Route {
+        target: ms(400),
+        resumable: true,
+        ..route("urgent", Kind::Stream, 2)
+    };
+    let routes = [
+        urgent,
+        route("bulk", Kind::Stream, 1),
+        route("lookup", Kind::Idempotent, 2),
+        route("booking", Kind::NonIdempotent, 1),
+    ];
+    let text = Service {
+        name: "text".to_owned(),
+        connections: 100,
+        cold: Duration::from_secs(3),
+        cold_rate: 10.0,
+        model: Some(Model {
+            slots: 64,
+            memory_tokens: 600_000,
+            token_bytes: 18_432.0,
+            link_mbps: 200_000.0,
+        }),
+    };
+    let desk = Service {
+        name: "desk".to_owned(),
+        connections: 100,
+        ..Service::default()
+    };
+    let organisation = |name: &str| Organisation {
+        name: name.to_owned(),
+        ..Organisation::default()
+    };
+    Config {
+        version,
+        routes: routes.into_iter().map(Arc::new).collect(),
+        services: vec![text, desk],
+        organisations: vec![Arc::new(organisation("society"))],
+        keys: vec![("key".to_owned(), 0)],
+        ..Config::default()
+    }
+    .indexed()
+}
+
+pub fn endpoint(id: &str, service: &str, place: &str) -> Endpoint {
+    let last = id.bytes().fold(0, u8::wrapping_add);
+    Endpoint {
+        id: id.to_owned(),
+        born: 1,
+        service: service.to_owned(),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, last), 80),
+        place: place.to_owned(),
+        slots: 6,
+        draining: false,
+        cold: Duration::ZERO,
+    }
+}
+
+pub fn report(area: Area, revision: u64, whole: bool, facts: Vec<Fact>) -> Report {
+    Report {
+        area,
+        revision,
+        newest: revision,
+        whole,
+        facts,
+    }
+}
+
+/// A node of a data centre that knows the configuration and some endpoints.
+pub fn dispatcher(number: u8, place: &str, endpoints: &[Endpoint]) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(options(number, place), Duration::ZERO);
+    let facts = vec![Fact::Config(config(1))];
+    dispatcher.publish(report(Area::Policy, 1, true, facts), Duration::ZERO);
+    let facts = endpoints.iter().cloned().map(Fact::Endpoint).collect();
+    dispatcher.publish(report(Area::Roster, 1, true, facts), Duration::ZERO);
+    dispatcher
+}
+
+/// A second report of the endpoint list.
+pub fn publish(dispatcher: &mut Dispatcher, revision: u64, fact: Fact, now: Duration) -> Change {
+    dispatcher.publish(report(Area::Roster, revision, false, vec![fact]), now)
+}
+
+pub fn ask(route: &str) -> Ask {
+    Ask {
+        id: "id".to_owned(),
+        host: "host".to_owned(),
+        path: format!("/{route}/x"),
+        key: Some("key".to_owned()),
+        patience: Some(Duration::from_secs(10)),
+        prompt: Prompt::default(),
+    }
+}
+
+/// A prompt whose first part is shared by all and whose second by those of a subject.
+pub fn prompt(subject: Prefix, shared: u32, own: u32) -> Prompt {
+    let parts = [(1, 500), (subject, shared)];
+    let shared: Vec<Part> = parts
+        .iter()
+        .scan(0, |tokens, (prefix, size)| {
+            *tokens += size;
+            Some(Part {
+                prefix: *prefix,
+                tokens: *tokens,
+            })
+        })
+        .collect();
+    Prompt {
+        tokens: shared.last().map_or(0, |part| part.tokens) + own,
+        output: 100,
+        shared,
+    }
+}
+
+pub fn admit(dispatcher: &mut Dispatcher, ask: Ask, now: Duration) -> Flight {
+    dispatcher.admit(ask, 7, now).expect("admitted")
+}
+
+pub fn sent(placement: Placement) -> Order {
+    match placement {
+        Placement::Send(order) => order,
+        other => panic!("not sent: {other:?}"),
+    }
+}
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -1,14 +1,20 @@
 //! Tests of the decision core: single mechanisms, and several nodes whose messages the tests delay,
 //! drop, copy and reorder.
 
+mod attempt_ends;
 mod claims;
 mod config;
+mod dispatch;
 mod fairness;
+mod fleet_beats;
 mod handover;
 mod membership;
 mod numbering;
 mod poison;
 mod preemption;
+mod prompt_placement;
 mod random;
 mod recovery;
+mod roster_lapse;
+mod shared_bounds;
 mod world;
--- /dev/null
+++ b/crates/peridotdeck-core/tests/testsuite/roster_lapse.rs
@@ -0,0 +1,140 @@
+//! The configuration and the endpoint list never go back, and survive the publisher's outages.
+
+use std::time::Duration;
+
+use peridotdeck_core::dispatch::registry::{Area, Fact, Registry, Snapshot};
+
+use crate::dispatch::{config, endpoint, ms, report};
+
+fn roster(registry: &mut Registry, revision: u64, facts: Vec<Fact>, now: Duration) {
+    registry.apply(report(Area::Roster, revision, true, facts), now);
+}
+
+#[test]
+fn older_report_is_ignored() {
+    let mut registry = Registry::default();
+    let first = vec![Fact::Config(config(5))];
+    registry.apply(report(Area::Policy, 10, true, first), ms(0));
+    let older = vec![Fact::Config(config(9))];
+    let change = registry.apply(report(Area::Policy, 9, true, older), ms(1));
+    assert_eq!(change.version, None);
+    assert_eq!(registry.config().expect("kept").version, 5);
+}
+
+#[test]
+fn lower_version_is_ignored_at_a_higher_revision() {
+    let mut registry = Registry::default();
+    let first = vec![Fact::Config(config(5))];
+    registry.apply(report(Area::Policy, 10, true, first), ms(0));
+    let lower = vec![Fact::Config(config(4))];
+    registry.apply(report(Area::Policy, 11, false, lower), ms(1));
+    assert_eq!(registry.config().expect("kept").version, 5);
+}
+
+#[test]
+fn whole_report_reopens_what_it_does_not_close() {
+    let mut registry = Registry::default();
+    let closed = vec![Fact::Closed("a".into()), Fact::Closed("b".into())];
+    registry.apply(report(Area::Policy, 1, true, closed), ms(0));
+    let change = registry.apply(
+        report(Area::Policy, 2, true, vec![Fact::Closed("b".into())]),
+        ms(1),
+    );
+    assert_eq!(change.opened, ["a"]);
+    assert_eq!(registry.closed(), ["b"]);
+}
+
+#[test]
+fn entry_that_vanishes_on_a_calm_day_is_gone_at_once() {
+    let mut registry = Registry::default();
+    let listed = vec![Fact::Endpoint(endpoint("e", "text", "muenchen"))];
+    roster(&mut registry, 1, listed, ms(0));
+    let gone = report(Area::Roster, 2, false, vec![Fact::Gone("e".into())]);
+    let change = registry.apply(gone, ms(100));
+    assert_eq!(change.removed.len(), 1);
+    assert!(registry.endpoints().is_empty());
+}
+
+#[test]
+fn entry_that_vanishes_with_the_publisher_is_kept_for_two_seconds() {
+    let mut registry = Registry::default();
+    let listed = vec![Fact::Endpoint(endpoint("e", "text", "muenchen"))];
+    roster(&mut registry, 1, listed.clone(), ms(0));
+    registry.note_trouble(ms(5_000));
+    roster(&mut registry, 2, Vec::new(), ms(6_000));
+    assert_eq!(registry.endpoints().len(), 1, "kept while it may come back");
+    assert!(registry.tick(ms(7_900)).is_empty());
+    roster(&mut registry, 3, listed, ms(7_950));
+    assert!(registry.tick(ms(9_000)).is_empty(), "it came back");
+    registry.note_trouble(ms(9_500));
+    roster(&mut registry, 4, Vec::new(), ms(10_000));
+    assert_eq!(registry.tick(ms(12_300)).len(), 1, "it did not come back");
+}
+
+#[test]
+fn draining_entry_is_not_kept() {
+    let mut registry = Registry::default();
+    let mut leaving = endpoint("e", "text", "muenchen");
+    leaving.draining = true;
+    roster(&mut registry, 1, vec![Fact::Endpoint(leaving)], ms(0));
+    registry.note_trouble(ms(1_000));
+    roster(&mut registry, 2, Vec::new(), ms(1_500));
+    assert!(registry.endpoints().is_empty());
+}
+
+#[test]
+fn restart_under_the_same_id_is_another_endpoint() {
+    let mut registry = Registry::default();
+    let first = endpoint("e", "text", "muenchen");
+    let mut second = first.clone();
+    second.born = 2;
+    assert_ne!(first.key(), second.key());
+    roster(&mut registry, 1, vec![Fact::Endpoint(first)], ms(0));
+    let again = report(Area::Roster, 2, false, vec![Fact::Endpoint(second)]);
+    let change = registry.apply(again, ms(10));
+    assert_eq!((change.removed.len(), change.updated.len()), (1, 1));
+}
+
+#[test]
+fn snapshot_of_a_peer_is_taken_only_if_it_knows_more() {
+    let mut ahead = Registry::default();
+    let mut behind = Registry::default();
+    for registry in [&mut ahead, &mut behind] {
+        let facts = vec![Fact::Config(config(1))];
+        registry.apply(report(Area::Policy, 5, true, facts), ms(0));
+    }
+    let newer = vec![Fact::Config(config(2)), Fact::Closed("a".into())];
+    ahead.apply(report(Area::Policy, 8, false, newer), ms(1));
+    let change = behind.adopt(ahead.snapshot(Area::Policy), ms(2));
+    assert_eq!(change.version, Some(2));
+    assert_eq!(behind.closed(), ["a"]);
+    // The publisher's delayed report of the same revision must not undo it.
+    let delayed = report(Area::Policy, 7, true, vec![Fact::Config(config(1))]);
+    assert_eq!(behind.apply(delayed, ms(3)).opened.len(), 0);
+    let Snapshot::Policy { revision, .. } = behind.snapshot(Area::Policy) else {
+        panic!("a snapshot of the policy");
+    };
+    assert_eq!(revision.changed, 8);
+    let older = ahead.snapshot(Area::Policy);
+    behind.apply(
+        report(Area::Policy, 9, false, vec![Fact::Opened("a".into())]),
+        ms(4),
+    );
+    behind.adopt(older, ms(5));
+    assert!(
+        behind.closed().is_empty(),
+        "an older snapshot changes nothing"
+    );
+}
+
+#[test]
+fn reads_without_news_do_not_make_peers_look_behind() {
+    let mut registry = Registry::default();
+    let listed = vec![Fact::Endpoint(endpoint("e", "text", "muenchen"))];
+    roster(&mut registry, 3, listed, ms(0));
+    let mut quiet = report(Area::Roster, 40, false, Vec::new());
+    quiet.newest = 0;
+    registry.apply(quiet, ms(10));
+    let revision = registry.revision(Area::Roster);
+    assert_eq!((revision.changed, revision.read), (3, 40));
+}
--- /dev/null
+++ b/crates/peridotdeck-core/tests/testsuite/shared_bounds.rs
@@ -0,0 +1,125 @@
+//! Bounds that hold summed over all nodes: repeats, and what cold endpoints bear.
+
+use std::time::Duration;
+
+use peridotdeck_core::dispatch::{
+    Dispatcher,
+    budget::{Bound, Budget},
+    dispatcher::{End, Placement},
+    registry::Fact,
+};
+
+use crate::dispatch::{admit, ask, dispatcher, endpoint, ms, node, publish};
+
+const BOUND: Bound = Bound {
+    ratio: 0.2,
+    fixed: 50.0,
+    window: Duration::from_secs(10),
+};
+
+#[test]
+fn repeats_of_all_nodes_stay_within_the_bound() {
+    for nodes in [1_usize, 3, 7] {
+        let mut budgets = vec![Budget::new(BOUND); nodes];
+        let (mut requests, mut repeats) = (0_u32, 0_u32);
+        for at in 0..1_000_u64 {
+            for budget in &mut budgets {
+                budget.note("desk", ms(at * 10));
+                requests += 1;
+                while budget.take("desk", nodes, ms(at * 10)) {
+                    repeats += 1;
+                }
+            }
+        }
+        let bound = BOUND.ratio * f64::from(requests) + BOUND.fixed;
+        assert!(f64::from(repeats) <= bound, "{nodes}: {repeats} > {bound}");
+        assert!(
+            f64::from(repeats) > bound / 2.0,
+            "{nodes}: the budget is used"
+        );
+    }
+}
+
+#[test]
+fn budget_returns_with_time() {
+    let mut budget = Budget::new(BOUND);
+    while budget.take("desk", 1, ms(0)) {}
+    assert!(!budget.take("desk", 1, ms(9_000)));
+    assert!(budget.take("desk", 1, ms(11_500)));
+}
+
+/// Sends as much as the nodes of one data centre place on a cold endpoint within a second.
+fn cold_sends(nodes: &mut [Dispatcher], start: u64) -> u32 {
+    let mut sends = 0;
+    for at in 0..200 {
+        let now = ms(start + at * 5);
+        for each in nodes.iter_mut() {
+            let mut flight = admit(each, ask("bulk"), now);
+            if let Placement::Send(order) = each.place(&mut flight, now) {
+                sends += 1;
+                each.finish(&order.attempt, End::Finished, &flight, now);
+            }
+        }
+    }
+    sends
+}
+
+fn cold_pair() -> Vec<Dispatcher> {
+    let mut cold = endpoint("cold", "text", "muenchen");
+    cold.cold = Duration::from_secs(60);
+    vec![
+        dispatcher(1, "muenchen", &[cold.clone()]),
+        dispatcher(2, "muenchen", &[cold]),
+    ]
+}
+
+fn exchange(nodes: &mut [Dispatcher], now: Duration) {
+    for from in 0..nodes.len() {
+        for (to, beat) in nodes[from].tick(now).beats {
+            let at = (0..nodes.len()).find(|at| node(*at as u8 + 1) == to);
+            let Some(at) = at else { continue };
+            let answer = nodes[at].hear(&beat, now).0;
+            if let Some(answer) = answer {
+                nodes[from].hear(&answer, now);
+            }
+        }
+    }
+}
+
+#[test]
+fn cold_endpoint_takes_requests_from_one_node() {
+    let mut nodes = cold_pair();
+    for at in 0..40 {
+        exchange(&mut nodes, ms(at * 25));
+    }
+    let sends = cold_sends(&mut nodes, 1_000);
+    // The service's endpoints bear 10 a second; one more may be saved up.
+    assert!((7..=11).contains(&sends), "{sends}");
+}
+
+#[test]
+fn nodes_that_cannot_hear_each_other_stay_within_the_bound() {
+    let mut nodes = cold_pair();
+    let sends = cold_sends(&mut nodes, 1_000);
+    // Bound of the platform: one and a half times the rate, and five.
+    assert!(sends <= 20, "{sends}");
+}
+
+#[test]
+fn endpoint_that_is_back_is_taken_for_cold() {
+    let mut node = dispatcher(1, "muenchen", &[endpoint("e", "text", "muenchen")]);
+    let mut flight = admit(&mut node, ask("bulk"), ms(0));
+    let Placement::Send(order) = node.place(&mut flight, ms(0)) else {
+        panic!("warm and free");
+    };
+    node.finish(&order.attempt, End::Unreachable, &flight, ms(1));
+    node.probed(order.attempt.key(), true, ms(300));
+    let sends = cold_sends(std::slice::from_mut(&mut node), 400);
+    assert!((7..=10).contains(&sends), "{sends}");
+    // Its new entry says how long it is cold.
+    let mut warm = endpoint("e", "text", "muenchen");
+    warm.born = 2;
+    publish(&mut node, 2, Fact::Endpoint(warm), ms(1_500));
+    let sends = cold_sends(std::slice::from_mut(&mut node), 1_600);
+    assert_eq!(sends, 200);
+}
