--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -31,6 +31,9 @@
 /// Shortest time for which a request waits for an endpoint.
 const HOLD: Duration = Duration::from_millis(100);
 
+/// Largest random addition to a score, so that nodes that see the same choose differently.
+const JITTER: f64 = 8.0;
+
 /// Pause between two looks for an endpoint.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -724,6 +727,9 @@
         let service = config.service(&flight.service).unwrap_or(&unknown);
         let mut bars = Vec::new();
         let mut ranked = self.rank(flight, service, now, &mut bars);
+        for (_, estimate) in &mut ranked {
+            estimate.score += JITTER * self.rng.random::<f64>();
+        }
         ranked.sort_by(|(_, one), (_, other)| one.score.total_cmp(&other.score));
         for (key, estimate) in ranked {
             match self.take(key, service, now) {
