Scale the news and the reads of the store with the data centre

Change: two nodes a data centre watch and the others fetch from them; a node tells its own news to one node in each other data centre, which tells its peers; ranks order organisations first and routes second; the wait for a slot counts in an estimate.

--- a/crates/peridotdeck-core/src/dispatch/config.rs
+++ b/crates/peridotdeck-core/src/dispatch/config.rs
@@ -5,6 +5,9 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
+/// Last of the ranks that an endpoint tells apart; the first is 0.
+pub const LAST_RANK: u8 = 9;
+
 /// One version of the configuration, indexed for lookups.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Config {
@@ -176,6 +179,19 @@
         self.organisations.get(self.keys[at].1)
     }
 
+    /// Returns the urgency of a request: the organisation's priority, then the route's.
+    ///
+    /// The two share the ranks that endpoints tell apart, so that an endpoint that is full puts the
+    /// right request back.
+    #[must_use]
+    pub fn rank(&self, route: &Route, organisation: Option<&Organisation>) -> u8 {
+        let levels = self.routes.iter().filter(|route| !route.public);
+        let levels = levels.map(|route| route.priority).max().unwrap_or(0).min(LAST_RANK) + 1;
+        let own = organisation.and_then(|each| each.priority).unwrap_or(0);
+        let rank = own.saturating_mul(levels).saturating_add(route.priority.min(levels - 1));
+        rank.min(LAST_RANK)
+    }
+
     /// Returns a service by name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -15,7 +15,7 @@
     flight::{Ask, Flight},
     place,
     placement::{Bar, Estimate, Held, View, is_urgent},
-    prefix::Index,
+    prefix::{Index, REFRESH},
     refusal::{Cause, Refusal},
     registry::{self, Area, Change, Registry, Report},
     strikes::{self, List},
@@ -56,6 +56,9 @@
 /// Expected time of a plain service's answer before any was seen, in milliseconds.
 const PLAIN_MS: f64 = 40.0;
 
+/// Expected time of a whole stream before any was seen, in milliseconds.
+const WHOLE_MS: f64 = 2_000.0;
+
 /// Weight of the newest answer in running means.
 const NEWEST: f64 = 0.05;
 
@@ -71,9 +74,18 @@
 /// Time after a broken attempt in which a failed probe proves that the endpoint crashed.
 const CRASH: Duration = Duration::from_secs(2);
 
-/// Time for which a peer may be ahead before this node asks it for what it knows.
+/// Time for which a peer may be ahead before a node that watches the publisher itself asks it.
 const BEHIND: Duration = Duration::from_millis(150);
 
+/// The same for a node that learns from peers.
+const FOLLOW: Duration = Duration::from_millis(20);
+
+/// Nodes of a data centre that watch the publisher: one may fail, or be turned away.
+const WATCHERS: usize = 2;
+
+/// Key by which they are ranked.
+const WATCH_KEY: Key = 0x7761_7463;
+
 /// Answers are awaited this many times longer than expected before another endpoint is asked.
 const HEDGE_FACTOR: f64 = 2.5;
 
@@ -276,6 +288,7 @@
     strikes: List,
     suspects: Vec<Suspect>,
     plain: Vec<Mean>,
+    whole: Vec<Mean>,
     failing: Vec<Mean>,
     ahead: Vec<(Ahead, Time)>,
     clean_up_due: Time,
@@ -300,6 +313,7 @@
             strikes: List::default(),
             suspects: Vec::new(),
             plain: Vec::new(),
+            whole: Vec::new(),
             failing: Vec::new(),
             ahead: Vec::new(),
             clean_up_due: now,
@@ -339,6 +353,12 @@
         self.registry.config().is_some() && !self.fleet.is_leaving()
     }
 
+    /// Returns whether this node should watch the publisher itself, or learns from peers that do.
+    #[must_use]
+    pub fn is_watcher(&self, now: Time) -> bool {
+        self.registry.config().is_none() || self.fleet.is_among(WATCHERS, WATCH_KEY, now)
+    }
+
     /// Starts to leave.
     pub fn leave(&mut self) {
         self.fleet.leave();
@@ -371,6 +391,9 @@
     }
 
     fn follow(&mut self, change: &Change, now: Time) {
+        if *change != Change::default() {
+            self.fleet.touch();
+        }
         let first = self.states.is_empty() && self.options.inherits;
         for endpoint in &change.removed {
             self.remove(endpoint);
@@ -416,14 +439,15 @@
     pub fn hear(&mut self, beat: &beat::Beat, now: Time) -> (Option<beat::Beat>, bool) {
         let heard = self.fleet.hear(beat, now);
         self.follow_loads(&heard);
+        let near = beat.place == place(&self.options.place);
         for holding in &beat.holdings {
-            if self.find(holding.endpoint).is_ok() {
-                self.prefixes.note(holding.prefix, holding.endpoint, now);
-                let near = beat.place == place(&self.options.place);
-                if near {
-                    self.fleet
-                        .tell(holding.prefix, holding.endpoint, false, now);
-                }
+            if self.find(holding.endpoint).is_err() {
+                continue;
+            }
+            let (prefix, endpoint) = (holding.prefix, holding.endpoint);
+            self.prefixes.note(prefix, endpoint, now);
+            if !near && self.prefixes.is_news(prefix, endpoint, now) {
+                self.fleet.tell(prefix, endpoint, false, now);
             }
         }
         for health in &beat.health {
@@ -582,7 +606,8 @@
 
     /// What peers know better for a while: this node's own way to the publisher may be cut.
     fn errands(&mut self, now: Time) -> Vec<Errand> {
-        let late = |(_, since): &mut (Ahead, Time)| now.saturating_sub(*since) >= BEHIND;
+        let patience = if self.is_watcher(now) { BEHIND } else { FOLLOW };
+        let late = |(_, since): &mut (Ahead, Time)| now.saturating_sub(*since) >= patience;
         let due: Vec<(Ahead, Time)> = self.ahead.extract_if(.., late).collect();
         let errands = due.into_iter().map(|(ahead, _)| ahead);
         errands
@@ -681,6 +706,7 @@
         self.budget.note(&service, now);
         Ok(Flight {
             id: ask.id,
+            rank: config.rank(route, organisation.as_deref()),
             route: route.clone(),
             organisation,
             version: config.version,
@@ -741,14 +767,15 @@
     }
 
     fn view<'a>(&'a self, service: &str, held: &'a [Held], now: Time) -> View<'a> {
-        let plain = self.plain.iter().find(|mean| mean.name == service);
         View {
             states: &self.states,
             held,
             closed: self.registry.closed(),
             recent: 0,
+            place: &self.options.place,
             region: &self.region,
-            plain_ms: plain.map_or(PLAIN_MS, |mean| mean.value),
+            plain_ms: mean(&self.plain, service, PLAIN_MS),
+            whole_ms: mean(&self.whole, service, WHOLE_MS),
             usual_pace: self.usual_pace(service),
             now,
         }
@@ -774,7 +801,7 @@
 
     /// Returns how many tokens of a prompt's beginning were used anywhere lately.
     fn recent(&self, flight: &Flight, now: Time) -> u32 {
-        let lately = |at: Time| now.saturating_sub(at) < self.options.reuse;
+        let lately = |at: Time| now.saturating_sub(at) < self.options.reuse + REFRESH;
         let mut parts = flight.prompt.shared.iter().rev();
         let recent = parts.find(|part| self.prefixes.last_use(part.prefix).is_some_and(lately));
         recent.map_or(0, |part| part.tokens)
@@ -854,15 +881,12 @@
         service: &Service,
         now: Time,
     ) -> Order {
-        /// Ranks that an endpoint tells apart.
-        const RANKS: u8 = 10;
         flight.waiting = None;
         flight.tried.push(key);
         if service.model.is_some() {
-            let longest = flight.prompt.shared.last();
             for part in &flight.prompt.shared {
-                // Peers learn of every new holding, and of every use of the longest beginning.
-                if self.prefixes.note(part.prefix, key, now) || Some(part) == longest {
+                self.prefixes.note(part.prefix, key, now);
+                if self.prefixes.is_news(part.prefix, key, now) {
                     self.fleet.tell(part.prefix, key, true, now);
                 }
             }
@@ -891,7 +915,7 @@
             address: state.info.address,
             instance: state.info.id.clone(),
             source,
-            rank: flight.rank().min(RANKS - 1),
+            rank: flight.rank,
             hedge,
             estimate,
             load: before,
@@ -944,6 +968,10 @@
     /// Takes an attempt back and learns from how it ended.
     pub fn finish(&mut self, attempt: &Attempt, end: End, flight: &Flight, now: Time) {
         self.fleet.touch();
+        if end == End::Finished {
+            let whole = now.saturating_sub(attempt.sent).as_secs_f64() * 1e3;
+            learn(&mut self.whole, &flight.service, WHOLE_MS, whole);
+        }
         let failed = matches!(end, End::Failed | End::Broken | End::Garbled);
         let usual = match end {
             End::Cancelled => 0.0,
@@ -1061,6 +1089,11 @@
     found.map_or_else(|| place.to_owned(), |(_, region)| region.clone())
 }
 
+fn mean(means: &[Mean], name: &str, start: f64) -> f64 {
+    let found = means.iter().find(|mean| mean.name == name);
+    found.map_or(start, |mean| mean.value)
+}
+
 /// Adds a sample to a named running mean and returns the mean before it.
 fn learn(means: &mut Vec<Mean>, name: &str, start: f64, sample: f64) -> f64 {
     let known = means.iter().position(|mean| mean.name == name);
--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -24,6 +24,9 @@
 /// Time between two rounds of beats to other data centres.
 const ROUND: Duration = Duration::from_millis(250);
 
+/// Nodes of a data centre for which a round takes that long; more take longer.
+const ROUND_NODES: u32 = 4;
+
 /// Silence after which a peer of the own data centre counts as dead.
 const DEAD: Duration = Duration::from_millis(1_500);
 
@@ -45,8 +48,11 @@
 /// Time for which the largest size of the fleet is remembered.
 const SIZE_MEMORY: Duration = Duration::from_secs(30);
 
-/// Time for which news are told: two rounds, because some beats are lost.
-const NEWS: Duration = Duration::from_millis(550);
+/// Rounds in which news are told to other data centres, because some beats are lost.
+const NEWS_ROUNDS: u32 = 2;
+
+/// Time for which news are told in the own data centre, for the same reason.
+const NEWS_NEAR: Duration = Duration::from_millis(120);
 
 /// News in one beat, so that it fits a datagram.
 const MOST_NEWS: usize = 40;
@@ -79,12 +85,16 @@
     loads: Vec<(Key, Load)>,
 }
 
-/// A prompt prefix that an endpoint has read, to be told to peers.
+/// A prompt part that an endpoint has read, to be told to peers.
+///
+/// Who sent it there tells the own data centre and one node in each other one; that node tells its
+/// peers.
 #[derive(Clone, Copy, Debug)]
 struct News {
     prefix: Prefix,
     endpoint: Key,
     learnt: Time,
+    /// Whether this node sent it there, rather than heard of it from another data centre.
     own: bool,
 }
 
@@ -193,19 +203,15 @@
         self.dirty = true;
     }
 
-    /// Notes a prompt prefix that an endpoint has read.
+    /// Notes a prompt part that an endpoint has read, as this node or another data centre knows.
     pub fn tell(&mut self, prefix: Prefix, endpoint: Key, own: bool, now: Time) {
-        let known = |news: &News| (news.prefix, news.endpoint, news.own) == (prefix, endpoint, own);
-        if self.news.iter().any(known) {
-            return;
-        }
         self.news.push(News {
             prefix,
             endpoint,
             learnt: now,
             own,
         });
-        self.dirty |= own;
+        self.dirty = true;
     }
 
     /// Returns the live nodes of a data centre, this one included, in order.
@@ -233,6 +239,16 @@
         rank::first(u64::from(key), numbers) == Some(u32::from(self.me))
     }
 
+    /// Returns whether this node is one of the first few for a key among the live nodes of its data
+    /// centre.
+    #[must_use]
+    pub fn is_among(&self, count: usize, key: Key, now: Time) -> bool {
+        let nodes = self.live(self.place, now);
+        let numbers = nodes.iter().map(|&node| u32::from(node));
+        let order = rank::order(u64::from(key), numbers);
+        order.iter().take(count).any(|&node| node == u32::from(self.me))
+    }
+
     /// Returns the most nodes that were alive lately.
     ///
     /// A node that has just started has heard of few and assumes two in each data centre.
@@ -422,8 +438,11 @@
         let seeds = &self.seeds;
         self.peers
             .retain(|peer| seeds.contains(&peer.node) || now.saturating_sub(peer.known) < FORGET);
-        self.news
-            .retain(|news| now.saturating_sub(news.learnt) < NEWS);
+        let far = self.round_time(now) * NEWS_ROUNDS;
+        self.news.retain(|news| {
+            let told = if news.own { far.max(NEWS_NEAR) } else { NEWS_NEAR };
+            now.saturating_sub(news.learnt) < told
+        });
         (removed, silent)
     }
 
@@ -465,13 +484,19 @@
         }
     }
 
+    /// The sum of many nodes changes less from round to round, and costs more to tell them all.
+    fn round_time(&self, now: Time) -> Duration {
+        let nodes = self.live(self.place, now).len() as u32;
+        ROUND * nodes.max(1).div_ceil(ROUND_NODES)
+    }
+
     /// The n-th node of this data centre tells every n-th node of each other one, and the
     /// assignment shifts with each round.
     fn beat_remotely(&mut self, status: &Status, now: Time, beats: &mut Vec<(Node, beat::Beat)>) {
-        self.round_due = now + ROUND;
-        self.round += 1;
         let here = self.live(self.place, now);
         let count = here.len().max(1);
+        self.round_due = now + self.round_time(now);
+        self.round += 1;
         let mine = here.binary_search(&self.me).unwrap_or(0);
         let mut places: Vec<Place> = self.remotes.iter().map(|each| each.place).collect();
         places.sort_unstable();
@@ -515,9 +540,10 @@
 
     fn compose(&mut self, status: &Status, near: bool, joining: bool, now: Time) -> beat::Beat {
         self.sequence += 1;
+        let recent = |news: &&News| now.saturating_sub(news.learnt) < NEWS_NEAR;
         let news = self.news.iter().rev();
         let holdings = news
-            .filter(|news| news.own || !near)
+            .filter(|news| if near { recent(news) } else { news.own })
             .take(MOST_NEWS)
             .map(|news| beat::Holding {
                 endpoint: news.endpoint,
--- a/crates/peridotdeck-core/src/dispatch/flight.rs
+++ b/crates/peridotdeck-core/src/dispatch/flight.rs
@@ -54,6 +54,8 @@
     pub route: Arc<Route>,
     /// Whose request it is, where keys are needed.
     pub organisation: Option<Arc<Organisation>>,
+    /// Urgency among all requests; 0 comes first.
+    pub rank: u8,
     /// Version of the configuration that admitted it.
     pub version: u64,
     /// Size and beginning of the prompt.
@@ -77,13 +79,6 @@
 }
 
 impl Flight {
-    /// Returns the rank: the organisation's where it has one, or else the route's.
-    #[must_use]
-    pub fn rank(&self) -> u8 {
-        let own = self.organisation.as_ref().and_then(|each| each.priority);
-        own.unwrap_or(self.route.priority)
-    }
-
     /// Returns the name of the organisation, or an empty one.
     #[must_use]
     pub fn customer(&self) -> &str {
--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -34,6 +34,9 @@
 /// the load there is known late, so many nodes may choose the same endpoint at once.
 const REGION_SCORE: f64 = 120.0;
 
+/// What crossing into another data centre of the region is worth.
+const PLACE_SCORE: f64 = 40.0;
+
 /// What reading a thousand tokens again is worth beside the time.
 const REREAD_SCORE_PER_K: f64 = 110.0;
 
@@ -73,9 +76,6 @@
 /// Score of each request that runs already: it slows the others' tokens.
 const COMPANY_SCORE: f64 = 4.0;
 
-/// Score of one whole batch of requests beyond an engine's slots.
-const QUEUE_SCORE: f64 = 1_000.0;
-
 /// Score of an endpoint all of whose attempts fail, in targets of the route.
 const FAILURE_TARGETS: f64 = 5.0;
 
@@ -147,10 +147,14 @@
     pub closed: &'a [String],
     /// Tokens of the prompt's beginning that some endpoint has used lately.
     pub recent: u32,
+    /// The node's own data centre.
+    pub place: &'a str,
     /// The node's own region.
     pub region: &'a str,
     /// Mean time of the service's answers in milliseconds, for services without a model.
     pub plain_ms: f64,
+    /// Mean time of the service's whole answers in milliseconds.
+    pub whole_ms: f64,
     /// Median pace of the service's endpoints.
     pub usual_pace: f64,
     /// The time.
@@ -218,6 +222,8 @@
         estimate.score += failing * FAILURE_TARGETS * target;
         if state.region != self.region {
             estimate.score += REGION_SCORE;
+        } else if state.info.place != self.place {
+            estimate.score += PLACE_SCORE;
         }
         if state.is_suspected() {
             estimate.score += SUSPICION_SCORE;
@@ -280,11 +286,11 @@
             f64::from(load.unread)
         };
         let reading = f64::from(unread) / READ_PER_MS;
-        let first = FIRST_MS + ahead / READ_PER_MS + reading;
-        let first = self.path_ms(state) + fetch_ms + first * self.pace(state);
         let beyond = f64::from((load.running + 1).saturating_sub(model.slots));
-        let mut score = QUEUE_SCORE * beyond / f64::from(model.slots.max(1));
-        score += reading + DISTURBANCE * reading * f64::from(load.urgent.min(MOST_DISTURBED));
+        let queueing = self.whole_ms * beyond / f64::from(model.slots.max(1));
+        let first = FIRST_MS + queueing + ahead / READ_PER_MS + reading;
+        let first = self.path_ms(state) + fetch_ms + first * self.pace(state);
+        let mut score = reading + DISTURBANCE * reading * f64::from(load.urgent.min(MOST_DISTURBED));
         score += (SLOWDOWN * reading + COMPANY_SCORE) * f64::from(load.running);
         score += self.moving_score(known, known - cached);
         Estimate {
--- a/crates/peridotdeck-core/src/dispatch/prefix.rs
+++ b/crates/peridotdeck-core/src/dispatch/prefix.rs
@@ -13,6 +13,9 @@
 /// Time after which a prefix that nobody used counts as displaced.
 const AGE: Duration = Duration::from_secs(90);
 
+/// Time between two news of uses of the same part at the same endpoint.
+pub const REFRESH: Duration = Duration::from_secs(3);
+
 /// Time from a send until an endpoint has surely read the part, and another can fetch it.
 const READING: Duration = Duration::from_millis(300);
 
@@ -30,6 +33,8 @@
     pub since: Time,
     /// When it was last used.
     pub used: Time,
+    /// When peers were last told of its use.
+    pub told: Option<Time>,
 }
 
 /// All holdings that are known, sorted by prefix and endpoint.
@@ -52,6 +57,7 @@
                     endpoint,
                     since: now,
                     used: now,
+                    told: None,
                 };
                 self.holdings.insert(at, holding);
                 self.bound();
@@ -60,6 +66,21 @@
         }
     }
 
+    /// Returns whether peers should hear of a use, and notes that they do.
+    pub fn is_news(&mut self, prefix: Prefix, endpoint: Key, now: Time) -> bool {
+        let Ok(at) = self.find(prefix, endpoint) else {
+            return false;
+        };
+        let holding = &mut self.holdings[at];
+        let due = holding
+            .told
+            .is_none_or(|told| now.saturating_sub(told) >= REFRESH);
+        if due {
+            holding.told = Some(now);
+        }
+        due
+    }
+
     /// Returns how long ago a prefix was first sent to an endpoint, if it was.
     #[must_use]
     pub fn age(&self, prefix: Prefix, endpoint: Key, now: Time) -> Option<Duration> {
--- a/crates/peridotdeck-relay/src/publisher.rs
+++ b/crates/peridotdeck-relay/src/publisher.rs
@@ -15,6 +15,9 @@
     /// Reports that an area can be read again.
     fn recovered(&self, area: Area);
 
+    /// Returns whether the node wants to read the source itself; else it learns from peers.
+    fn is_reading(&self) -> bool;
+
     /// Returns the newest revision of an area that the node knows, by any way.
     fn revision(&self, area: Area) -> u64;
 }
--- a/crates/peridotdeck-relay/src/shared.rs
+++ b/crates/peridotdeck-relay/src/shared.rs
@@ -133,6 +133,10 @@
         }
     }
 
+    fn is_reading(&self) -> bool {
+        self.dispatcher().is_watcher(clock::now())
+    }
+
     fn revision(&self, area: Area) -> u64 {
         self.dispatcher().registry().revision(area).read
     }
