Keep long prompts off the endpoints of streams that they would delay; more senders for cold ones

Change: a third of a data centre's endpoints is left to such streams where the pauses that the service shows exceed what a route allows; a few nodes share a cold endpoint's rate, and nodes that hear less than half of their data centre send it nothing.

--- a/crates/peridotdeck-core/src/dispatch/config.rs
+++ b/crates/peridotdeck-core/src/dispatch/config.rs
@@ -186,9 +186,16 @@
     #[must_use]
     pub fn rank(&self, route: &Route, organisation: Option<&Organisation>) -> u8 {
         let levels = self.routes.iter().filter(|route| !route.public);
-        let levels = levels.map(|route| route.priority).max().unwrap_or(0).min(LAST_RANK) + 1;
+        let levels = levels
+            .map(|route| route.priority)
+            .max()
+            .unwrap_or(0)
+            .min(LAST_RANK)
+            + 1;
         let own = organisation.and_then(|each| each.priority).unwrap_or(0);
-        let rank = own.saturating_mul(levels).saturating_add(route.priority.min(levels - 1));
+        let rank = own
+            .saturating_mul(levels)
+            .saturating_add(route.priority.min(levels - 1));
         rank.min(LAST_RANK)
     }
 
--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -9,7 +9,7 @@
 use super::{
     Key, Node, Prefix,
     budget::{Bound, Budget},
-    config::{Kind, Service},
+    config::{Kind, Route, Service},
     endpoint::{Load, State},
     fleet::{Fleet, Heard, Status},
     flight::{Ask, Flight},
@@ -62,6 +62,9 @@
 /// Weight of the newest answer in running means.
 const NEWEST: f64 = 0.05;
 
+/// Odd factor that puts keys into an order of their own.
+const SHUFFLE: Key = 0x9e37_79b1;
+
 /// Weight of an end that says little about the endpoint.
 const SLIGHT: f64 = 0.5;
 
@@ -290,6 +293,7 @@
     plain: Vec<Mean>,
     whole: Vec<Mean>,
     failing: Vec<Mean>,
+    pauses: Vec<Mean>,
     ahead: Vec<(Ahead, Time)>,
     clean_up_due: Time,
     inquiries: Vec<Inquiry>,
@@ -315,6 +319,7 @@
             plain: Vec::new(),
             whole: Vec::new(),
             failing: Vec::new(),
+            pauses: Vec::new(),
             ahead: Vec::new(),
             clean_up_due: now,
             inquiries: Vec::new(),
@@ -772,6 +777,8 @@
             held,
             closed: self.registry.closed(),
             recent: 0,
+            quiet: &[],
+            sensitive: false,
             place: &self.options.place,
             region: &self.region,
             plain_ms: mean(&self.plain, service, PLAIN_MS),
@@ -807,6 +814,47 @@
         recent.map_or(0, |part| part.tokens)
     }
 
+    /// Returns whether streams of a route are late beside long prompts: the pauses that those cause
+    /// exceed what the route allows.
+    fn is_sensitive(&self, route: &Route, service: &str) -> bool {
+        /// Part of the allowed pause that leaves room for the way.
+        const ROOM: f64 = 0.85;
+        let pause = mean(&self.pauses, service, 0.0);
+        route
+            .gap
+            .is_some_and(|gap| pause > gap.as_secs_f64() * 1e3 * ROOM)
+    }
+
+    /// Returns the endpoints of each data centre that long prompts should leave to sensitive
+    /// streams, if there are any.
+    ///
+    /// All nodes choose the same ones, because they know the same endpoints.
+    fn quiet(&self, service: &str) -> Vec<Key> {
+        /// Part of a data centre's endpoints.
+        const PART: f64 = 0.34;
+        let Some(config) = self.registry.config() else {
+            return Vec::new();
+        };
+        let uses = |route: &Route| route.split.iter().any(|share| share.service == service);
+        let mut routes = config.routes.iter().filter(|route| uses(route));
+        if !routes.any(|route| self.is_sensitive(route, service)) {
+            return Vec::new();
+        }
+        let mut quiet = Vec::new();
+        for (place, _) in &self.options.regions {
+            let here = self
+                .states
+                .iter()
+                .filter(|state| state.info.service == service && state.info.place == *place);
+            let mut keys: Vec<Key> = here.map(|state| state.key).collect();
+            let count = (keys.len() as f64 * PART) as usize;
+            keys.sort_by_key(|key| key.wrapping_mul(SHUFFLE));
+            quiet.extend(keys.into_iter().take(count));
+        }
+        quiet.sort_unstable();
+        quiet
+    }
+
     fn usual_pace(&self, service: &str) -> f64 {
         let peers = self
             .states
@@ -825,8 +873,11 @@
         bars: &mut Vec<Bar>,
     ) -> Vec<(Key, Estimate)> {
         let held = self.held(flight, now);
+        let quiet = self.quiet(&flight.service);
         let mut view = self.view(&flight.service, &held, now);
         view.recent = self.recent(flight, now);
+        view.quiet = &quiet;
+        view.sensitive = self.is_sensitive(&flight.route, &flight.service);
         let mut ranked = Vec::new();
         for state in &self.states {
             match view.admits(state, flight) {
@@ -847,8 +898,11 @@
         let unknown = Service::default();
         let service = config.service(&flight.service).unwrap_or(&unknown);
         let held = self.held(flight, now);
+        let quiet = self.quiet(&flight.service);
         let mut view = self.view(&flight.service, &held, now);
         view.recent = self.recent(flight, now);
+        view.quiet = &quiet;
+        view.sensitive = self.is_sensitive(&flight.route, &flight.service);
         let explain = |state: &State| {
             let admitted = view.admits(state, flight);
             let estimate = admitted.map(|()| view.estimate(state, flight, service));
@@ -857,20 +911,33 @@
         self.states.iter().map(explain).collect()
     }
 
-    /// A cold endpoint takes requests from one node of its data centre, at a part of its rate.
+    /// A cold endpoint takes requests from a few nodes of its data centre, at a part of its rate.
+    ///
+    /// Each of them may have saved up one request. Two sets of nodes that do not hear each other, and
+    /// both believe to be the senders, stay within one and a half times the rate and five together.
     fn take(&mut self, key: Key, service: &Service, now: Time) -> Result<(), Bar> {
-        let here = self.options.place.clone();
-        let Some(state) = self.state_mut(key) else {
-            return Err(Bar::Resting);
-        };
-        if service.cold_rate <= 0.0 || !state.is_cold(now) {
+        /// Part of the rate that is given out.
+        const PART: f64 = 0.6;
+        /// Senders of an endpoint with the smallest rate, and for each request a second more.
+        const SENDERS: (f64, f64) = (2.5, 0.15);
+        let at = self.find(key).map_err(|_| Bar::Resting)?;
+        let state = &self.states[at];
+        let rate = service.cold_rate;
+        if rate <= 0.0 || !state.is_cold(now) {
             return Ok(());
         }
-        if state.info.place != here || !self.fleet.is_first(key, now) {
+        let here = place(&self.options.place);
+        let senders = (SENDERS.0 + SENDERS.1 * rate) as usize;
+        if state.info.place != self.options.place
+            || self.fleet.is_isolated(now)
+            || !self.fleet.is_among(senders, key, now)
+        {
             return Err(Bar::ColdElsewhere);
         }
-        let state = self.state_mut(key).ok_or(Bar::Resting)?;
-        state.take_cold(service, now).map_err(|_| Bar::Cold)
+        let senders = senders.min(self.fleet.live(here, now).len()).max(1);
+        let share = rate * PART / senders as f64;
+        let taken = self.states[at].take_cold(share, now);
+        taken.map_err(|_| Bar::Cold)
     }
 
     fn send(
@@ -965,6 +1032,21 @@
         self.fleet.touch();
     }
 
+    /// Learns the longest pause that a whole stream had at one endpoint.
+    ///
+    /// The running value approaches the pause that nine of ten streams stay within.
+    pub fn note_pause(&mut self, service: &str, pause: Duration) {
+        /// Change for a pause above the value, and for one below, in milliseconds.
+        const STEP: (f64, f64) = (9.0, 1.0);
+        let at = position(&mut self.pauses, service, 0.0);
+        let value = &mut self.pauses[at].value;
+        if pause.as_secs_f64() * 1e3 > *value {
+            *value += STEP.0;
+        } else {
+            *value = (*value - STEP.1).max(0.0);
+        }
+    }
+
     /// Takes an attempt back and learns from how it ended.
     pub fn finish(&mut self, attempt: &Attempt, end: End, flight: &Flight, now: Time) {
         self.fleet.touch();
@@ -1096,15 +1178,19 @@
 
 /// Adds a sample to a named running mean and returns the mean before it.
 fn learn(means: &mut Vec<Mean>, name: &str, start: f64, sample: f64) -> f64 {
+    let at = position(means, name, start);
+    let old = means[at].value;
+    means[at].value += NEWEST * (sample - old);
+    old
+}
+
+fn position(means: &mut Vec<Mean>, name: &str, start: f64) -> usize {
     let known = means.iter().position(|mean| mean.name == name);
-    let at = known.unwrap_or_else(|| {
+    known.unwrap_or_else(|| {
         means.push(Mean {
             name: name.to_owned(),
             value: start,
         });
         means.len() - 1
-    });
-    let old = means[at].value;
-    means[at].value += NEWEST * (sample - old);
-    old
+    })
 }
--- a/crates/peridotdeck-core/src/dispatch/endpoint.rs
+++ b/crates/peridotdeck-core/src/dispatch/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Key, config::Service, registry};
+use super::{Key, registry};
 use crate::{id::Time, limit::Bucket};
 
 /// First rest after a failure to reach the endpoint; it doubles with each further failure.
@@ -20,10 +20,6 @@
 /// Bounds of the pace: one answer must not condemn or exalt an endpoint.
 const PACE: (f64, f64) = (0.5, 12.0);
 
-/// Part of the configured rate that a cold endpoint is given: two nodes that both believe to be
-/// its only sender stay within the bound together.
-const COLD_PART: f64 = 0.8;
-
 /// Unfinished work at an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -185,13 +181,12 @@
         self.cold_until = self.cold_until.max(until);
     }
 
-    /// Takes one request's worth of what a cold endpoint bears.
+    /// Takes one request's worth of this node's share of what a cold endpoint bears.
     ///
     /// # Errors
-    /// The wait until it bears one more.
-    pub fn take_cold(&mut self, service: &Service, now: Time) -> Result<(), Duration> {
-        self.cold_bucket
-            .take(service.cold_rate * COLD_PART, 1.0, now)
+    /// The wait until the share allows one more.
+    pub fn take_cold(&mut self, rate: f64, now: Time) -> Result<(), Duration> {
+        self.cold_bucket.take(rate, 1.0, now)
     }
 
     /// Returns whether the endpoint rests after it could not be reached.
--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -45,6 +45,9 @@
 /// Silence after which a member that cannot be reached is forgotten.
 const FORGET: Duration = Duration::from_secs(60);
 
+/// Time in which a node that starts hears the peers of its data centre.
+const ACQUAINTED: Duration = Duration::from_millis(600);
+
 /// Time for which the largest size of the fleet is remembered.
 const SIZE_MEMORY: Duration = Duration::from_secs(30);
 
@@ -145,6 +148,7 @@
     round_due: Time,
     round: usize,
     sizes: Vec<(Time, usize)>,
+    here: Vec<(Time, usize)>,
 }
 
 impl Fleet {
@@ -168,6 +172,7 @@
             round_due: now,
             round: 0,
             sizes: Vec::new(),
+            here: Vec::new(),
         };
         fleet.set_seeds(seeds, now);
         fleet
@@ -231,14 +236,6 @@
         nodes
     }
 
-    /// Returns whether this node ranks first for a key among the live nodes of its data centre.
-    #[must_use]
-    pub fn is_first(&self, key: Key, now: Time) -> bool {
-        let nodes = self.live(self.place, now);
-        let numbers = nodes.iter().map(|&node| u32::from(node));
-        rank::first(u64::from(key), numbers) == Some(u32::from(self.me))
-    }
-
     /// Returns whether this node is one of the first few for a key among the live nodes of its data
     /// centre.
     #[must_use]
@@ -246,7 +243,19 @@
         let nodes = self.live(self.place, now);
         let numbers = nodes.iter().map(|&node| u32::from(node));
         let order = rank::order(u64::from(key), numbers);
-        order.iter().take(count).any(|&node| node == u32::from(self.me))
+        order
+            .iter()
+            .take(count)
+            .any(|&node| node == u32::from(self.me))
+    }
+
+    /// Returns whether this node hears so few peers of its data centre that others may act as it does
+    /// without hearing it.
+    #[must_use]
+    pub fn is_isolated(&self, now: Time) -> bool {
+        let here = self.live(self.place, now).len();
+        let most = self.here.iter().map(|(_, size)| *size).max().unwrap_or(1);
+        2 * here < most || now.saturating_sub(self.started) < ACQUAINTED
     }
 
     /// Returns the most nodes that were alive lately.
@@ -411,9 +420,9 @@
 
     fn note_size(&mut self, now: Time) {
         let size = 1 + self.members(now).len();
-        self.sizes
-            .retain(|&(at, old)| now.saturating_sub(at) < SIZE_MEMORY && old > size);
-        self.sizes.push((now, size));
+        remember_most(&mut self.sizes, size, now);
+        let here = self.live(self.place, now).len();
+        remember_most(&mut self.here, here, now);
     }
 
     /// Forgets who is gone and returns the work that is no longer known of, and who fell silent.
@@ -440,7 +449,11 @@
             .retain(|peer| seeds.contains(&peer.node) || now.saturating_sub(peer.known) < FORGET);
         let far = self.round_time(now) * NEWS_ROUNDS;
         self.news.retain(|news| {
-            let told = if news.own { far.max(NEWS_NEAR) } else { NEWS_NEAR };
+            let told = if news.own {
+                far.max(NEWS_NEAR)
+            } else {
+                NEWS_NEAR
+            };
             now.saturating_sub(news.learnt) < told
         });
         (removed, silent)
@@ -618,6 +631,12 @@
     }
 }
 
+/// Keeps what is needed to know the largest size of the last while.
+fn remember_most(sizes: &mut Vec<(Time, usize)>, size: usize, now: Time) {
+    sizes.retain(|&(at, old)| now.saturating_sub(at) < SIZE_MEMORY && old > size);
+    sizes.push((now, size));
+}
+
 fn load(told: &beat::Load) -> (Key, Load) {
     let load = Load {
         running: told.running,
--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -76,6 +76,15 @@
 /// Score of each request that runs already: it slows the others' tokens.
 const COMPANY_SCORE: f64 = 4.0;
 
+/// Score of an endpoint with long prompts for a stream that is late beside them.
+const NOISE_SCORE: f64 = 500.0;
+
+/// Score of an endpoint with such streams for a long prompt.
+const INTRUSION_SCORE: f64 = 2_000.0;
+
+/// Unread tokens beyond which a prompt is long: it is read in more than one step.
+const LONG_PROMPT: u32 = 3_000;
+
 /// Score of an endpoint all of whose attempts fail, in targets of the route.
 const FAILURE_TARGETS: f64 = 5.0;
 
@@ -147,6 +156,10 @@
     pub closed: &'a [String],
     /// Tokens of the prompt's beginning that some endpoint has used lately.
     pub recent: u32,
+    /// Endpoints that long prompts should leave to sensitive streams, sorted.
+    pub quiet: &'a [Key],
+    /// Whether the request is a stream that is late beside long prompts.
+    pub sensitive: bool,
     /// The node's own data centre.
     pub place: &'a str,
     /// The node's own region.
@@ -290,9 +303,18 @@
         let queueing = self.whole_ms * beyond / f64::from(model.slots.max(1));
         let first = FIRST_MS + queueing + ahead / READ_PER_MS + reading;
         let first = self.path_ms(state) + fetch_ms + first * self.pace(state);
-        let mut score = reading + DISTURBANCE * reading * f64::from(load.urgent.min(MOST_DISTURBED));
+        let mut score =
+            reading + DISTURBANCE * reading * f64::from(load.urgent.min(MOST_DISTURBED));
         score += (SLOWDOWN * reading + COMPANY_SCORE) * f64::from(load.running);
         score += self.moving_score(known, known - cached);
+        if !self.quiet.is_empty() {
+            let quiet = self.quiet.binary_search(&state.key).is_ok();
+            if self.sensitive && !quiet {
+                score += NOISE_SCORE;
+            } else if quiet && unread > LONG_PROMPT {
+                score += INTRUSION_SCORE;
+            }
+        }
         Estimate {
             score,
             first: Duration::from_secs_f64(first / 1e3),
--- a/crates/peridotdeck-relay/src/journey.rs
+++ b/crates/peridotdeck-relay/src/journey.rs
@@ -279,6 +279,14 @@
         }
     }
 
+    /// Tells how long the stream paused, unless another endpoint had to go on.
+    pub(crate) fn note_pause(&self) {
+        if self.attempts == 1 {
+            let mut dispatcher = self.shared.dispatcher();
+            dispatcher.note_pause(&self.flight.service, self.pause);
+        }
+    }
+
     /// Gives the attempt in progress back.
     pub(crate) fn finish(&mut self, end: End, cause: &str) {
         let Some(mut attempt) = self.running.take() else {
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -134,6 +134,7 @@
             let pool = &self.journey.shared.pool;
             pool.keep(self.key, link, self.keep_alive);
             self.journey.finish(End::Finished, "");
+            self.journey.note_pause();
             self.journey.end("answered", 200, "");
         }
         self.events.rest()
