Split the dispatcher by cause, and give running means a type

Change: requests, ends of attempts, peers, time and lanes stand in modules of their own; no behaviour changes.

--- a/crates/peridotdeck-core/src/dispatch.rs
+++ b/crates/peridotdeck-core/src/dispatch.rs
@@ -14,14 +14,18 @@
 //! - [`flight`]: one caller's request, and what may still be done with it;
 //! - [`placement`]: which endpoint gets it, or why none does;
 //! - [`endpoint`]: what this node knows about one endpoint;
+//! - [`attempt`]: what is sent, how it ends, and what follows;
 //! - [`dispatcher`]: all of that together.
 
+pub mod attempt;
 pub mod budget;
 pub mod config;
 pub mod dispatcher;
+pub mod due;
 pub mod endpoint;
 pub mod fleet;
 pub mod flight;
+pub mod mean;
 pub mod placement;
 pub mod prefix;
 pub mod refusal;
--- /dev/null
+++ b/crates/peridotdeck-core/src/dispatch/attempt.rs
@@ -0,0 +1,110 @@
+//! An attempt at an endpoint: what is ordered, how it ends, and what follows.
+
+use std::{net::SocketAddrV4, time::Duration};
+
+use strum::{Display, IntoStaticStr};
+
+use super::{Key, endpoint::Load, placement::Estimate, refusal::Refusal};
+use crate::{Verdict, id::Time};
+
+/// What to do with a request now.
+#[derive(Clone, Debug)]
+pub enum Placement {
+    /// Send it.
+    Send(Order),
+    /// Ask again after this time.
+    Wait(Duration),
+    /// Tell the caller.
+    Refuse(Refusal),
+}
+
+/// An attempt to make.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// The attempt, to be given back when it ends.
+    pub attempt: Attempt,
+    /// Where to send it.
+    pub address: SocketAddrV4,
+    /// Id that the endpoint must have.
+    pub instance: String,
+    /// Endpoint from which the beginning of the prompt should be fetched.
+    pub source: Option<SocketAddrV4>,
+    /// Rank at the endpoint; 0 is served first.
+    pub rank: u8,
+    /// Time without an answer after which another endpoint should be asked.
+    pub hedge: Option<Duration>,
+    /// What was expected of the endpoint.
+    pub estimate: Estimate,
+    /// Work that was known of at the endpoint.
+    pub load: Load,
+}
+
+/// Work that was sent to an endpoint.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    pub(super) key: Key,
+    pub(super) load: Load,
+    pub(super) expected: Duration,
+    pub(super) sent: Time,
+}
+
+impl Attempt {
+    /// Returns the endpoint.
+    #[must_use]
+    pub fn key(&self) -> Key {
+        self.key
+    }
+
+    /// Returns when it was placed.
+    #[must_use]
+    pub fn sent(&self) -> Time {
+        self.sent
+    }
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum End {
+    /// The whole answer came.
+    Finished,
+    /// The endpoint answered that it failed.
+    Failed,
+    /// The endpoint vouches that it did not run it.
+    Rejected,
+    /// Another endpoint has the address; it did not run it.
+    Misdirected,
+    /// No connection was opened, so it did not run.
+    Unreachable,
+    /// The connection ended before the whole answer.
+    Broken,
+    /// What came was no answer, or another request's.
+    Garbled,
+    /// It took too long, and another endpoint was asked.
+    Silent,
+    /// Caller or route gave up.
+    TimedOut,
+    /// The caller has gone.
+    Cancelled,
+}
+
+impl End {
+    /// Returns whether the attempt may have run.
+    #[must_use]
+    pub fn verdict(self) -> Verdict {
+        match self {
+            Self::Finished | Self::Failed => Verdict::Ran,
+            Self::Rejected | Self::Misdirected | Self::Unreachable => Verdict::NotRun,
+            _ => Verdict::MayHaveRun,
+        }
+    }
+}
+
+/// What to do after an attempt without a whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Place it again.
+    Again,
+    /// Nothing more can be done; an answer that is there is passed on as it is.
+    GiveUp(Refusal),
+}
--- /dev/null
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -0,0 +1,362 @@
+//! Admission of requests, and where they go.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::Dispatcher;
+use crate::{
+    dispatch::{
+        Key,
+        attempt::{Attempt, Order, Placement},
+        config::{Kind, Service, Share},
+        endpoint::{Load, State},
+        flight::{Ask, Flight},
+        place,
+        placement::{Bar, Estimate, Held, View, is_urgent},
+        prefix::{Index, REFRESH},
+        refusal::{Cause, Refusal},
+        strikes,
+    },
+    id::{Fingerprint, Time},
+};
+
+/// Part of the target for which a request waits for an endpoint before it is refused.
+const HOLD_PART: f64 = 0.3;
+
+/// Shortest time for which a request waits for an endpoint.
+const HOLD: Duration = Duration::from_millis(100);
+
+/// Largest random addition to a score, so that nodes that see the same choose differently.
+const JITTER: f64 = 8.0;
+
+/// Pause between two looks for an endpoint.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Shortest and longest time that a refused caller is told to stay away.
+const RETURN: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(2));
+
+/// Longest time that callers are told to stay away from a node without a configuration: what
+/// publishes it is down, and nobody knows for how long.
+const BLIND: Duration = Duration::from_secs(4);
+
+/// Part of the caller's time that it may be told to stay away: callers ignore longer ones.
+const RETURN_PART: f64 = 0.3;
+
+/// Answers are awaited this many times longer than expected before another endpoint is asked.
+const HEDGE_FACTOR: f64 = 2.5;
+
+/// Shortest and longest part of the target after which another endpoint is asked.
+const HEDGE_PARTS: (f64, f64) = (0.4, 0.65);
+
+impl Dispatcher {
+    /// Finds the route and the organisation of a request and decides whether it may be served.
+    ///
+    /// # Errors
+    /// Why it is refused.
+    pub fn admit(
+        &mut self,
+        ask: Ask,
+        fingerprint: Fingerprint,
+        now: Time,
+    ) -> Result<Flight, Refusal> {
+        let Some(config) = self.registry.config().cloned() else {
+            let patience = ask.patience.unwrap_or(BLIND);
+            let wait = self.spread(patience.mul_f64(RETURN_PART).min(BLIND));
+            return Err(Refusal::not_run(Cause::Unconfigured, Some(wait)));
+        };
+        let refuse = |cause| Err(Refusal::not_run(cause, None));
+        let Some(route) = config.route(&ask.host, &ask.path) else {
+            return refuse(Cause::NoRoute);
+        };
+        let holder = ask.key.as_deref().and_then(|key| config.organisation(key));
+        if holder.is_none() && !route.public && !config.organisations.is_empty() {
+            return refuse(Cause::BadKey);
+        }
+        let organisation = if route.public { None } else { holder.cloned() };
+        if self.strikes.count(fingerprint) >= strikes::LIMIT {
+            return refuse(Cause::Quarantined);
+        }
+        let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
+        let service = self.choose_service(&route.split);
+        self.budget.note(&service, now);
+        Ok(Flight {
+            id: ask.id,
+            rank: config.rank(route, organisation.as_deref()),
+            route: route.clone(),
+            organisation,
+            version: config.version,
+            prompt: ask.prompt,
+            fingerprint,
+            arrived: now,
+            until: now + patience,
+            service,
+            tried: Vec::new(),
+            runs: 0,
+            rejections: 0,
+            waiting: None,
+        })
+    }
+
+    fn choose_service(&mut self, split: &[Share]) -> String {
+        let total: u32 = split.iter().map(|share| share.weight).sum();
+        let mut left = if total > 0 {
+            self.rng.random_range(0..total)
+        } else {
+            0
+        };
+        for share in split {
+            if left < share.weight {
+                return share.service.clone();
+            }
+            left -= share.weight;
+        }
+        split
+            .first()
+            .map(|share| share.service.clone())
+            .unwrap_or_default()
+    }
+
+    /// Decides what to do with a request now.
+    pub fn place(&mut self, flight: &mut Flight, now: Time) -> Placement {
+        if flight.left(now).is_zero() {
+            return Placement::Refuse(give_up(flight, Cause::TimedOut, None));
+        }
+        let Some(config) = self.registry.config().cloned() else {
+            return Placement::Wait(LOOK);
+        };
+        let unknown = Service::default();
+        let service = config.service(&flight.service).unwrap_or(&unknown);
+        let mut bars = Vec::new();
+        let mut ranked = self.rank(flight, service, now, &mut bars);
+        for (_, estimate) in &mut ranked {
+            estimate.score += JITTER * self.rng.random::<f64>();
+        }
+        ranked.sort_by(|(_, one), (_, other)| one.score.total_cmp(&other.score));
+        for (key, estimate) in ranked {
+            match self.take(key, service, now) {
+                Ok(()) => return Placement::Send(self.send(key, estimate, flight, service, now)),
+                Err(bar) => bars.push(bar),
+            }
+        }
+        self.hold(flight, &bars, now)
+    }
+
+    pub(super) fn view<'a>(&'a self, service: &str, held: &'a [Held], now: Time) -> View<'a> {
+        View {
+            states: &self.states,
+            held,
+            closed: self.registry.closed(),
+            recent: 0,
+            quiet: &[],
+            sensitive: false,
+            place: &self.options.place,
+            region: &self.region,
+            plain_ms: self.plain.value(service),
+            whole_ms: self.whole.value(service),
+            usual_pace: self.usual_pace(service),
+            now,
+        }
+    }
+
+    /// Returns what each endpoint holds of a prompt's beginning.
+    fn held(&self, flight: &Flight, now: Time) -> Vec<Held> {
+        let held = |state: &State| {
+            let mut held = Held::default();
+            for part in &flight.prompt.shared {
+                let Some(age) = self.prefixes.age(part.prefix, state.key, now) else {
+                    break;
+                };
+                if held.read == held.sent && Index::is_read(age) {
+                    held.read = part.tokens;
+                }
+                held.sent = part.tokens;
+            }
+            held
+        };
+        self.states.iter().map(held).collect()
+    }
+
+    /// Returns how many tokens of a prompt's beginning were used anywhere lately.
+    fn recent(&self, flight: &Flight, now: Time) -> u32 {
+        let lately = |at: Time| now.saturating_sub(at) < self.options.reuse + REFRESH;
+        let mut parts = flight.prompt.shared.iter().rev();
+        let recent = parts.find(|part| self.prefixes.last_use(part.prefix).is_some_and(lately));
+        recent.map_or(0, |part| part.tokens)
+    }
+
+    pub(super) fn usual_pace(&self, service: &str) -> f64 {
+        let peers = self
+            .states
+            .iter()
+            .filter(|state| state.info.service == service);
+        let mut paces: Vec<f64> = peers.map(State::pace).collect();
+        paces.sort_by(f64::total_cmp);
+        paces.get(paces.len() / 2).copied().unwrap_or(1.0)
+    }
+
+    fn rank(
+        &self,
+        flight: &Flight,
+        service: &Service,
+        now: Time,
+        bars: &mut Vec<Bar>,
+    ) -> Vec<(Key, Estimate)> {
+        let held = self.held(flight, now);
+        let quiet = self.quiet(&flight.service);
+        let mut view = self.view(&flight.service, &held, now);
+        view.recent = self.recent(flight, now);
+        view.quiet = &quiet;
+        view.sensitive = self.is_sensitive(&flight.route, &flight.service);
+        let mut ranked = Vec::new();
+        for state in &self.states {
+            match view.admits(state, flight) {
+                Ok(()) => ranked.push((state.key, view.estimate(state, flight, service))),
+                Err(Bar::Service) => {}
+                Err(bar) => bars.push(bar),
+            }
+        }
+        ranked
+    }
+
+    /// Returns each endpoint with its estimate, or with why it may not take the request.
+    #[must_use]
+    pub fn explain(&self, flight: &Flight, now: Time) -> Vec<(String, Result<Estimate, Bar>)> {
+        let Some(config) = self.registry.config() else {
+            return Vec::new();
+        };
+        let unknown = Service::default();
+        let service = config.service(&flight.service).unwrap_or(&unknown);
+        let held = self.held(flight, now);
+        let quiet = self.quiet(&flight.service);
+        let mut view = self.view(&flight.service, &held, now);
+        view.recent = self.recent(flight, now);
+        view.quiet = &quiet;
+        view.sensitive = self.is_sensitive(&flight.route, &flight.service);
+        let explain = |state: &State| {
+            let admitted = view.admits(state, flight);
+            let estimate = admitted.map(|()| view.estimate(state, flight, service));
+            (state.info.id.clone(), estimate)
+        };
+        self.states.iter().map(explain).collect()
+    }
+
+    /// A cold endpoint takes requests from a few nodes of its data centre, at a part of its rate.
+    ///
+    /// Each of them may have saved up one request. Two sets of nodes that do not hear each other, and
+    /// both believe to be the senders, stay within one and a half times the rate and five together.
+    fn take(&mut self, key: Key, service: &Service, now: Time) -> Result<(), Bar> {
+        /// Part of the rate that is given out.
+        const PART: f64 = 0.6;
+        /// Senders of an endpoint with the smallest rate, and for each request a second more.
+        const SENDERS: (f64, f64) = (2.5, 0.15);
+        let at = self.find(key).map_err(|_| Bar::Resting)?;
+        let state = &self.states[at];
+        let rate = service.cold_rate;
+        if rate <= 0.0 || !state.is_cold(now) {
+            return Ok(());
+        }
+        let here = place(&self.options.place);
+        let senders = (SENDERS.0 + SENDERS.1 * rate) as usize;
+        if state.info.place != self.options.place
+            || self.fleet.is_isolated(now)
+            || !self.fleet.is_among(senders, key, now)
+        {
+            return Err(Bar::ColdElsewhere);
+        }
+        let senders = senders.min(self.fleet.live(here, now).len()).max(1);
+        let share = rate * PART / senders as f64;
+        let taken = self.states[at].take_cold(share, now);
+        taken.map_err(|_| Bar::Cold)
+    }
+
+    fn send(
+        &mut self,
+        key: Key,
+        estimate: Estimate,
+        flight: &mut Flight,
+        service: &Service,
+        now: Time,
+    ) -> Order {
+        flight.waiting = None;
+        flight.tried.push(key);
+        if service.model.is_some() {
+            for part in &flight.prompt.shared {
+                self.prefixes.note(part.prefix, key, now);
+                if self.prefixes.is_news(part.prefix, key, now) {
+                    self.fleet.tell(part.prefix, key, true, now);
+                }
+            }
+        }
+        self.fleet.touch();
+        let view = self.view(&flight.service, &[], now);
+        let source = estimate.source.and_then(|source| view.address(source));
+        let hedge = hedge(flight, &estimate);
+        let load = Load {
+            running: 1,
+            unread: estimate.unread,
+            urgent: u32::from(is_urgent(flight)),
+        };
+        let state = self
+            .state_mut(key)
+            .expect("only known endpoints are ranked");
+        let before = state.load();
+        state.own.add(load);
+        Order {
+            attempt: Attempt {
+                key,
+                load,
+                expected: estimate.first,
+                sent: now,
+            },
+            address: state.info.address,
+            instance: state.info.id.clone(),
+            source,
+            rank: flight.rank,
+            hedge,
+            estimate,
+            load: before,
+        }
+    }
+
+    fn hold(&mut self, flight: &mut Flight, bars: &[Bar], now: Time) -> Placement {
+        let target = flight.route.target.mul_f64(HOLD_PART).max(HOLD);
+        let since = *flight.waiting.get_or_insert(now);
+        let hopeless = bars.iter().all(|bar| *bar == Bar::Region) && !bars.is_empty();
+        if !hopeless && now.saturating_sub(since) < target.min(flight.left(now)) {
+            return Placement::Wait(LOOK);
+        }
+        let wait = self.return_time(flight, now);
+        Placement::Refuse(give_up(flight, Cause::NoEndpoint, Some(wait)))
+    }
+
+    /// Returns a time in the last third up to `most`, so that callers do not return together.
+    fn spread(&mut self, most: Duration) -> Duration {
+        most.mul_f64(1.0 - self.rng.random::<f64>() / 3.0)
+    }
+
+    /// Returns spread over the time in which endpoints come back, within what callers heed.
+    pub(super) fn return_time(&mut self, flight: &Flight, now: Time) -> Duration {
+        let most = flight.left(now).mul_f64(RETURN_PART).min(RETURN.1);
+        let least = RETURN.0.min(most);
+        least + most.saturating_sub(least).mul_f64(self.rng.random::<f64>())
+    }
+}
+
+/// Ends a flight with what is true of it.
+pub(super) fn give_up(flight: &Flight, cause: Cause, wait: Option<Duration>) -> Refusal {
+    if flight.runs > 0 {
+        Refusal::may_have_run(cause)
+    } else {
+        Refusal::not_run(cause, wait)
+    }
+}
+
+/// Returns the time after which a repeatable request is better asked elsewhere.
+fn hedge(flight: &Flight, estimate: &Estimate) -> Option<Duration> {
+    let may = flight.route.is_repeatable() && flight.runs + 1 < flight.route.attempts;
+    let target = flight.route.target;
+    let expected = estimate.first.mul_f64(HEDGE_FACTOR);
+    let (least, most) = (target.mul_f64(HEDGE_PARTS.0), target.mul_f64(HEDGE_PARTS.1));
+    (may && flight.route.kind != Kind::NonIdempotent).then(|| expected.clamp(least, most))
+}
--- a/crates/peridotdeck-core/tests/testsuite/attempt_ends.rs
+++ b/crates/peridotdeck-core/tests/testsuite/attempt_ends.rs
@@ -3,7 +3,7 @@
 use peridotdeck_core::{
     Verdict,
     dispatch::{
-        dispatcher::{End, Next, Placement},
+        attempt::{End, Next, Placement},
         refusal::Cause,
     },
 };
--- a/crates/peridotdeck-core/tests/testsuite/dispatch.rs
+++ b/crates/peridotdeck-core/tests/testsuite/dispatch.rs
@@ -8,9 +8,10 @@
 
 use peridotdeck_core::dispatch::{
     Dispatcher, Node, Prefix,
+    attempt::{Order, Placement},
     budget::Bound,
     config::{Config, Kind, Model, Organisation, Route, Service, Share},
-    dispatcher::{Options, Order, Placement},
+    dispatcher::Options,
     flight::{Ask, Flight, Part, Prompt},
     registry::{Area, Change, Endpoint, Fact, Report},
 };
--- a/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
+++ b/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
@@ -4,7 +4,7 @@
 
 use peridotdeck_core::dispatch::{
     Dispatcher, Node,
-    dispatcher::Placement,
+    attempt::Placement,
     place,
     registry::{Area, Endpoint, Fact},
 };
--- a/crates/peridotdeck-core/tests/testsuite/prompt_placement.rs
+++ b/crates/peridotdeck-core/tests/testsuite/prompt_placement.rs
@@ -4,8 +4,8 @@
 
 use peridotdeck_core::dispatch::{
     Dispatcher,
+    attempt::{End, Order, Placement},
     config::Kind,
-    dispatcher::{End, Order, Placement},
     flight::Flight,
     registry::{Area, Fact},
 };
--- a/crates/peridotdeck-core/tests/testsuite/shared_bounds.rs
+++ b/crates/peridotdeck-core/tests/testsuite/shared_bounds.rs
@@ -4,8 +4,8 @@
 
 use peridotdeck_core::dispatch::{
     Dispatcher,
+    attempt::{End, Placement},
     budget::{Bound, Budget},
-    dispatcher::{End, Placement},
     registry::Fact,
 };
 
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -13,8 +13,9 @@
 use peridotdeck_core::{
     dispatch::{
         Key,
+        attempt::{End, Order},
         config::Kind,
-        dispatcher::{End, Inquiry, Order},
+        due::Inquiry,
         flight::Flight,
     },
     id::Time,
--- a/crates/peridotdeck-relay/src/ingress.rs
+++ b/crates/peridotdeck-relay/src/ingress.rs
@@ -5,7 +5,7 @@
 use hyper::{HeaderMap, http::request, http::response};
 use peridotdeck_core::dispatch::{
     Prefix,
-    dispatcher::Order,
+    attempt::Order,
     flight::{Ask, Flight},
     refusal::{Cause, Refusal},
 };
--- a/crates/peridotdeck-relay/src/journey.rs
+++ b/crates/peridotdeck-relay/src/journey.rs
@@ -18,8 +18,8 @@
     Verdict,
     dispatch::{
         Key,
+        attempt::{Attempt, End, Next, Order, Placement},
         config::Kind,
-        dispatcher::{Attempt, End, Next, Order, Placement},
         flight::Flight,
         refusal::Refusal,
     },
--- a/crates/peridotdeck-relay/src/peers.rs
+++ b/crates/peridotdeck-relay/src/peers.rs
@@ -11,7 +11,7 @@
 use async_std::net::UdpSocket;
 use peridotdeck_core::dispatch::{
     Node,
-    dispatcher::Errand,
+    due::Errand,
     registry::{Area, Snapshot},
 };
 use peridotdeck_wire::{MAX_DATAGRAM, beat::Beat, pack, unpack};
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -14,7 +14,7 @@
 use peridotdeck_core::{
     dispatch::{
         Key,
-        dispatcher::{End, Next},
+        attempt::{End, Next},
     },
     id::Time,
 };
