--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -8,6 +8,9 @@
 //! Nodes find each other by the seeds of their settings and by the members that beats name. No node
 //! waits for another: one that knows nobody acts alone.
 
+mod hearing;
+mod telling;
+
 use std::time::Duration;
 
 use peridotdeck_wire::beat;
@@ -15,30 +18,12 @@
 use super::{Key, Node, Place, Prefix, endpoint::Load};
 use crate::{id::Time, rank};
 
-/// Longest time between two beats to a peer of the own data centre.
-const QUIET: Duration = Duration::from_millis(400);
-
-/// Shortest time between two beats to a peer of the own data centre.
-const BUSY: Duration = Duration::from_millis(25);
-
-/// Time between two rounds of beats to other data centres.
-const ROUND: Duration = Duration::from_millis(250);
-
-/// Nodes of a data centre for which a round takes that long; more take longer.
-const ROUND_NODES: u32 = 4;
-
 /// Silence after which a peer of the own data centre counts as dead.
 const DEAD: Duration = Duration::from_millis(1_500);
 
 /// Silence after which what another data centre told is no longer believed.
 const APART: Duration = Duration::from_secs(3);
 
-/// Time between two tries to reach a seed or a member that is not alive, in the first seconds.
-const SEEK: Duration = Duration::from_millis(250);
-
-/// The same later on.
-const SEEK_LATER: Duration = Duration::from_secs(2);
-
 /// Time for which a node seeks often.
 const YOUNG: Duration = Duration::from_secs(5);
 
@@ -48,24 +33,12 @@
 /// Time in which a node that starts hears the peers of its data centre.
 const ACQUAINTED: Duration = Duration::from_millis(600);
 
-/// Time for which the largest size of the fleet is remembered.
-const SIZE_MEMORY: Duration = Duration::from_secs(30);
-
 /// Rounds in which news are told to other data centres, because some beats are lost.
 const NEWS_ROUNDS: u32 = 2;
 
 /// Time for which news are told in the own data centre, for the same reason.
 const NEWS_NEAR: Duration = Duration::from_millis(120);
 
-/// News in one beat, so that it fits a datagram.
-const MOST_NEWS: usize = 40;
-
-/// Loads in one beat, so that it fits a datagram.
-const MOST_LOADS: usize = 40;
-
-/// Members in one beat, so that it fits a datagram.
-const MOST_MEMBERS: usize = 24;
-
 /// A peer.
 #[derive(Clone, Debug)]
 struct Peer {
@@ -351,80 +324,6 @@
         Some(at)
     }
 
-    /// Takes in a beat.
-    pub fn hear(&mut self, beat: &beat::Beat, now: Time) -> Heard {
-        let node = Node::from(beat.node);
-        let Some(at) = self.meet(node, Some(beat.place), now) else {
-            return Heard::default();
-        };
-        let peer = &mut self.peers[at];
-        let restarted = peer.incarnation != beat.incarnation;
-        if !restarted && beat.sequence <= peer.sequence {
-            return Heard::default();
-        }
-        let was_live = self.is_live(&self.peers[at], now);
-        let peer = &mut self.peers[at];
-        peer.incarnation = beat.incarnation;
-        peer.sequence = beat.sequence;
-        peer.heard = Some(now);
-        peer.known = now;
-        peer.leaving = beat.leaving;
-        let mut heard = Heard {
-            joined: !was_live && !beat.leaving,
-            answer: beat.joining,
-            ..Heard::default()
-        };
-        self.hear_loads(at, beat, now, &mut heard);
-        self.hear_members(beat, now);
-        self.note_size(now);
-        heard
-    }
-
-    fn hear_loads(&mut self, at: usize, beat: &beat::Beat, now: Time, heard: &mut Heard) {
-        let loads: Vec<(Key, Load)> = beat.loads.iter().map(load).collect();
-        heard.added.clone_from(&loads);
-        if beat.place == self.place {
-            heard.removed = std::mem::replace(&mut self.peers[at].loads, loads);
-            return;
-        }
-        match self
-            .remotes
-            .iter_mut()
-            .find(|each| each.place == beat.place)
-        {
-            Some(remote) => {
-                remote.heard = now;
-                heard.removed = std::mem::replace(&mut remote.loads, loads);
-            }
-            None => self.remotes.push(Remote {
-                place: beat.place,
-                heard: now,
-                loads,
-            }),
-        }
-    }
-
-    fn hear_members(&mut self, beat: &beat::Beat, now: Time) {
-        for member in &beat.members {
-            let Some(at) = self.meet(Node::from(member.node), Some(member.place), now) else {
-                continue;
-            };
-            // A data centre vouches for its own nodes; the others are only hearsay.
-            if member.place == beat.place && beat.place != self.place {
-                self.peers[at].heard = Some(now);
-                self.peers[at].known = now;
-                self.peers[at].leaving = false;
-            }
-        }
-    }
-
-    fn note_size(&mut self, now: Time) {
-        let size = 1 + self.members(now).len();
-        remember_most(&mut self.sizes, size, now);
-        let here = self.live(self.place, now).len();
-        remember_most(&mut self.here, here, now);
-    }
-
     /// Forgets who is gone and returns the work that is no longer known of, and who fell silent.
     pub fn expire(&mut self, now: Time) -> (Vec<(Key, Load)>, Vec<Node>) {
         let mut removed = Vec::new();
@@ -458,190 +357,4 @@
         });
         (removed, silent)
     }
-
-    /// Returns whether any beat is due.
-    #[must_use]
-    pub fn is_due(&self, now: Time) -> bool {
-        now >= self.round_due || now >= self.quiet_due || (self.dirty && now >= self.local_due)
-    }
-
-    /// Returns the beats that are due.
-    pub fn beats(&mut self, status: &Status, now: Time) -> Vec<(Node, beat::Beat)> {
-        let mut beats = Vec::new();
-        if now >= self.quiet_due || (self.dirty && now >= self.local_due) {
-            self.beat_locally(status, now, &mut beats);
-        }
-        if now >= self.round_due {
-            self.beat_remotely(status, now, &mut beats);
-            self.seek(status, now, &mut beats);
-        }
-        beats
-    }
-
-    /// Returns the answer to a peer that joins.
-    pub fn answer(&mut self, node: Node, status: &Status, now: Time) -> beat::Beat {
-        let near = self
-            .find(node)
-            .is_ok_and(|at| self.peers[at].place == Some(self.place));
-        self.compose(status, near, false, now)
-    }
-
-    fn beat_locally(&mut self, status: &Status, now: Time, beats: &mut Vec<(Node, beat::Beat)>) {
-        self.dirty = false;
-        self.local_due = now + BUSY;
-        self.quiet_due = now + QUIET;
-        for node in self.live(self.place, now) {
-            if node != self.me {
-                beats.push((node, self.compose(status, true, false, now)));
-            }
-        }
-    }
-
-    /// The sum of many nodes changes less from round to round, and costs more to tell them all.
-    fn round_time(&self, now: Time) -> Duration {
-        let nodes = self.live(self.place, now).len() as u32;
-        ROUND * nodes.max(1).div_ceil(ROUND_NODES)
-    }
-
-    /// The n-th node of this data centre tells every n-th node of each other one, and the
-    /// assignment shifts with each round.
-    fn beat_remotely(&mut self, status: &Status, now: Time, beats: &mut Vec<(Node, beat::Beat)>) {
-        let here = self.live(self.place, now);
-        let count = here.len().max(1);
-        self.round_due = now + self.round_time(now);
-        self.round += 1;
-        let mine = here.binary_search(&self.me).unwrap_or(0);
-        let mut places: Vec<Place> = self.remotes.iter().map(|each| each.place).collect();
-        places.sort_unstable();
-        for place in places {
-            let there = self.live(place, now);
-            for (at, &node) in there.iter().enumerate() {
-                if at % count == (mine + self.round) % count {
-                    beats.push((node, self.compose(status, false, false, now)));
-                }
-            }
-        }
-    }
-
-    /// Seeds and members that are not heard are asked to answer, seldom after the first seconds.
-    fn seek(&mut self, status: &Status, now: Time, beats: &mut Vec<(Node, beat::Beat)>) {
-        if self.leaving {
-            return;
-        }
-        let young = now.saturating_sub(self.started) < YOUNG;
-        let pause = if young { SEEK } else { SEEK_LATER };
-        for at in 0..self.peers.len() {
-            let peer = &self.peers[at];
-            let due = peer
-                .told
-                .is_none_or(|told| now.saturating_sub(told) >= pause);
-            // Nodes of other data centres answer for each other.
-            let needed = match peer.place {
-                Some(place) if place != self.place => {
-                    !self.remotes.iter().any(|each| each.place == place)
-                }
-                _ => true,
-            };
-            if due && needed && !peer.leaving && !self.is_live(peer, now) {
-                let near = peer.place == Some(self.place);
-                let node = peer.node;
-                self.peers[at].told = Some(now);
-                beats.push((node, self.compose(status, near, true, now)));
-            }
-        }
-    }
-
-    fn compose(&mut self, status: &Status, near: bool, joining: bool, now: Time) -> beat::Beat {
-        self.sequence += 1;
-        let recent = |news: &&News| now.saturating_sub(news.learnt) < NEWS_NEAR;
-        let news = self.news.iter().rev();
-        let holdings = news
-            .filter(|news| if near { recent(news) } else { news.own })
-            .take(MOST_NEWS)
-            .map(|news| beat::Holding {
-                endpoint: news.endpoint,
-                prefix: news.prefix,
-            });
-        beat::Beat {
-            node: self.me.into(),
-            incarnation: self.incarnation,
-            sequence: self.sequence,
-            place: self.place,
-            leaving: self.leaving,
-            joining,
-            policy: status.policy,
-            roster: status.roster,
-            members: self.introduce(joining || !near, now),
-            loads: self.sum(status, near),
-            holdings: holdings.collect(),
-            health: status.health.clone(),
-            strikes: status.strikes.clone(),
-        }
-    }
-
-    /// Names the live nodes; peers of the same data centre know each other after the first beat.
-    fn introduce(&self, fully: bool, now: Time) -> Vec<beat::Member> {
-        if !fully && !self.round.is_multiple_of(8) {
-            return Vec::new();
-        }
-        let mut members = self.members(now);
-        if !self.leaving {
-            members.push((self.me, self.place));
-        }
-        members.sort_by_key(|&(node, place)| (place != self.place, node));
-        let named = members.into_iter().take(MOST_MEMBERS);
-        named
-            .map(|(node, place)| beat::Member {
-                node: node.into(),
-                place,
-            })
-            .collect()
-    }
-
-    fn sum(&self, status: &Status, near: bool) -> Vec<beat::Load> {
-        let mut loads = status.loads.clone();
-        if !near {
-            let peers = self
-                .peers
-                .iter()
-                .filter(|peer| peer.place == Some(self.place));
-            loads.extend(peers.flat_map(|peer| peer.loads.iter().copied()));
-            loads.sort_unstable_by_key(|(key, _)| *key);
-            loads.dedup_by(|(other, more), (key, load)| {
-                let same = other == key;
-                if same {
-                    load.add(*more);
-                }
-                same
-            });
-        }
-        if loads.len() > MOST_LOADS {
-            loads.sort_unstable_by_key(|(_, load)| std::cmp::Reverse(load.unread));
-            loads.truncate(MOST_LOADS);
-        }
-        loads
-            .iter()
-            .map(|(key, load)| beat::Load {
-                endpoint: *key,
-                running: load.running,
-                unread: load.unread,
-                urgent: load.urgent,
-            })
-            .collect()
-    }
-}
-
-/// Keeps what is needed to know the largest size of the last while.
-fn remember_most(sizes: &mut Vec<(Time, usize)>, size: usize, now: Time) {
-    sizes.retain(|&(at, old)| now.saturating_sub(at) < SIZE_MEMORY && old > size);
-    sizes.push((now, size));
-}
-
-fn load(told: &beat::Load) -> (Key, Load) {
-    let load = Load {
-        running: told.running,
-        unread: told.unread,
-        urgent: told.urgent,
-    };
-    (told.endpoint, load)
 }
--- /dev/null
+++ b/crates/peridotdeck-core/src/dispatch/fleet/hearing.rs
@@ -0,0 +1,105 @@
+//! What a node takes in from a peer's beat.
+
+use std::time::Duration;
+
+use peridotdeck_wire::beat;
+
+use super::{Fleet, Heard, Remote};
+use crate::{
+    dispatch::{Key, Node, endpoint::Load},
+    id::Time,
+};
+
+/// Time for which the largest size of the fleet is remembered.
+const SIZE_MEMORY: Duration = Duration::from_secs(30);
+
+impl Fleet {
+    /// Takes in a beat.
+    pub fn hear(&mut self, beat: &beat::Beat, now: Time) -> Heard {
+        let node = Node::from(beat.node);
+        let Some(at) = self.meet(node, Some(beat.place), now) else {
+            return Heard::default();
+        };
+        let peer = &mut self.peers[at];
+        let restarted = peer.incarnation != beat.incarnation;
+        if !restarted && beat.sequence <= peer.sequence {
+            return Heard::default();
+        }
+        let was_live = self.is_live(&self.peers[at], now);
+        let peer = &mut self.peers[at];
+        peer.incarnation = beat.incarnation;
+        peer.sequence = beat.sequence;
+        peer.heard = Some(now);
+        peer.known = now;
+        peer.leaving = beat.leaving;
+        let mut heard = Heard {
+            joined: !was_live && !beat.leaving,
+            answer: beat.joining,
+            ..Heard::default()
+        };
+        self.hear_loads(at, beat, now, &mut heard);
+        self.hear_members(beat, now);
+        self.note_size(now);
+        heard
+    }
+
+    fn hear_loads(&mut self, at: usize, beat: &beat::Beat, now: Time, heard: &mut Heard) {
+        let loads: Vec<(Key, Load)> = beat.loads.iter().map(load).collect();
+        heard.added.clone_from(&loads);
+        if beat.place == self.place {
+            heard.removed = std::mem::replace(&mut self.peers[at].loads, loads);
+            return;
+        }
+        match self
+            .remotes
+            .iter_mut()
+            .find(|each| each.place == beat.place)
+        {
+            Some(remote) => {
+                remote.heard = now;
+                heard.removed = std::mem::replace(&mut remote.loads, loads);
+            }
+            None => self.remotes.push(Remote {
+                place: beat.place,
+                heard: now,
+                loads,
+            }),
+        }
+    }
+
+    fn hear_members(&mut self, beat: &beat::Beat, now: Time) {
+        for member in &beat.members {
+            let Some(at) = self.meet(Node::from(member.node), Some(member.place), now) else {
+                continue;
+            };
+            // A data centre vouches for its own nodes; the others are only hearsay.
+            if member.place == beat.place && beat.place != self.place {
+                self.peers[at].heard = Some(now);
+                self.peers[at].known = now;
+                self.peers[at].leaving = false;
+            }
+        }
+    }
+
+    fn note_size(&mut self, now: Time) {
+        let size = 1 + self.members(now).len();
+        remember_most(&mut self.sizes, size, now);
+        let here = self.live(self.place, now).len();
+        remember_most(&mut self.here, here, now);
+    }
+}
+
+/// Keeps what is needed to know the largest size of the last while.
+fn remember_most(sizes: &mut Vec<(Time, usize)>, size: usize, now: Time) {
+    sizes.retain(|&(at, old)| now.saturating_sub(at) < SIZE_MEMORY && old > size);
+    sizes.push((now, size));
+}
+
+fn load(told: &beat::Load) -> (Key, Load) {
+    let load = Load {
+        running: told.running,
+        unread: told.unread,
+        urgent: told.urgent,
+    };
+    (told.endpoint, load)
+}
--- /dev/null
+++ b/crates/peridotdeck-core/src/dispatch/fleet/telling.rs
@@ -0,0 +1,211 @@
+//! What a node tells its peers, and when.
+
+use std::time::Duration;
+
+use peridotdeck_wire::beat;
+
+use super::{Fleet, NEWS_NEAR, News, Status, YOUNG};
+use crate::{
+    dispatch::{Node, Place},
+    id::Time,
+};
+
+/// Longest time between two beats to a peer of the own data centre.
+const QUIET: Duration = Duration::from_millis(400);
+
+/// Shortest time between two beats to a peer of the own data centre.
+const BUSY: Duration = Duration::from_millis(25);
+
+/// Time between two rounds of beats to other data centres.
+const ROUND: Duration = Duration::from_millis(250);
+
+/// Nodes of a data centre for which a round takes that long; more take longer.
+const ROUND_NODES: u32 = 4;
+
+/// Time between two tries to reach a seed or a member that is not alive, in the first seconds.
+const SEEK: Duration = Duration::from_millis(250);
+
+/// The same later on.
+const SEEK_LATER: Duration = Duration::from_secs(2);
+
+/// News in one beat, so that it fits a datagram.
+const MOST_NEWS: usize = 40;
+
+/// Loads in one beat, so that it fits a datagram.
+const MOST_LOADS: usize = 40;
+
+/// Members in one beat, so that it fits a datagram.
+const MOST_MEMBERS: usize = 24;
+
+impl Fleet {
+    /// Returns whether any beat is due.
+    #[must_use]
+    pub fn is_due(&self, now: Time) -> bool {
+        now >= self.round_due || now >= self.quiet_due || (self.dirty && now >= self.local_due)
+    }
+
+    /// Returns the beats that are due.
+    pub fn beats(&mut self, status: &Status, now: Time) -> Vec<(Node, beat::Beat)> {
+        let mut beats = Vec::new();
+        if now >= self.quiet_due || (self.dirty && now >= self.local_due) {
+            self.beat_locally(status, now, &mut beats);
+        }
+        if now >= self.round_due {
+            self.beat_remotely(status, now, &mut beats);
+            self.seek(status, now, &mut beats);
+        }
+        beats
+    }
+
+    /// Returns the answer to a peer that joins.
+    pub fn answer(&mut self, node: Node, status: &Status, now: Time) -> beat::Beat {
+        let near = self
+            .find(node)
+            .is_ok_and(|at| self.peers[at].place == Some(self.place));
+        self.compose(status, near, false, now)
+    }
+
+    fn beat_locally(&mut self, status: &Status, now: Time, beats: &mut Vec<(Node, beat::Beat)>) {
+        self.dirty = false;
+        self.local_due = now + BUSY;
+        self.quiet_due = now + QUIET;
+        for node in self.live(self.place, now) {
+            if node != self.me {
+                beats.push((node, self.compose(status, true, false, now)));
+            }
+        }
+    }
+
+    /// The n-th node of this data centre tells every n-th node of each other one, and the
+    /// assignment shifts with each round.
+    fn beat_remotely(&mut self, status: &Status, now: Time, beats: &mut Vec<(Node, beat::Beat)>) {
+        let here = self.live(self.place, now);
+        let count = here.len().max(1);
+        self.round_due = now + self.round_time(now);
+        self.round += 1;
+        let mine = here.binary_search(&self.me).unwrap_or(0);
+        let mut places: Vec<Place> = self.remotes.iter().map(|each| each.place).collect();
+        places.sort_unstable();
+        for place in places {
+            let there = self.live(place, now);
+            for (at, &node) in there.iter().enumerate() {
+                if at % count == (mine + self.round) % count {
+                    beats.push((node, self.compose(status, false, false, now)));
+                }
+            }
+        }
+    }
+
+    /// The sum of many nodes changes less from round to round, and costs more to tell them all.
+    pub(super) fn round_time(&self, now: Time) -> Duration {
+        let nodes = self.live(self.place, now).len() as u32;
+        ROUND * nodes.max(1).div_ceil(ROUND_NODES)
+    }
+
+    /// Seeds and members that are not heard are asked to answer, seldom after the first seconds.
+    fn seek(&mut self, status: &Status, now: Time, beats: &mut Vec<(Node, beat::Beat)>) {
+        if self.leaving {
+            return;
+        }
+        let young = now.saturating_sub(self.started) < YOUNG;
+        let pause = if young { SEEK } else { SEEK_LATER };
+        for at in 0..self.peers.len() {
+            let peer = &self.peers[at];
+            let due = peer
+                .told
+                .is_none_or(|told| now.saturating_sub(told) >= pause);
+            // Nodes of other data centres answer for each other.
+            let needed = match peer.place {
+                Some(place) if place != self.place => {
+                    !self.remotes.iter().any(|each| each.place == place)
+                }
+                _ => true,
+            };
+            if due && needed && !peer.leaving && !self.is_live(peer, now) {
+                let near = peer.place == Some(self.place);
+                let node = peer.node;
+                self.peers[at].told = Some(now);
+                beats.push((node, self.compose(status, near, true, now)));
+            }
+        }
+    }
+
+    fn compose(&mut self, status: &Status, near: bool, joining: bool, now: Time) -> beat::Beat {
+        self.sequence += 1;
+        let recent = |news: &&News| now.saturating_sub(news.learnt) < NEWS_NEAR;
+        let news = self.news.iter().rev();
+        let holdings = news
+            .filter(|news| if near { recent(news) } else { news.own })
+            .take(MOST_NEWS)
+            .map(|news| beat::Holding {
+                endpoint: news.endpoint,
+                prefix: news.prefix,
+            });
+        beat::Beat {
+            node: self.me.into(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            place: self.place,
+            leaving: self.leaving,
+            joining,
+            policy: status.policy,
+            roster: status.roster,
+            members: self.introduce(joining || !near, now),
+            loads: self.sum(status, near),
+            holdings: holdings.collect(),
+            health: status.health.clone(),
+            strikes: status.strikes.clone(),
+        }
+    }
+
+    /// Names the live nodes; peers of the same data centre know each other after the first beat.
+    fn introduce(&self, fully: bool, now: Time) -> Vec<beat::Member> {
+        if !fully && !self.round.is_multiple_of(8) {
+            return Vec::new();
+        }
+        let mut members = self.members(now);
+        if !self.leaving {
+            members.push((self.me, self.place));
+        }
+        members.sort_by_key(|&(node, place)| (place != self.place, node));
+        let named = members.into_iter().take(MOST_MEMBERS);
+        named
+            .map(|(node, place)| beat::Member {
+                node: node.into(),
+                place,
+            })
+            .collect()
+    }
+
+    fn sum(&self, status: &Status, near: bool) -> Vec<beat::Load> {
+        let mut loads = status.loads.clone();
+        if !near {
+            let peers = self
+                .peers
+                .iter()
+                .filter(|peer| peer.place == Some(self.place));
+            loads.extend(peers.flat_map(|peer| peer.loads.iter().copied()));
+            loads.sort_unstable_by_key(|(key, _)| *key);
+            loads.dedup_by(|(other, more), (key, load)| {
+                let same = other == key;
+                if same {
+                    load.add(*more);
+                }
+                same
+            });
+        }
+        if loads.len() > MOST_LOADS {
+            loads.sort_unstable_by_key(|(_, load)| std::cmp::Reverse(load.unread));
+            loads.truncate(MOST_LOADS);
+        }
+        loads
+            .iter()
+            .map(|(key, load)| beat::Load {
+                endpoint: *key,
+                running: load.running,
+                unread: load.unread,
+                urgent: load.urgent,
+            })
+            .collect()
+    }
+}
--- a/crates/peridotdeck-core/src/dispatch/refusal.rs
+++ b/crates/peridotdeck-core/src/dispatch/refusal.rs
@@ -1,11 +1,7 @@
 //! Why a request ends without an endpoint's answer.
 
-use std::time::Duration;
-
 use strum::{Display, IntoStaticStr};
 
-use crate::Verdict;
-
 /// Why a request is refused or given up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -35,34 +31,4 @@
 }
 
 /// The end of a request without an endpoint's answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal {
-    /// Whether the request may have run.
-    pub verdict: Verdict,
-    /// Why.
-    pub cause: Cause,
-    /// When a new try makes sense.
-    pub retry_after: Option<Duration>,
-}
-
-impl Refusal {
-    /// Refuses a request that no endpoint has run.
-    #[must_use]
-    pub fn not_run(cause: Cause, retry_after: Option<Duration>) -> Self {
-        Self {
-            verdict: Verdict::NotRun,
-            cause,
-            retry_after,
-        }
-    }
-
-    /// Gives up a request that an endpoint may have run.
-    #[must_use]
-    pub fn may_have_run(cause: Cause) -> Self {
-        Self {
-            verdict: Verdict::MayHaveRun,
-            cause,
-            retry_after: None,
-        }
-    }
-}
+pub type Refusal = crate::refusal::Refusal<Cause>;
--- a/crates/peridotdeck-core/src/lib.rs
+++ b/crates/peridotdeck-core/src/lib.rs
@@ -13,6 +13,8 @@
 //! - [`member`]: which peers are alive, and who owns what;
 //! - [`book`]: the configuration in force.
 //!
+//! [`dispatch`] decides without owners, for sites where each node places its own callers' requests.
+//!
 //! `docs/ARCHITECTURE.md` follows one request through them.
 
 pub mod action;
@@ -31,6 +33,7 @@
 pub mod pool;
 pub mod queue;
 pub mod rank;
+pub mod refusal;
 pub mod request;
 pub mod size;
 pub mod strategy;
--- a/crates/peridotdeck-core/src/request.rs
+++ b/crates/peridotdeck-core/src/request.rs
@@ -1,10 +1,8 @@
 //! What the decisions need to know about a caller's request.
 
-use std::time::Duration;
-
 use strum::{Display, IntoStaticStr};
 
-use crate::{Verdict, id};
+use crate::id;
 
 /// A request as the caller's side has read it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -71,34 +69,4 @@
 }
 
 /// The end of a request without an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal {
-    /// Whether the request may have run.
-    pub verdict: Verdict,
-    /// Why it is refused.
-    pub cause: Cause,
-    /// When a new try makes sense.
-    pub retry_after: Option<Duration>,
-}
-
-impl Refusal {
-    /// Refuses a request that no endpoint has seen.
-    #[must_use]
-    pub fn not_run(cause: Cause, retry_after: Option<Duration>) -> Self {
-        Self {
-            verdict: Verdict::NotRun,
-            cause,
-            retry_after,
-        }
-    }
-
-    /// Ends a request that an endpoint may have run.
-    #[must_use]
-    pub fn may_have_run(cause: Cause) -> Self {
-        Self {
-            verdict: Verdict::MayHaveRun,
-            cause,
-            retry_after: None,
-        }
-    }
-}
+pub type Refusal = crate::refusal::Refusal<Cause>;
