--- a/crates/peridotdeck-relay/src/journey.rs
+++ b/crates/peridotdeck-relay/src/journey.rs
@@ -30,7 +30,7 @@
     exchange::{self, Failure, Message},
     ingress::Reply,
     pool::Link,
-    stream::Relay,
+    stream::{self, Events, Relay},
 };
 
 /// Longest time to read the rest of an answer that nobody needs, to keep the connection.
@@ -51,7 +51,7 @@
 #[derive(Debug)]
 pub(crate) struct Started {
     pub(crate) head: response::Parts,
-    pub(crate) first: Bytes,
+    pub(crate) events: Events,
     pub(crate) body: Option<Incoming>,
     pub(crate) link: Link,
     pub(crate) keep_alive: Option<Duration>,
@@ -196,11 +196,13 @@
         let (link, keep_alive) = (answer.link, answer.keep_alive);
         let end = match answer.reply {
             Reply::Answer if flight.route.kind == Kind::Stream => {
-                let first = first_part(&mut body, flight).await?;
+                // Until the first event there may still be another answer than this one.
+                let mut events = Events::default();
+                let goes_on = first_event(&mut body, &mut events, flight).await?;
                 return Ok(Arrival::Started(Box::new(Started {
                     head,
-                    body: first.is_some().then_some(body),
-                    first: first.unwrap_or_default(),
+                    events,
+                    body: goes_on.then_some(body),
                     link,
                     keep_alive,
                 })));
@@ -427,18 +429,20 @@
     within(flight, read).await
 }
 
-/// Returns the first part of a stream, or none if it ends without one.
-async fn first_part(body: &mut Incoming, flight: &Flight) -> Result<Option<Bytes>, Failure> {
+/// Reads up to the first whole event and returns whether the stream goes on.
+async fn first_event(
+    body: &mut Incoming,
+    events: &mut Events,
+    flight: &Flight,
+) -> Result<bool, Failure> {
     let read = async {
         loop {
-            match body.frame().await {
-                None => return Ok(None),
-                Some(Err(cause)) => return Err(Failure::new(End::Broken, &cause)),
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Ok(Some(data));
-                    }
-                }
+            match stream::read(body).await? {
+                None => return Ok(false),
+                Some(bytes) => events.push(&bytes),
+            }
+            if events.has_whole() {
+                return Ok(true);
             }
         }
     };
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -59,15 +59,13 @@
     pub(crate) fn new(mut journey: Journey<I>, key: Key, started: Started) -> Self {
         journey.note_read();
         let left = journey.flight.left(clock::now());
-        let mut events = Events::default();
-        events.push(&started.first);
         Self {
             journey,
             key,
             link: Some(started.link),
             keep_alive: started.keep_alive,
             body: started.body,
-            events,
+            events: started.events,
             first_sent: false,
             sent: Time::ZERO,
             deadline: Timer::after(left),
@@ -82,7 +80,12 @@
             match relay.next().await {
                 Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
                 Ok(None) => None,
-                Err(cut) => Some((Err(cut), None)),
+                Err(cut) => {
+                    // The connection is dropped with an error, and what it has not written yet with
+                    // it: let it write the events before.
+                    future::yield_now().await;
+                    Some((Err(cut), None))
+                }
             }
         });
         StreamBody::new(events)
@@ -172,12 +175,14 @@
         self.link = Some(started.link);
         self.keep_alive = started.keep_alive;
         self.body = started.body;
-        self.events.restart();
-        self.events.push(&started.first);
+        let last = self.events.last.take();
+        self.events = started.events;
+        self.events.last = last;
     }
 }
 
-async fn read(body: &mut Incoming) -> Result<Option<Bytes>, Failure> {
+/// Returns the next bytes of a body, or none at its end.
+pub(crate) async fn read(body: &mut Incoming) -> Result<Option<Bytes>, Failure> {
     loop {
         match body.frame().await {
             None => return Ok(None),
@@ -225,9 +230,10 @@
         (!rest.is_empty()).then(|| Bytes::from(rest))
     }
 
-    /// Drops a part of an event: another endpoint sends it again.
-    pub fn restart(&mut self) {
-        self.pending.clear();
+    /// Returns whether a whole event can be taken.
+    #[must_use]
+    pub fn has_whole(&self) -> bool {
+        end_of_events(&self.pending).is_some() || self.pending.len() > MOST_PENDING
     }
 
     /// Returns the id of the last event that was taken.
