Count prompts as long from 1,024 unread tokens

Cause: bulk whose subject is cached has a median of 2,500 unread tokens, so half of it still went to quiet endpoints and stayed there for ten seconds.

--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -82,8 +82,8 @@
 /// Score of an endpoint with such streams for a long prompt.
 const INTRUSION_SCORE: f64 = 2_000.0;
 
-/// Unread tokens beyond which a prompt is long: it is read in more than one step.
-const LONG_PROMPT: u32 = 3_000;
+/// Unread tokens beyond which a prompt is long: reading it shows in the pauses of others.
+const LONG_PROMPT: u32 = 1_024;
 
 /// Score of an endpoint all of whose attempts fail, in targets of the route.
 const FAILURE_TARGETS: f64 = 5.0;
