--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -77,10 +77,10 @@
 const COMPANY_SCORE: f64 = 4.0;
 
 /// Score of an endpoint with long prompts for a stream that is late beside them.
-const NOISE_SCORE: f64 = 500.0;
+const NOISE_SCORE: f64 = 1_000.0;
 
 /// Score of an endpoint with such streams for a long prompt.
-const INTRUSION_SCORE: f64 = 2_000.0;
+const INTRUSION_SCORE: f64 = 10_000.0;
 
 /// Unread tokens beyond which a prompt is long: reading it shows in the pauses of others.
 const LONG_PROMPT: u32 = 1_024;
