--- a/crates/peridotdeck-core/src/dispatch/registry.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry.rs
@@ -16,12 +16,9 @@
 use super::{Key, config::Config, key};
 use crate::id::Time;
 
-/// Time for which an endpoint that vanishes around an outage of the publisher is still used: its
-/// entry may have lapsed with the publisher and come back.
-const LAPSE: Duration = Duration::from_millis(2_200);
-
-/// Time after trouble with the publisher in which a vanished entry may have lapsed with it.
-const SUSPICION: Duration = Duration::from_secs(8);
+/// Time after the last trouble with the publisher until which an endpoint that vanishes is still
+/// used: its entry may have lapsed with the publisher, and is back within two seconds of its return.
+const LAPSE: Duration = Duration::from_millis(2_600);
 
 /// What is published together, with one revision.
 #[derive(
@@ -121,11 +118,13 @@
         revision: Revision,
         /// The endpoints.
         endpoints: Vec<Endpoint>,
+        /// Those that have vanished and may come back, with the time that they have left for it.
+        lapsing: Vec<(String, Duration)>,
     },
 }
 
 impl Snapshot {
-    fn into_facts(self) -> (Area, Revision, Vec<Fact>) {
+    fn into_facts(self) -> (Area, Revision, Vec<Fact>, Vec<(String, Duration)>) {
         match self {
             Self::Policy {
                 revision,
@@ -135,14 +134,15 @@
                 let config = config.map(|config| Fact::Config(Arc::unwrap_or_clone(config)));
                 let closed = closed.into_iter().map(Fact::Closed);
                 let facts = config.into_iter().chain(closed).collect();
-                (Area::Policy, revision, facts)
+                (Area::Policy, revision, facts, Vec::new())
             }
             Self::Roster {
                 revision,
                 endpoints,
+                lapsing,
             } => {
                 let facts = endpoints.into_iter().map(Fact::Endpoint).collect();
-                (Area::Roster, revision, facts)
+                (Area::Roster, revision, facts, lapsing)
             }
         }
     }
@@ -210,7 +210,7 @@
 
     /// Returns the whole of an area for a peer.
     #[must_use]
-    pub fn snapshot(&self, area: Area) -> Snapshot {
+    pub fn snapshot(&self, area: Area, now: Time) -> Snapshot {
         match area {
             Area::Policy => Snapshot::Policy {
                 revision: self.policy,
@@ -220,18 +220,26 @@
             Area::Roster => Snapshot::Roster {
                 revision: self.roster,
                 endpoints: self.endpoints.clone(),
+                lapsing: self
+                    .lapsing
+                    .iter()
+                    .map(|(id, until)| (id.clone(), until.saturating_sub(now)))
+                    .collect(),
             },
         }
     }
 
     /// Takes in a peer's snapshot if it is newer.
     pub fn adopt(&mut self, snapshot: Snapshot, now: Time) -> Change {
-        let (area, revision, facts) = snapshot.into_facts();
+        let (area, revision, facts, lapsing) = snapshot.into_facts();
         let known = self.revision(area);
         if revision.changed <= known.changed {
             return Change::default();
         }
         let change = self.follow(area, facts, true, now);
+        for (id, left) in lapsing {
+            self.lapsing.push((id, now + left));
+        }
         *self.revision_mut(area) = Revision {
             changed: revision.changed,
             read: revision.read.max(known.read),
@@ -352,14 +360,13 @@
     /// may have lapsed for want of a heartbeat.
     fn lose(&mut self, id: &str, now: Time, change: &mut Change) {
         let Ok(at) = self.find(id) else { return };
-        let suspicious = self
-            .trouble
-            .is_some_and(|at| now.saturating_sub(at) < SUSPICION);
+        let until = self.trouble.map_or(Time::ZERO, |at| at + LAPSE);
+        let suspicious = now < until;
         if !suspicious || self.endpoints[at].draining {
             change.removed.push(self.endpoints.remove(at));
             self.lapsing.retain(|(each, _)| each != id);
         } else if !self.lapsing.iter().any(|(each, _)| each == id) {
-            self.lapsing.push((id.to_owned(), now + LAPSE));
+            self.lapsing.push((id.to_owned(), until));
         }
     }
 
--- a/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
+++ b/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
@@ -183,7 +183,10 @@
             .iter()
             .any(|errand| errand.node == node(1) && errand.area == Area::Policy)
     );
-    let snapshot = fleet.nodes[0].1.registry().snapshot(Area::Policy);
+    let snapshot = fleet.nodes[0]
+        .1
+        .registry()
+        .snapshot(Area::Policy, ms(1_500));
     let change = fleet.nodes[3].1.adopt(snapshot, ms(1_500));
     assert_eq!(change.version, Some(2));
 }
--- a/crates/peridotdeck-core/tests/testsuite/roster_lapse.rs
+++ b/crates/peridotdeck-core/tests/testsuite/roster_lapse.rs
@@ -63,12 +63,37 @@
     registry.note_trouble(ms(5_000));
     roster(&mut registry, 2, Vec::new(), ms(6_000));
     assert_eq!(registry.endpoints().len(), 1, "kept while it may come back");
-    assert!(registry.tick(ms(7_900)).is_empty());
-    roster(&mut registry, 3, listed, ms(7_950));
+    assert!(registry.tick(ms(7_500)).is_empty());
+    roster(&mut registry, 3, listed, ms(7_550));
     assert!(registry.tick(ms(9_000)).is_empty(), "it came back");
     registry.note_trouble(ms(9_500));
     roster(&mut registry, 4, Vec::new(), ms(10_000));
-    assert_eq!(registry.tick(ms(12_300)).len(), 1, "it did not come back");
+    assert_eq!(registry.tick(ms(12_200)).len(), 1, "it did not come back");
+}
+
+#[test]
+fn peers_learn_that_an_entry_may_come_back_and_when_it_is_gone() {
+    let (mut watcher, mut follower) = (Registry::default(), Registry::default());
+    let listed = vec![Fact::Endpoint(endpoint("e", "text", "muenchen"))];
+    roster(&mut watcher, 1, listed, ms(0));
+    follower.adopt(watcher.snapshot(Area::Roster, ms(10)), ms(10));
+    watcher.note_trouble(ms(5_000));
+    roster(&mut watcher, 2, Vec::new(), ms(6_000));
+    let change = follower.adopt(watcher.snapshot(Area::Roster, ms(6_050)), ms(6_050));
+    assert!(change.removed.is_empty(), "it may come back");
+    assert!(follower.tick(ms(7_500)).is_empty());
+    assert_eq!(follower.tick(ms(7_700)).len(), 1, "it did not come back");
+}
+
+#[test]
+fn entry_that_vanishes_long_after_the_trouble_is_gone_at_once() {
+    let mut registry = Registry::default();
+    let listed = vec![Fact::Endpoint(endpoint("e", "text", "muenchen"))];
+    roster(&mut registry, 1, listed, ms(0));
+    registry.note_trouble(ms(5_000));
+    let gone = report(Area::Roster, 2, false, vec![Fact::Gone("e".into())]);
+    let change = registry.apply(gone, ms(9_800));
+    assert_eq!(change.removed.len(), 1);
 }
 
 #[test]
@@ -105,17 +130,17 @@
     }
     let newer = vec![Fact::Config(config(2)), Fact::Closed("a".into())];
     ahead.apply(report(Area::Policy, 8, false, newer), ms(1));
-    let change = behind.adopt(ahead.snapshot(Area::Policy), ms(2));
+    let change = behind.adopt(ahead.snapshot(Area::Policy, ms(2)), ms(2));
     assert_eq!(change.version, Some(2));
     assert_eq!(behind.closed(), ["a"]);
     // The publisher's delayed report of the same revision must not undo it.
     let delayed = report(Area::Policy, 7, true, vec![Fact::Config(config(1))]);
     assert_eq!(behind.apply(delayed, ms(3)).opened.len(), 0);
-    let Snapshot::Policy { revision, .. } = behind.snapshot(Area::Policy) else {
+    let Snapshot::Policy { revision, .. } = behind.snapshot(Area::Policy, ms(2)) else {
         panic!("a snapshot of the policy");
     };
     assert_eq!(revision.changed, 8);
-    let older = ahead.snapshot(Area::Policy);
+    let older = ahead.snapshot(Area::Policy, ms(2));
     behind.apply(
         report(Area::Policy, 9, false, vec![Fact::Opened("a".into())]),
         ms(4),
--- a/crates/peridotdeck-relay/src/control.rs
+++ b/crates/peridotdeck-relay/src/control.rs
@@ -71,7 +71,7 @@
 }
 
 fn snapshot<I: Ingress>(shared: &Shared<I>, area: Area) -> Response<Full<Bytes>> {
-    let snapshot = shared.dispatcher().registry().snapshot(area);
+    let snapshot = shared.dispatcher().registry().snapshot(area, clock::now());
     match postcard::to_stdvec(&snapshot) {
         Ok(bytes) => text(StatusCode::OK, bytes),
         Err(cause) => {
