Log what decided: why no endpoint could take a request, and how old the view was

Change: request_unplaced counts the bars; placements and refusals carry revision and age of what they went by; attempt_ended names the endpoint.

--- a/crates/peridotdeck-core/src/dispatch/attempt.rs
+++ b/crates/peridotdeck-core/src/dispatch/attempt.rs
@@ -4,7 +4,12 @@
 
 use strum::{Display, IntoStaticStr};
 
-use super::{Key, endpoint::Load, placement::Estimate, refusal::Refusal};
+use super::{
+    Key,
+    endpoint::Load,
+    placement::{Bar, Estimate},
+    refusal::Refusal,
+};
 use crate::{Verdict, id::Time};
 
 /// What to do with a request now.
@@ -15,7 +20,7 @@
     /// Ask again after this time.
     Wait(Duration),
     /// Tell the caller.
-    Refuse(Refusal),
+    Refuse(Refusal, Vec<Bar>),
 }
 
 /// An attempt to make.
@@ -37,6 +42,10 @@
     pub estimate: Estimate,
     /// Work that was known of at the endpoint.
     pub load: Load,
+    /// Revision of the endpoint list.
+    pub roster: u64,
+    /// Time since the endpoint list was known to be up to date.
+    pub roster_age: Duration,
 }
 
 /// Work that was sent to an endpoint.
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
@@ -73,6 +73,9 @@
     fn note_ahead(&mut self, beat: &beat::Beat, now: Time) {
         let node = Node::from(beat.node);
         for (area, revision) in [(Area::Policy, beat.policy), (Area::Roster, beat.roster)] {
+            if revision == self.registry.revision(area).changed {
+                self.registry.confirm(area, now);
+            }
             let known = self.ahead.iter().any(|(each, _)| each.errand.area == area);
             if revision > self.registry.revision(area).changed && !known {
                 let errand = Errand { node, area };
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -16,6 +16,7 @@
         placement::{Bar, Estimate, Held, View, is_urgent},
         prefix::{Index, REFRESH},
         refusal::{Cause, Refusal},
+        registry::Area,
         strikes,
     },
     id::{Fingerprint, Time},
@@ -120,7 +121,7 @@
     /// Decides what to do with a request now.
     pub fn place(&mut self, flight: &mut Flight, now: Time) -> Placement {
         if flight.left(now).is_zero() {
-            return Placement::Refuse(give_up(flight, Cause::TimedOut, None));
+            return Placement::Refuse(give_up(flight, Cause::TimedOut, None), Vec::new());
         }
         let Some(config) = self.registry.config().cloned() else {
             return Placement::Wait(LOOK);
@@ -139,7 +140,7 @@
                 Err(bar) => bars.push(bar),
             }
         }
-        self.hold(flight, &bars, now)
+        self.hold(flight, bars, now)
     }
 
     pub(super) fn view<'a>(&'a self, service: &str, held: &'a [Held], now: Time) -> View<'a> {
@@ -292,6 +293,8 @@
         let view = self.view(&flight.service, &[], now);
         let source = estimate.source.and_then(|source| view.address(source));
         let hedge = hedge(flight, &estimate);
+        let roster = self.registry.revision(Area::Roster).changed;
+        let roster_age = self.registry.age(Area::Roster, now);
         let load = Load {
             running: 1,
             unread: estimate.unread,
@@ -316,10 +319,12 @@
             hedge,
             estimate,
             load: before,
+            roster,
+            roster_age,
         }
     }
 
-    fn hold(&mut self, flight: &mut Flight, bars: &[Bar], now: Time) -> Placement {
+    fn hold(&mut self, flight: &mut Flight, bars: Vec<Bar>, now: Time) -> Placement {
         let target = flight.route.target.mul_f64(HOLD_PART).max(HOLD);
         let since = *flight.waiting.get_or_insert(now);
         let hopeless = bars.iter().all(|bar| *bar == Bar::Region) && !bars.is_empty();
@@ -327,7 +332,7 @@
             return Placement::Wait(LOOK);
         }
         let wait = self.return_time(flight, now);
-        Placement::Refuse(give_up(flight, Cause::NoEndpoint, Some(wait)))
+        Placement::Refuse(give_up(flight, Cause::NoEndpoint, Some(wait)), bars)
     }
 
     /// Returns a time in the last third up to `most`, so that callers do not return together.
--- a/crates/peridotdeck-core/src/dispatch/registry.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry.rs
@@ -173,6 +173,7 @@
     endpoints: Vec<Endpoint>,
     lapsing: Vec<(String, Time)>,
     trouble: Option<Time>,
+    confirmed: [Time; 2],
 }
 
 impl Registry {
@@ -203,6 +204,17 @@
         }
     }
 
+    /// Notes that an area is known to be up to date, by the publisher or by a peer that knows no more.
+    pub fn confirm(&mut self, area: Area, now: Time) {
+        self.confirmed[area as usize] = now;
+    }
+
+    /// Returns the time since an area was known to be up to date.
+    #[must_use]
+    pub fn age(&self, area: Area, now: Time) -> Duration {
+        now.saturating_sub(self.confirmed[area as usize])
+    }
+
     /// Notes that the publisher cannot be reached, or has failed.
     pub fn note_trouble(&mut self, now: Time) {
         self.trouble = Some(now);
@@ -236,6 +248,7 @@
         if revision.changed <= known.changed {
             return Change::default();
         }
+        self.confirm(area, now);
         let change = self.follow(area, facts, true, now);
         for (id, left) in lapsing {
             self.lapsing.push((id, now + left));
@@ -250,6 +263,9 @@
     /// Takes in a report if it is newer.
     pub fn apply(&mut self, report: Report, now: Time) -> Change {
         let known = self.revision(report.area);
+        if report.revision >= known.read {
+            self.confirm(report.area, now);
+        }
         if report.revision < known.read || (report.revision == known.read && !report.whole) {
             return Change::default();
         }
--- a/crates/peridotdeck-core/tests/testsuite/attempt_ends.rs
+++ b/crates/peridotdeck-core/tests/testsuite/attempt_ends.rs
@@ -55,9 +55,9 @@
 fn refusal_without_an_attempt_says_not_run_and_when_to_return() {
     let mut node = dispatcher(1, "muenchen", &[]);
     let mut flight = admit(&mut node, ask("booking"), ms(0));
-    let Placement::Refuse(refusal) = (0..200)
+    let Placement::Refuse(refusal, _) = (0..200)
         .map(|at| node.place(&mut flight, ms(at * 20)))
-        .find(|placement| matches!(placement, Placement::Refuse(_)))
+        .find(|placement| matches!(placement, Placement::Refuse(..)))
         .expect("it does not wait forever")
     else {
         unreachable!("found above");
@@ -76,7 +76,7 @@
     let endpoints = [endpoint("a", "desk", "muenchen")];
     let mut node = dispatcher(1, "muenchen", &endpoints);
     let mut flight = admit(&mut node, ask("lookup"), ms(0));
-    let Placement::Refuse(refusal) = node.place(&mut flight, ms(10_001)) else {
+    let Placement::Refuse(refusal, _) = node.place(&mut flight, ms(10_001)) else {
         panic!("nothing is sent after the time is over");
     };
     assert_eq!(refusal.cause, Cause::TimedOut);
--- a/crates/peridotdeck-core/tests/testsuite/prompt_placement.rs
+++ b/crates/peridotdeck-core/tests/testsuite/prompt_placement.rs
@@ -185,7 +185,7 @@
     let late = ms(4) + flight.route.target;
     assert!(matches!(
         node.place(&mut flight, late),
-        Placement::Refuse(_)
+        Placement::Refuse(..)
     ));
 }
 
--- a/crates/peridotdeck-relay/src/front.rs
+++ b/crates/peridotdeck-relay/src/front.rs
@@ -16,6 +16,7 @@
         config::Limits,
         flight::{Ask, Flight},
         refusal::{Cause, Refusal},
+        registry::Area,
     },
     id::Time,
 };
@@ -182,13 +183,13 @@
 fn log_refused<I: Ingress>(shared: &Shared<I>, id: Option<&str>, refusal: &Refusal, arrived: Time) {
     shared.metrics.ended("", "refused");
     let dispatcher = shared.dispatcher();
-    let version = dispatcher
-        .registry()
-        .config()
-        .map_or(0, |each| each.version);
+    let registry = dispatcher.registry();
+    let version = registry.config().map_or(0, |each| each.version);
+    let age = registry.age(Area::Policy, clock::now()).as_millis();
     drop(dispatcher);
     log::info!(
-        "event=request_refused id={} version={version} cause={} verdict={} ms={}",
+        "event=request_refused id={} version={version} policy_age_ms={age} cause={} verdict={} \
+         ms={}",
         id.unwrap_or("-"),
         refusal.cause,
         refusal.verdict,
--- a/crates/peridotdeck-relay/src/journey.rs
+++ b/crates/peridotdeck-relay/src/journey.rs
@@ -21,7 +21,9 @@
         attempt::{Attempt, End, Next, Order, Placement},
         config::Kind,
         flight::Flight,
+        placement::Bar,
         refusal::Refusal,
+        registry::Area,
     },
 };
 
@@ -71,6 +73,8 @@
     pub(crate) message: Message,
     pub(crate) flight: Flight,
     running: Option<Attempt>,
+    /// Endpoint of the last attempt.
+    endpoint: String,
     /// Time from the arrival to the first event that was passed on.
     pub(crate) first: Option<Duration>,
     /// Longest time between two events that were passed on.
@@ -89,6 +93,7 @@
             message,
             flight,
             running: None,
+            endpoint: String::new(),
             first: None,
             pause: Duration::ZERO,
             attempts: 0,
@@ -243,13 +248,17 @@
                 Placement::Send(order) => {
                     self.running = Some(order.attempt.clone());
                     self.attempts += 1;
+                    self.endpoint.clone_from(&order.instance);
                     self.log_placed(&order);
                     return Ok(order);
                 }
                 Placement::Wait(pause) => {
                     Timer::after(pause).await;
                 }
-                Placement::Refuse(refusal) => return Err(refusal),
+                Placement::Refuse(refusal, bars) => {
+                    self.log_unplaced(&bars);
+                    return Err(refusal);
+                }
             }
         }
     }
@@ -307,8 +316,9 @@
             .attempted(&self.flight.service, end.into());
         if end != End::Finished {
             log::info!(
-                "event=attempt_ended id={} endpoint_key={:08x} end={end} ms={} cause=\"{cause}\"",
+                "event=attempt_ended id={} endpoint={} key={:08x} end={end} ms={} cause=\"{cause}\"",
                 self.flight.id,
+                self.endpoint,
                 attempt.key(),
                 now.saturating_sub(attempt.sent()).as_millis(),
             );
@@ -373,7 +383,7 @@
         log::info!(
             "event=request_placed id={} route={} endpoint={} attempt={} rank={} score={:.0} \
              expected_ms={} prompt={} shared={} known={} cached={} unread={} fetch={} running={} \
-             backlog={} left_ms={}",
+             backlog={} left_ms={} roster={} roster_age_ms={}",
             self.flight.id,
             self.flight.route.name,
             order.instance,
@@ -394,6 +404,32 @@
             order.load.running,
             order.load.unread,
             self.flight.left(clock::now()).as_millis(),
+            order.roster,
+            order.roster_age.as_millis(),
+        );
+    }
+
+    /// Logs why no endpoint could take the request: how many were barred by what.
+    fn log_unplaced(&self, bars: &[Bar]) {
+        let mut bars = bars.to_vec();
+        bars.sort_unstable();
+        let counts: Vec<String> = bars
+            .chunk_by(|one, other| one == other)
+            .map(|same| format!("{}:{}", same[0], same.len()))
+            .collect();
+        let dispatcher = self.shared.dispatcher();
+        let registry = dispatcher.registry();
+        let now = clock::now();
+        log::info!(
+            "event=request_unplaced id={} service={} barred={} roster={} roster_age_ms={} \
+             policy={} policy_age_ms={}",
+            self.flight.id,
+            self.flight.service,
+            counts.join(","),
+            registry.revision(Area::Roster).changed,
+            registry.age(Area::Roster, now).as_millis(),
+            registry.revision(Area::Policy).changed,
+            registry.age(Area::Policy, now).as_millis(),
         );
     }
 }
