Explain placements on a node of the platform, by page and by command

Cause: the command knew only nodes with the product's own interface. Change: /explain on the control address lists what each endpoint would do or why it is barred; peridotdeck inspect reads it and /status.

--- a/crates/peridotdeck-cli/src/main.rs
+++ b/crates/peridotdeck-cli/src/main.rs
@@ -48,6 +48,19 @@
         #[bpaf(positional("SERVICE"))]
         service: String,
     },
+    /// Shows the state of a node on the users' platform; with a route, what its endpoints would do.
+    #[bpaf(command)]
+    Inspect {
+        /// Route whose requests are to be explained.
+        #[bpaf(argument("NAME"), optional)]
+        route: Option<String>,
+        /// Prompt tokens of such a request.
+        #[bpaf(argument("NUMBER"), fallback(0))]
+        tokens: u32,
+        /// Control address of the node.
+        #[bpaf(positional("ADDRESS"))]
+        node: SocketAddr,
+    },
     /// Asks a node to leave gracefully.
     #[bpaf(command)]
     Drain {
@@ -80,6 +93,11 @@
             };
             Ok(ops::show_explanation(&ops::explain(node, question).await?))
         }
+        Command::Inspect {
+            route,
+            tokens,
+            node,
+        } => ops::inspect(node, route.as_deref(), tokens).await,
         Command::Drain { node } => {
             ops::drain(node).await?;
             Ok("leaving".to_owned())
--- a/crates/peridotdeck-cli/src/ops.rs
+++ b/crates/peridotdeck-cli/src/ops.rs
@@ -185,3 +185,15 @@
     }
     lines.join("\n")
 }
+
+/// Returns the state of a node on the users' platform, or what its endpoints would do for a request.
+///
+/// # Errors
+/// If the node does not answer, or does not know the route.
+pub async fn inspect(node: SocketAddr, route: Option<&str>, tokens: u32) -> Result<String, Error> {
+    let path = match route {
+        Some(route) => format!("/explain?route={route}&tokens={tokens}"),
+        None => "/status".to_owned(),
+    };
+    Ok(remote::page(node, &path).await?.trim_end().to_owned())
+}
--- a/crates/peridotdeck-cli/src/remote.rs
+++ b/crates/peridotdeck-cli/src/remote.rs
@@ -57,3 +57,21 @@
     }
     serde_json::from_value(body["result"].take()).map_err(|cause| wrong(cause.to_string()))
 }
+
+/// Reads a page of a node that places its own callers' requests.
+///
+/// # Errors
+/// If the node cannot be reached or refuses.
+pub async fn page(address: SocketAddr, path: &str) -> Result<String, Error> {
+    let wrong = |what: String| Error::Answer(address, what);
+    let url = client::url(address, path).map_err(|cause| wrong(cause.to_string()))?;
+    let sent = client::call(address, Request::new(Method::Get, url), PATIENCE).await;
+    let mut response = sent.map_err(|cause| Error::Call(address, cause))?;
+    let body = response.body_string().await;
+    let body = body.map_err(|cause| wrong(cause.to_string()))?;
+    if response.status().is_success() {
+        Ok(body)
+    } else {
+        Err(wrong(body.trim().to_owned()))
+    }
+}
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -81,21 +81,16 @@
         let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
         let service = self.choose_service(&route.split);
         self.budget.note(&service, now);
+        let rank = config.rank(route, organisation.as_deref());
         Ok(Flight {
             id: ask.id,
-            rank: config.rank(route, organisation.as_deref()),
-            route: route.clone(),
+            rank,
             organisation,
-            version: config.version,
             prompt: ask.prompt,
             fingerprint,
-            arrived: now,
             until: now + patience,
             service,
-            tried: Vec::new(),
-            runs: 0,
-            rejections: 0,
-            waiting: None,
+            ..Flight::new(route.clone(), config.version, now)
         })
     }
 
@@ -220,26 +215,38 @@
         ranked
     }
 
-    /// Returns each endpoint with its estimate, or with why it may not take the request.
+    /// Returns what each endpoint would do for a request on a route, or why it may not take it.
+    ///
+    /// Nothing is returned if no route has the name.
     #[must_use]
-    pub fn explain(&self, flight: &Flight, now: Time) -> Vec<(String, Result<Estimate, Bar>)> {
-        let Some(config) = self.registry.config() else {
-            return Vec::new();
-        };
+    pub fn explain(
+        &self,
+        route: &str,
+        tokens: u32,
+        now: Time,
+    ) -> Option<Vec<(String, Result<Estimate, Bar>)>> {
+        let config = self.registry.config()?;
+        let route = config.routes.iter().find(|each| each.name == route)?;
+        let service = route.split.first()?.service.clone();
+        let mut flight = Flight::new(route.clone(), config.version, now);
+        flight.prompt.tokens = tokens;
+        flight.service.clone_from(&service);
         let unknown = Service::default();
-        let service = config.service(&flight.service).unwrap_or(&unknown);
-        let held = self.held(flight, now);
-        let quiet = self.quiet(&flight.service);
-        let mut view = self.view(&flight.service, &held, now);
-        view.recent = self.recent(flight, now);
+        let kind = config.service(&service).unwrap_or(&unknown);
+        let quiet = self.quiet(&service);
+        let mut view = self.view(&service, &[], now);
         view.quiet = &quiet;
-        view.sensitive = self.is_sensitive(&flight.route, &flight.service);
+        view.sensitive = self.is_sensitive(route, &service);
+        let same = self
+            .states
+            .iter()
+            .filter(|state| state.info.service == service);
         let explain = |state: &State| {
-            let admitted = view.admits(state, flight);
-            let estimate = admitted.map(|()| view.estimate(state, flight, service));
+            let admitted = view.admits(state, &flight);
+            let estimate = admitted.map(|()| view.estimate(state, &flight, kind));
             (state.info.id.clone(), estimate)
         };
-        self.states.iter().map(explain).collect()
+        Some(same.map(explain).collect())
     }
 
     /// A cold endpoint takes requests from a few nodes of its data centre, at a part of its rate.
--- a/crates/peridotdeck-core/src/dispatch/flight.rs
+++ b/crates/peridotdeck-core/src/dispatch/flight.rs
@@ -79,6 +79,27 @@
 }
 
 impl Flight {
+    /// Starts a request of nobody on a route, which has all the time that the route allows.
+    #[must_use]
+    pub fn new(route: Arc<Route>, version: u64, now: Time) -> Self {
+        Self {
+            id: String::new(),
+            organisation: None,
+            rank: route.priority,
+            version,
+            prompt: Prompt::default(),
+            fingerprint: 0,
+            arrived: now,
+            until: now + route.timeout,
+            service: String::new(),
+            tried: Vec::new(),
+            runs: 0,
+            rejections: 0,
+            waiting: None,
+            route,
+        }
+    }
+
     /// Returns the name of the organisation, or an empty one.
     #[must_use]
     pub fn customer(&self) -> &str {
--- a/crates/peridotdeck-relay/src/control.rs
+++ b/crates/peridotdeck-relay/src/control.rs
@@ -27,6 +27,10 @@
         "/healthz" => text(StatusCode::OK, "ok\n"),
         "/metrics" => metrics(shared),
         "/status" => text(StatusCode::OK, status(&shared.dispatcher())),
+        "/explain" => explain(
+            &shared.dispatcher(),
+            request.uri().query().unwrap_or_default(),
+        ),
         "/fleet/policy" => snapshot(shared, Area::Policy),
         "/fleet/roster" => snapshot(shared, Area::Roster),
         _ => text(StatusCode::NOT_FOUND, "unknown path\n"),
@@ -81,6 +85,43 @@
     }
 }
 
+/// Lists what each endpoint would do for a request, by `route=NAME&tokens=NUMBER`.
+fn explain(dispatcher: &Dispatcher, query: &str) -> Response<Full<Bytes>> {
+    let field = |name: &str| {
+        let mut fields = query.split('&').filter_map(|field| field.split_once('='));
+        fields
+            .find(|(each, _)| *each == name)
+            .map(|(_, value)| value)
+    };
+    let route = field("route").unwrap_or_default();
+    let tokens = field("tokens").map_or(Ok(0), str::parse);
+    let Ok(tokens) = tokens else {
+        return text(StatusCode::BAD_REQUEST, "tokens: write a whole number\n");
+    };
+    let Some(endpoints) = dispatcher.explain(route, tokens, clock::now()) else {
+        return text(
+            StatusCode::NOT_FOUND,
+            format!("route={route} is not configured\n"),
+        );
+    };
+    let mut lines = String::new();
+    for (endpoint, estimate) in endpoints {
+        match estimate {
+            Ok(estimate) => line(
+                &mut lines,
+                format_args!(
+                    "endpoint={endpoint} score={:.0} first_ms={} unread={}",
+                    estimate.score,
+                    estimate.first.as_millis(),
+                    estimate.unread
+                ),
+            ),
+            Err(bar) => line(&mut lines, format_args!("endpoint={endpoint} barred={bar}")),
+        }
+    }
+    text(StatusCode::OK, lines)
+}
+
 /// Lists what the node knows, one line of key=value pairs a thing.
 fn status(dispatcher: &Dispatcher) -> String {
     let now = clock::now();
