Tell peers only what they lack of the endpoint list, from near nodes first

Change: a node keeps what changed lately and tells what is newer than the asker's revision; near nodes are asked first; beats are rarer where a data centre has more than ten nodes.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -65,6 +65,7 @@
 struct Ahead {
     errand: Errand,
     revision: u64,
+    near: bool,
 }
 
 /// A suspicion that a request crashed an endpoint.
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
@@ -20,6 +20,9 @@
 /// Time for which a peer may be ahead before a node that watches the publisher itself asks it.
 const BEHIND: Duration = Duration::from_millis(150);
 
+/// The same for a peer in another data centre: one in the own will soon know as much.
+const FAR: Duration = Duration::from_millis(300);
+
 /// The same for a node that learns from peers.
 const FOLLOW: Duration = Duration::from_millis(20);
 
@@ -72,14 +75,30 @@
 
     fn note_ahead(&mut self, beat: &beat::Beat, now: Time) {
         let node = Node::from(beat.node);
+        let near = beat.place == place(&self.options.place);
         for (area, revision) in [(Area::Policy, beat.policy), (Area::Roster, beat.roster)] {
-            if revision == self.registry.revision(area).changed {
+            let known = self.registry.revision(area).changed;
+            if revision == known {
                 self.registry.confirm(area, now);
             }
-            let known = self.ahead.iter().any(|(each, _)| each.errand.area == area);
-            if revision > self.registry.revision(area).changed && !known {
-                let errand = Errand { node, area };
-                self.ahead.push((Ahead { errand, revision }, now));
+            if revision <= known {
+                continue;
+            }
+            let errand = Errand { node, area, known };
+            let ahead = Ahead {
+                errand,
+                revision,
+                near,
+            };
+            match self
+                .ahead
+                .iter_mut()
+                .find(|(each, _)| each.errand.area == area)
+            {
+                // The way to a node of the own data centre is shorter, and not paid for.
+                Some((each, _)) if near && !each.near => *each = ahead,
+                Some(_) => {}
+                None => self.ahead.push((ahead, now)),
             }
         }
     }
@@ -124,8 +143,11 @@
 
     /// What peers know better for a while: this node's own way to the publisher may be cut.
     pub(super) fn errands(&mut self, now: Time) -> Vec<Errand> {
-        let patience = if self.is_watcher(now) { BEHIND } else { FOLLOW };
-        let late = |(_, since): &mut (Ahead, Time)| now.saturating_sub(*since) >= patience;
+        let own = if self.is_watcher(now) { BEHIND } else { FOLLOW };
+        let late = |(ahead, since): &mut (Ahead, Time)| {
+            let patience = if ahead.near { own } else { own.max(FAR) };
+            now.saturating_sub(*since) >= patience
+        };
         let due: Vec<(Ahead, Time)> = self.ahead.extract_if(.., late).collect();
         let errands = due.into_iter().map(|(ahead, _)| ahead);
         errands
--- a/crates/peridotdeck-core/src/dispatch/due.rs
+++ b/crates/peridotdeck-core/src/dispatch/due.rs
@@ -28,6 +28,8 @@
     pub node: Node,
     /// What.
     pub area: Area,
+    /// Revision of it that this node knows.
+    pub known: u64,
 }
 
 /// What time brought.
--- a/crates/peridotdeck-core/src/dispatch/fleet/telling.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/telling.rs
@@ -16,6 +16,9 @@
 /// Shortest time between two beats to a peer of the own data centre.
 const BUSY: Duration = Duration::from_millis(25);
 
+/// Nodes of a data centre that are told that often; more are told less often.
+const BUSY_NODES: u32 = 10;
+
 /// Time between two rounds of beats to other data centres.
 const ROUND: Duration = Duration::from_millis(250);
 
@@ -67,9 +70,10 @@
 
     fn beat_locally(&mut self, status: &Status, now: Time, beats: &mut Vec<(Node, beat::Beat)>) {
         self.dirty = false;
-        self.local_due = now + BUSY;
+        let nodes = self.live(self.place, now);
+        self.local_due = now + BUSY * (nodes.len() as u32).max(1).div_ceil(BUSY_NODES);
         self.quiet_due = now + QUIET;
-        for node in self.live(self.place, now) {
+        for node in nodes {
             if node != self.me {
                 beats.push((node, self.compose(status, true, false, now)));
             }
--- a/crates/peridotdeck-core/src/dispatch/registry.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry.rs
@@ -20,6 +20,9 @@
 /// used: its entry may have lapsed with the publisher, and is back within two seconds of its return.
 const LAPSE: Duration = Duration::from_millis(2_600);
 
+/// Changes of the endpoint list that are remembered for peers.
+const MOST_RECENT: usize = 1_024;
+
 /// What is published together, with one revision.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, IntoStaticStr, Serialize, Deserialize,
@@ -112,19 +115,23 @@
         /// Data centres taken out.
         closed: Vec<String>,
     },
-    /// All endpoints.
+    /// All endpoints, or what has changed since a revision that the peer knows.
     Roster {
         /// Revisions of the area.
         revision: Revision,
+        /// Whether the endpoints are all there are.
+        whole: bool,
         /// The endpoints.
         endpoints: Vec<Endpoint>,
+        /// Those that have left, where not all are told.
+        gone: Vec<String>,
         /// Those that have vanished and may come back, with the time that they have left for it.
         lapsing: Vec<(String, Duration)>,
     },
 }
 
 impl Snapshot {
-    fn into_facts(self) -> (Area, Revision, Vec<Fact>, Vec<(String, Duration)>) {
+    fn into_facts(self) -> (Area, Revision, bool, Vec<Fact>, Vec<(String, Duration)>) {
         match self {
             Self::Policy {
                 revision,
@@ -134,15 +141,19 @@
                 let config = config.map(|config| Fact::Config(Arc::unwrap_or_clone(config)));
                 let closed = closed.into_iter().map(Fact::Closed);
                 let facts = config.into_iter().chain(closed).collect();
-                (Area::Policy, revision, facts, Vec::new())
+                (Area::Policy, revision, true, facts, Vec::new())
             }
             Self::Roster {
                 revision,
+                whole,
                 endpoints,
+                gone,
                 lapsing,
             } => {
-                let facts = endpoints.into_iter().map(Fact::Endpoint).collect();
-                (Area::Roster, revision, facts, lapsing)
+                let listed = endpoints.into_iter().map(Fact::Endpoint);
+                let gone = gone.into_iter().map(Fact::Gone);
+                let facts = listed.chain(gone).collect();
+                (Area::Roster, revision, whole, facts, lapsing)
             }
         }
     }
@@ -174,6 +185,10 @@
     lapsing: Vec<(String, Time)>,
     trouble: Option<Time>,
     confirmed: [Time; 2],
+    /// What has changed lately in the endpoint list, by revision.
+    recent: Vec<(u64, String)>,
+    /// Revision after which `recent` is complete.
+    recent_from: u64,
 }
 
 impl Registry {
@@ -220,43 +235,86 @@
         self.trouble = Some(now);
     }
 
-    /// Returns the whole of an area for a peer.
+    /// Returns what a peer that knows a revision of an area lacks.
     #[must_use]
-    pub fn snapshot(&self, area: Area, now: Time) -> Snapshot {
+    pub fn snapshot(&self, area: Area, known: u64, now: Time) -> Snapshot {
         match area {
             Area::Policy => Snapshot::Policy {
                 revision: self.policy,
                 config: self.config.clone(),
                 closed: self.closed.clone(),
             },
-            Area::Roster => Snapshot::Roster {
-                revision: self.roster,
-                endpoints: self.endpoints.clone(),
-                lapsing: self
-                    .lapsing
-                    .iter()
-                    .map(|(id, until)| (id.clone(), until.saturating_sub(now)))
-                    .collect(),
-            },
+            Area::Roster => self.roster_since(known, now),
+        }
+    }
+
+    /// Most changes concern one endpoint of many, so only what has changed is told where it is known.
+    fn roster_since(&self, known: u64, now: Time) -> Snapshot {
+        let whole = known < self.recent_from;
+        let news = self.recent.iter().filter(|(revision, _)| *revision > known);
+        let mut ids: Vec<&String> = news.map(|(_, id)| id).collect();
+        ids.sort_unstable();
+        ids.dedup();
+        let (listed, gone): (Vec<&String>, Vec<&String>) =
+            ids.into_iter().partition(|id| self.find(id).is_ok());
+        let endpoints = if whole {
+            self.endpoints.clone()
+        } else {
+            let found = listed.iter().filter_map(|id| self.find(id).ok());
+            found.map(|at| self.endpoints[at].clone()).collect()
+        };
+        let lapsing = self.lapsing.iter();
+        Snapshot::Roster {
+            revision: self.roster,
+            whole,
+            endpoints,
+            gone: gone.into_iter().cloned().collect(),
+            lapsing: lapsing
+                .map(|(id, until)| (id.clone(), until.saturating_sub(now)))
+                .collect(),
+        }
+    }
+
+    /// Remembers what a change of the endpoint list concerned; what came before the first is unknown.
+    fn remember(&mut self, change: &Change, first: bool) {
+        let revision = self.roster.changed;
+        if first {
+            self.recent_from = revision;
+            return;
+        }
+        let changed = change.updated.iter().chain(&change.removed);
+        let ids = changed.map(|endpoint| (revision, endpoint.id.clone()));
+        self.recent.extend(ids);
+        let surplus = self.recent.len().saturating_sub(MOST_RECENT);
+        if surplus > 0 {
+            self.recent_from = self.recent[surplus - 1].0;
+            self.recent.drain(..surplus);
         }
     }
 
     /// Takes in a peer's snapshot if it is newer.
     pub fn adopt(&mut self, snapshot: Snapshot, now: Time) -> Change {
-        let (area, revision, facts, lapsing) = snapshot.into_facts();
+        let (area, revision, whole, facts, lapsing) = snapshot.into_facts();
         let known = self.revision(area);
         if revision.changed <= known.changed {
             return Change::default();
         }
         self.confirm(area, now);
-        let change = self.follow(area, facts, true, now);
-        for (id, left) in lapsing {
-            self.lapsing.push((id, now + left));
+        // The peer has seen the publisher later than this node: its doubts count, not this one's.
+        let doubts = self.trouble.take();
+        let change = self.follow(area, facts, whole, now);
+        self.trouble = doubts;
+        if area == Area::Roster {
+            let until = |(id, left): (String, Duration)| (id, now + left);
+            self.lapsing = lapsing.into_iter().map(until).collect();
         }
         *self.revision_mut(area) = Revision {
             changed: revision.changed,
             read: revision.read.max(known.read),
         };
+        if area == Area::Roster {
+            self.remember(&change, known.changed == 0);
+        }
         change
     }
 
@@ -280,6 +338,9 @@
             changed: changed.max(known.changed),
             read: report.revision,
         };
+        if report.area == Area::Roster {
+            self.remember(&change, known.changed == 0);
+        }
         change
     }
 
@@ -393,7 +454,12 @@
             .extract_if(.., |(_, until)| *until <= now)
             .collect();
         let overdue = |endpoint: &mut Endpoint| due.iter().any(|(id, _)| *id == endpoint.id);
-        self.endpoints.extract_if(.., overdue).collect()
+        let change = Change {
+            removed: self.endpoints.extract_if(.., overdue).collect(),
+            ..Change::default()
+        };
+        self.remember(&change, false);
+        change.removed
     }
 
     fn find(&self, id: &str) -> Result<usize, usize> {
--- a/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
+++ b/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
@@ -186,7 +186,7 @@
     let snapshot = fleet.nodes[0]
         .1
         .registry()
-        .snapshot(Area::Policy, ms(1_500));
+        .snapshot(Area::Policy, 0, ms(1_500));
     let change = fleet.nodes[3].1.adopt(snapshot, ms(1_500));
     assert_eq!(change.version, Some(2));
 }
--- a/crates/peridotdeck-core/tests/testsuite/roster_lapse.rs
+++ b/crates/peridotdeck-core/tests/testsuite/roster_lapse.rs
@@ -76,10 +76,10 @@
     let (mut watcher, mut follower) = (Registry::default(), Registry::default());
     let listed = vec![Fact::Endpoint(endpoint("e", "text", "muenchen"))];
     roster(&mut watcher, 1, listed, ms(0));
-    follower.adopt(watcher.snapshot(Area::Roster, ms(10)), ms(10));
+    follower.adopt(watcher.snapshot(Area::Roster, 0, ms(10)), ms(10));
     watcher.note_trouble(ms(5_000));
     roster(&mut watcher, 2, Vec::new(), ms(6_000));
-    let change = follower.adopt(watcher.snapshot(Area::Roster, ms(6_050)), ms(6_050));
+    let change = follower.adopt(watcher.snapshot(Area::Roster, 1, ms(6_050)), ms(6_050));
     assert!(change.removed.is_empty(), "it may come back");
     assert!(follower.tick(ms(7_500)).is_empty());
     assert_eq!(follower.tick(ms(7_700)).len(), 1, "it did not come back");
@@ -130,17 +130,17 @@
     }
     let newer = vec![Fact::Config(config(2)), Fact::Closed("a".into())];
     ahead.apply(report(Area::Policy, 8, false, newer), ms(1));
-    let change = behind.adopt(ahead.snapshot(Area::Policy, ms(2)), ms(2));
+    let change = behind.adopt(ahead.snapshot(Area::Policy, 0, ms(2)), ms(2));
     assert_eq!(change.version, Some(2));
     assert_eq!(behind.closed(), ["a"]);
     // The publisher's delayed report of the same revision must not undo it.
     let delayed = report(Area::Policy, 7, true, vec![Fact::Config(config(1))]);
     assert_eq!(behind.apply(delayed, ms(3)).opened.len(), 0);
-    let Snapshot::Policy { revision, .. } = behind.snapshot(Area::Policy, ms(2)) else {
+    let Snapshot::Policy { revision, .. } = behind.snapshot(Area::Policy, 0, ms(2)) else {
         panic!("a snapshot of the policy");
     };
     assert_eq!(revision.changed, 8);
-    let older = ahead.snapshot(Area::Policy, ms(2));
+    let older = ahead.snapshot(Area::Policy, 0, ms(2));
     behind.apply(
         report(Area::Policy, 9, false, vec![Fact::Opened("a".into())]),
         ms(4),
@@ -163,3 +163,74 @@
     let revision = registry.revision(Area::Roster);
     assert_eq!((revision.changed, revision.read), (3, 40));
 }
+
+/// Endpoints of a registry by id.
+fn ids(registry: &Registry) -> Vec<&str> {
+    let endpoints = registry.endpoints().iter();
+    endpoints.map(|endpoint| endpoint.id.as_str()).collect()
+}
+
+#[test]
+fn peer_is_told_only_what_it_lacks() {
+    let (mut ahead, mut behind) = (Registry::default(), Registry::default());
+    let listed = |ids: &[&str]| {
+        let endpoints = ids.iter().map(|id| endpoint(id, "text", "muenchen"));
+        endpoints.map(Fact::Endpoint).collect::<Vec<_>>()
+    };
+    for registry in [&mut ahead, &mut behind] {
+        roster(registry, 3, listed(&["a", "b", "c"]), ms(0));
+    }
+    let change = vec![Fact::Gone("b".into()), listed(&["d"]).remove(0)];
+    ahead.apply(report(Area::Roster, 7, false, change), ms(10));
+    let snapshot = ahead.snapshot(Area::Roster, 3, ms(20));
+    let Snapshot::Roster {
+        whole, endpoints, ..
+    } = &snapshot
+    else {
+        panic!("a snapshot of the roster");
+    };
+    assert_eq!((*whole, endpoints.len()), (false, 1));
+    behind.adopt(snapshot, ms(20));
+    assert_eq!(ids(&behind), ["a", "c", "d"]);
+}
+
+#[test]
+fn peer_that_knows_less_than_the_first_read_is_told_all() {
+    let (mut ahead, mut behind) = (Registry::default(), Registry::default());
+    let old = vec![Fact::Endpoint(endpoint("old", "text", "muenchen"))];
+    roster(&mut behind, 3, old, ms(0));
+    let new = vec![Fact::Endpoint(endpoint("new", "text", "muenchen"))];
+    roster(&mut ahead, 9, new, ms(0));
+    behind.adopt(ahead.snapshot(Area::Roster, 3, ms(10)), ms(10));
+    assert_eq!(
+        ids(&behind),
+        ["new"],
+        "what left before the first read is not kept"
+    );
+}
+
+#[test]
+fn peer_learns_of_a_lapse_that_has_ended_either_way() {
+    for comes_back in [true, false] {
+        let (mut watcher, mut follower) = (Registry::default(), Registry::default());
+        let listed = vec![Fact::Endpoint(endpoint("e", "text", "muenchen"))];
+        roster(&mut watcher, 1, listed.clone(), ms(0));
+        follower.adopt(watcher.snapshot(Area::Roster, 0, ms(5)), ms(5));
+        watcher.note_trouble(ms(5_000));
+        roster(&mut watcher, 2, Vec::new(), ms(5_500));
+        if comes_back {
+            follower.adopt(watcher.snapshot(Area::Roster, 1, ms(5_600)), ms(5_600));
+            let known = follower.revision(Area::Roster).changed;
+            watcher.apply(report(Area::Roster, 4, false, listed), ms(6_000));
+            follower.adopt(watcher.snapshot(Area::Roster, known, ms(6_100)), ms(6_100));
+            follower.tick(ms(9_000));
+            assert_eq!(ids(&follower), ["e"]);
+        } else {
+            // The follower hears of it only after the watcher has given the entry up.
+            watcher.tick(ms(7_700));
+            watcher.apply(report(Area::Roster, 3, false, Vec::new()), ms(7_800));
+            follower.adopt(watcher.snapshot(Area::Roster, 1, ms(7_900)), ms(7_900));
+            assert!(ids(&follower).is_empty());
+        }
+    }
+}
--- a/crates/peridotdeck-relay/src/control.rs
+++ b/crates/peridotdeck-relay/src/control.rs
@@ -31,8 +31,15 @@
             &shared.dispatcher(),
             request.uri().query().unwrap_or_default(),
         ),
-        "/fleet/policy" => snapshot(shared, Area::Policy),
-        "/fleet/roster" => snapshot(shared, Area::Roster),
+        "/fleet/policy" => snapshot(shared, Area::Policy, 0),
+        "/fleet/roster" => {
+            let query = request.uri().query().unwrap_or_default();
+            let known = query
+                .strip_prefix("known=")
+                .and_then(|known| known.parse().ok());
+            // Who names no revision knows nothing.
+            snapshot(shared, Area::Roster, known.unwrap_or(0))
+        }
         _ => text(StatusCode::NOT_FOUND, "unknown path\n"),
     }
 }
@@ -74,8 +81,11 @@
     metrics.show("kept_connections", shared.pool.len() as u64);
 }
 
-fn snapshot<I: Ingress>(shared: &Shared<I>, area: Area) -> Response<Full<Bytes>> {
-    let snapshot = shared.dispatcher().registry().snapshot(area, clock::now());
+fn snapshot<I: Ingress>(shared: &Shared<I>, area: Area, known: u64) -> Response<Full<Bytes>> {
+    let snapshot = shared
+        .dispatcher()
+        .registry()
+        .snapshot(area, known, clock::now());
     match postcard::to_stdvec(&snapshot) {
         Ok(bytes) => text(StatusCode::OK, bytes),
         Err(cause) => {
--- a/crates/peridotdeck-relay/src/peers.rs
+++ b/crates/peridotdeck-relay/src/peers.rs
@@ -128,11 +128,11 @@
 
     /// Fetches what a peer knows better, and takes it in.
     pub async fn fetch<I: Ingress>(&self, shared: &Shared<I>, errand: Errand) {
-        let Errand { node, area } = errand;
-        match self.ask(node, area).await {
+        let Errand { node, area, known } = errand;
+        match self.ask(errand).await {
             Ok(snapshot) => {
                 let change = shared.dispatcher().adopt(snapshot, clock::now());
-                log::info!("event=peer_asked node={node} area={area}");
+                log::info!("event=peer_asked node={node} area={area} known={known}");
                 shared.note_change(&change, "peer");
             }
             Err(cause) => {
@@ -141,13 +141,13 @@
         }
     }
 
-    async fn ask(&self, node: Node, area: Area) -> Result<Snapshot, Error> {
-        let address = SocketAddrV4::new(node, self.control);
-        let path = match area {
-            Area::Policy => "/fleet/policy",
-            Area::Roster => "/fleet/roster",
+    async fn ask(&self, errand: Errand) -> Result<Snapshot, Error> {
+        let address = SocketAddrV4::new(errand.node, self.control);
+        let path = match errand.area {
+            Area::Policy => "/fleet/policy".to_owned(),
+            Area::Roster => format!("/fleet/roster?known={}", errand.known),
         };
-        let (_, body) = Source::new(address).get(path, PATIENCE).await?;
+        let (_, body) = Source::new(address).get(&path, PATIENCE).await?;
         Ok(postcard::from_bytes(&body)?)
     }
 }
