--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod preemption;
 mod prompt_placement;
 mod random;
+mod random_dispatch;
 mod recovery;
 mod roster_lapse;
 mod shared_bounds;
