--- a/crates/peridotdeck-core/tests/testsuite/random_dispatch.rs
+++ b/crates/peridotdeck-core/tests/testsuite/random_dispatch.rs
@@ -88,7 +88,11 @@
     }
 
     fn endpoint(&self, number: u8, born: u64) -> peridotdeck_core::dispatch::registry::Endpoint {
-        let service = if number % 2 == 0 { "text" } else { "desk" };
+        let service = if number.is_multiple_of(2) {
+            "text"
+        } else {
+            "desk"
+        };
         let place = place_of(usize::from(number / 2));
         let mut endpoint = endpoint(&format!("e{number}"), service, place);
         endpoint.born = born;
@@ -105,7 +109,7 @@
             4 | 5 => self.end(value),
             6 => self.deliver(value),
             7 => self.change(value),
-            8 if value % 8 == 0 => {
+            8 if value.is_multiple_of(8) => {
                 self.open.retain(|open| open.node != at);
                 self.nodes[at] = self.fresh(at);
             }
@@ -118,7 +122,7 @@
         let due = self.nodes[at].tick(self.now);
         self.beats.extend(due.beats);
         for probe in due.probes {
-            self.nodes[at].probed(probe.key, probe.key % 2 == 0, self.now);
+            self.nodes[at].probed(probe.key, probe.key.is_multiple_of(2), self.now);
         }
         for errand in due.errands {
             let peer = (0..NODES).find(|&peer| node(peer as u8 + 1) == errand.node);
@@ -220,12 +224,12 @@
         }
         let at = usize::from(value) % self.beats.len();
         let (to, beat) = self.beats[at].clone();
-        if value % 4 != 0 {
+        if !value.is_multiple_of(4) {
             self.beats.swap_remove(at);
         }
         let receiver = (0..NODES).find(|&each| node(each as u8 + 1) == to);
         if let Some(receiver) = receiver
-            && value % 5 != 0
+            && !value.is_multiple_of(5)
             && let Some(answer) = self.nodes[receiver].hear(&beat, self.now).0
         {
             self.beats.push((Node::from(beat.node), answer));
@@ -267,7 +271,7 @@
                 let facts = vec![fact.clone()];
                 let report = report(area, self.revision, false, facts);
                 self.nodes[at].publish(report, self.now);
-            } else if value % 7 == 0 {
+            } else if value.is_multiple_of(7) {
                 self.nodes[at].note_trouble(self.now);
             }
         }
