Reset what is given up; a doubt about an entry ends whoever tells the next news

Change: connections that nodes open are reset when dropped; doubts stay until they end or the entry is back, which now counts as news.

--- a/crates/peridotdeck-core/src/dispatch/registry.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry.rs
@@ -304,9 +304,12 @@
         let doubts = self.trouble.take();
         let change = self.follow(area, facts, whole, now);
         self.trouble = doubts;
-        if area == Area::Roster {
-            let until = |(id, left): (String, Duration)| (id, now + left);
-            self.lapsing = lapsing.into_iter().map(until).collect();
+        for (id, left) in lapsing {
+            // An entry that this node has given up, or expects back no longer than so, stays as it is.
+            let doubted = self.lapsing.iter().any(|(each, _)| *each == id);
+            if !doubted && self.find(&id).is_ok() {
+                self.lapsing.push((id, now + left));
+            }
         }
         *self.revision_mut(area) = Revision {
             changed: revision.changed,
@@ -416,9 +419,12 @@
     }
 
     fn update(&mut self, endpoint: Endpoint, change: &mut Change) {
+        let known = self.lapsing.len();
         self.lapsing.retain(|(id, _)| *id != endpoint.id);
+        let is_back = self.lapsing.len() < known;
         match self.find(&endpoint.id) {
-            Ok(at) if self.endpoints[at] == endpoint => {}
+            // Peers must hear that an entry is back, even if nothing else has changed.
+            Ok(at) if self.endpoints[at] == endpoint && !is_back => {}
             Ok(at) => {
                 let old = std::mem::replace(&mut self.endpoints[at], endpoint.clone());
                 if old.born != endpoint.born {
--- a/crates/peridotdeck-core/tests/testsuite/roster_lapse.rs
+++ b/crates/peridotdeck-core/tests/testsuite/roster_lapse.rs
@@ -234,3 +234,29 @@
         }
     }
 }
+
+#[test]
+fn watcher_that_knows_better_does_not_keep_an_entry_alive() {
+    let mut doubting = Registry::default();
+    let (mut certain, mut follower) = (Registry::default(), Registry::default());
+    let listed = vec![Fact::Endpoint(endpoint("e", "text", "muenchen"))];
+    for registry in [&mut doubting, &mut certain, &mut follower] {
+        roster(registry, 3, listed.clone(), ms(0));
+    }
+    doubting.note_trouble(ms(4_800));
+    for registry in [&mut doubting, &mut certain] {
+        let gone = report(Area::Roster, 5, false, vec![Fact::Gone("e".into())]);
+        registry.apply(gone, ms(5_000));
+    }
+    follower.adopt(doubting.snapshot(Area::Roster, 3, ms(5_050)), ms(5_050));
+    let other = vec![Fact::Endpoint(endpoint("f", "text", "muenchen"))];
+    certain.apply(report(Area::Roster, 6, false, other), ms(5_100));
+    let known = follower.revision(Area::Roster).changed;
+    follower.adopt(certain.snapshot(Area::Roster, known, ms(5_150)), ms(5_150));
+    follower.tick(ms(7_500));
+    assert_eq!(
+        ids(&follower),
+        ["f"],
+        "the doubt ends, whoever told the next news"
+    );
+}
--- a/crates/peridotdeck-relay/src/pool.rs
+++ b/crates/peridotdeck-relay/src/pool.rs
@@ -215,6 +215,9 @@
     F: FnOnce() + Send + 'static,
 {
     let stream = connect(address.into()).await?;
+    // A connection that is dropped is reset: an orderly close would go on sending what has not been
+    // delivered, long after the request was given up.
+    SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))?;
     let (sender, connection) = http1::handshake(FuturesIo::new(stream)).await?;
     let (end, ended) = async_channel::bounded::<()>(1);
     let busy = Arc::new(AtomicBool::new(true));
