Keep the last fact about an entry, so that a late watch brings nothing back

A watcher that the store had turned away resumed its watch; the events told that an entry came and that it left, and because the node had just had trouble, the departure counted as a lapse: the endpoint was in use again for two seconds, at the node and at all its peers. Change: a report keeps only the last fact about each endpoint.

--- a/crates/peridotdeck-core/src/dispatch/registry.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry.rs
@@ -406,7 +406,7 @@
             let missing = self.endpoints.iter().filter(|each| !listed(&each.id));
             gone.extend(missing.map(|each| each.id.clone()));
         }
-        for fact in facts {
+        for fact in newest(facts) {
             match fact {
                 Fact::Endpoint(endpoint) => self.update(endpoint, change),
                 Fact::Gone(id) => gone.push(id),
@@ -473,3 +473,24 @@
             .binary_search_by(|each| each.id.as_str().cmp(id))
     }
 }
+
+/// Keeps the last fact about each endpoint: a watch that resumes late tells how an entry came before
+/// it tells that the entry left.
+fn newest(facts: Vec<Fact>) -> Vec<Fact> {
+    let mut last: Vec<Fact> = Vec::with_capacity(facts.len());
+    let id = |fact: &Fact| match fact {
+        Fact::Endpoint(endpoint) => Some(endpoint.id.clone()),
+        Fact::Gone(id) => Some(id.clone()),
+        Fact::Config(_) | Fact::Closed(_) | Fact::Opened(_) => None,
+    };
+    let mut seen: Vec<String> = Vec::new();
+    for fact in facts.into_iter().rev() {
+        let Some(id) = id(&fact) else { continue };
+        if let Err(at) = seen.binary_search(&id) {
+            seen.insert(at, id);
+            last.push(fact);
+        }
+    }
+    last.reverse();
+    last
+}
--- a/crates/peridotdeck-core/tests/testsuite/roster_lapse.rs
+++ b/crates/peridotdeck-core/tests/testsuite/roster_lapse.rs
@@ -260,3 +260,20 @@
         "the doubt ends, whoever told the next news"
     );
 }
+
+#[test]
+fn watch_that_resumes_late_brings_nothing_back() {
+    let mut registry = Registry::default();
+    let listed = vec![Fact::Endpoint(endpoint("f", "text", "muenchen"))];
+    roster(&mut registry, 3, listed, ms(0));
+    // The node was turned away meanwhile, and heard of the departure from a peer.
+    registry.note_trouble(ms(8_000));
+    let came = Fact::Endpoint(endpoint("e", "text", "muenchen"));
+    let late = vec![came, Fact::Gone("e".into())];
+    let change = registry.apply(report(Area::Roster, 9, false, late), ms(8_200));
+    assert!(
+        change.updated.is_empty(),
+        "it left before this node could use it"
+    );
+    assert_eq!(ids(&registry), ["f"]);
+}
