Say each thing once in the dispatcher and the relay

A reading of the whole change found the same work done twice, in each of these places; no decision and no message changes.

A placement built its view in two places and looked through all endpoints for the most that any holds, once for each estimate; a hedge built a whole view for each endpoint to ask one question, and a send built one to look up an address. Now one function estimates for the placement and for /explain, the most is found once, and whether an endpoint may take a request needs no view.

A beat was composed anew for each peer though only its number differs. The search for missing endpoints compared each with each.

Adopting and applying set the revision by one function.

The relay timed its waits by hand in six places where async_std::future::timeout does, and dialed by two copies. A hedged attempt had a flag beside an empty result.

--- a/crates/peridotdeck-core/src/dispatch.rs
+++ b/crates/peridotdeck-core/src/dispatch.rs
@@ -5,8 +5,8 @@
 //! places its callers' requests at once, from its own counts, from what its peers tell several
 //! times a second ([`fleet`]), and from which prompt prefixes lie where ([`prefix`]). What must
 //! hold summed over all nodes has a stated share for each node: the budget of repeats
-//! ([`budget`]) is divided, and a cold endpoint takes requests from one node only
-//! ([`placement`]). `docs/design/PLATFORM.md` weighs this against owners.
+//! ([`budget`]) is divided, and a cold endpoint takes requests from a few nodes
+//! ([`dispatcher`]). `docs/design/PLATFORM.md` weighs this against owners.
 //!
 //! The parts, in the order in which a request meets them:
 //!
--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -229,6 +229,11 @@
         self.states.binary_search_by_key(&key, |each| each.key)
     }
 
+    fn state(&self, key: Key) -> Option<&State> {
+        let at = self.find(key).ok()?;
+        Some(&self.states[at])
+    }
+
     fn state_mut(&mut self, key: Key) -> Option<&mut State> {
         let at = self.find(key).ok()?;
         Some(&mut self.states[at])
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/ends.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/ends.rs
@@ -7,7 +7,7 @@
     Verdict,
     dispatch::{
         attempt::{Attempt, End, Next},
-        endpoint::{Load, State},
+        endpoint::Load,
         flight::Flight,
         refusal::Cause,
         strikes,
@@ -107,14 +107,13 @@
     /// Decides whether a slow attempt should be given up for another endpoint, and pays for that.
     pub fn may_hedge(&mut self, flight: &Flight, now: Time) -> bool {
         let nodes = self.fleet.size(self.options.regions.len(), now);
-        let allowed = flight.route.is_repeatable()
-            && flight.runs + 1 < flight.route.attempts
-            && flight.left(now) > WORTHWHILE;
-        let others = |state: &State| {
-            let view = self.view(&flight.service, &[], now);
-            view.admits(state, flight).is_ok()
-        };
-        allowed && self.states.iter().any(others) && self.budget.take(&flight.service, nodes, now)
+        flight.may_run_after(flight.runs + 1)
+            && flight.left(now) > WORTHWHILE
+            && self
+                .states
+                .iter()
+                .any(|state| self.admits(state, flight).is_ok())
+            && self.budget.take(&flight.service, nodes, now)
     }
 
     /// Decides what follows an attempt without a whole answer.
@@ -138,8 +137,7 @@
             Verdict::MayHaveRun | Verdict::Ran => {
                 flight.runs += 1;
                 let struck = self.strikes.count(flight.fingerprint) >= strikes::LIMIT;
-                if flight.route.is_repeatable()
-                    && flight.runs < flight.route.attempts
+                if flight.may_run_after(flight.runs)
                     && flight.left(now) > WORTHWHILE
                     && !struck
                     && self.budget.take(&flight.service, nodes, now)
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/lanes.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/lanes.rs
@@ -35,10 +35,8 @@
         }
         let mut quiet = Vec::new();
         for (place, _) in &self.options.regions {
-            let here = self
-                .states
-                .iter()
-                .filter(|state| state.info.service == service && state.info.place == *place);
+            let peers = self.peers(service);
+            let here = peers.filter(|state| state.info.place == *place);
             let mut keys: Vec<Key> = here.map(|state| state.key).collect();
             let count = (keys.len() as f64 * PART) as usize;
             keys.sort_by_key(|key| key.wrapping_mul(SHUFFLE));
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -9,7 +9,7 @@
     dispatch::{
         Key,
         attempt::{Attempt, Order, Placement},
-        config::{Kind, Service, Share},
+        config::{Service, Share},
         endpoint::{Load, State},
         flight::{Ask, Flight},
         place,
@@ -123,12 +123,7 @@
         };
         let unknown = Service::default();
         let service = config.service(&flight.service).unwrap_or(&unknown);
-        let mut bars = Vec::new();
-        let mut ranked = self.rank(flight, service, now, &mut bars);
-        for (_, estimate) in &mut ranked {
-            estimate.score += JITTER * self.rng.random::<f64>();
-        }
-        ranked.sort_by(|(_, one), (_, other)| one.score.total_cmp(&other.score));
+        let (ranked, mut bars) = self.rank(flight, service, now);
         for (key, estimate) in ranked {
             match self.take(key, service, now) {
                 Ok(()) => return Placement::Send(self.send(key, estimate, flight, service, now)),
@@ -138,20 +133,24 @@
         self.hold(flight, bars, now)
     }
 
-    pub(super) fn view<'a>(&'a self, service: &str, held: &'a [Held], now: Time) -> View<'a> {
-        View {
-            states: &self.states,
-            held,
-            closed: self.registry.closed(),
-            recent: 0,
-            quiet: &[],
-            sensitive: false,
-            place: &self.options.place,
-            region: &self.region,
-            plain_ms: self.plain.value(service),
-            whole_ms: self.whole.value(service),
-            usual_pace: self.usual_pace(service),
-            now,
+    /// Returns whether an endpoint may take a request, apart from how cold it is.
+    ///
+    /// # Errors
+    /// Why it may not.
+    pub(super) fn admits(&self, state: &State, flight: &Flight) -> Result<(), Bar> {
+        let info = &state.info;
+        let closed = self.registry.closed().binary_search(&info.place).is_ok();
+        let bars = [
+            (info.service != flight.service, Bar::Service),
+            (!flight.may_run_in(&state.region), Bar::Region),
+            (closed, Bar::Closed),
+            (info.draining, Bar::Draining),
+            (flight.tried.contains(&state.key), Bar::Tried),
+            (state.is_resting(), Bar::Resting),
+        ];
+        match bars.iter().find(|(barred, _)| *barred) {
+            Some((_, bar)) => Err(*bar),
+            None => Ok(()),
         }
     }
 
@@ -181,38 +180,71 @@
         recent.map_or(0, |part| part.tokens)
     }
 
-    pub(super) fn usual_pace(&self, service: &str) -> f64 {
-        let peers = self
-            .states
-            .iter()
-            .filter(|state| state.info.service == service);
-        let mut paces: Vec<f64> = peers.map(State::pace).collect();
+    fn usual_pace(&self, service: &str) -> f64 {
+        let mut paces: Vec<f64> = self.peers(service).map(State::pace).collect();
         paces.sort_by(f64::total_cmp);
         paces.get(paces.len() / 2).copied().unwrap_or(1.0)
     }
 
-    fn rank(
+    /// Returns the endpoints of a service.
+    pub(super) fn peers(&self, service: &str) -> impl Iterator<Item = &State> {
+        self.states
+            .iter()
+            .filter(move |state| state.info.service == service)
+    }
+
+    /// Returns what each endpoint of a request's service would do for it, or why it may not take it.
+    fn estimates(
         &self,
         flight: &Flight,
         service: &Service,
         now: Time,
-        bars: &mut Vec<Bar>,
-    ) -> Vec<(Key, Estimate)> {
+    ) -> Vec<(&State, Result<Estimate, Bar>)> {
         let held = self.held(flight, now);
-        let quiet = self.quiet(&flight.service);
-        let mut view = self.view(&flight.service, &held, now);
-        view.recent = self.recent(flight, now);
-        view.quiet = &quiet;
-        view.sensitive = self.is_sensitive(&flight.route, &flight.service);
+        let name = &flight.service;
+        let view = View {
+            states: &self.states,
+            held: &held,
+            most: held.iter().copied().fold(Held::default(), Held::max),
+            recent: self.recent(flight, now),
+            quiet: &self.quiet(name),
+            sensitive: self.is_sensitive(&flight.route, name),
+            place: &self.options.place,
+            region: &self.region,
+            plain_ms: self.plain.value(name),
+            whole_ms: self.whole.value(name),
+            usual_pace: self.usual_pace(name),
+            now,
+        };
+        let estimate = |state| {
+            self.admits(state, flight)
+                .map(|()| view.estimate(state, flight, service))
+        };
+        self.peers(name)
+            .map(|state| (state, estimate(state)))
+            .collect()
+    }
+
+    /// Returns the endpoints that may take a request, best first, and what bars the others.
+    fn rank(
+        &mut self,
+        flight: &Flight,
+        service: &Service,
+        now: Time,
+    ) -> (Vec<(Key, Estimate)>, Vec<Bar>) {
         let mut ranked = Vec::new();
-        for state in &self.states {
-            match view.admits(state, flight) {
-                Ok(()) => ranked.push((state.key, view.estimate(state, flight, service))),
-                Err(Bar::Service) => {}
+        let mut bars = Vec::new();
+        for (state, estimate) in self.estimates(flight, service, now) {
+            match estimate {
+                Ok(estimate) => ranked.push((state.key, estimate)),
                 Err(bar) => bars.push(bar),
             }
         }
-        ranked
+        for (_, estimate) in &mut ranked {
+            estimate.score += JITTER * self.rng.random::<f64>();
+        }
+        ranked.sort_by(|(_, one), (_, other)| one.score.total_cmp(&other.score));
+        (ranked, bars)
     }
 
     /// Returns what each endpoint would do for a request on a route, or why it may not take it.
@@ -230,23 +262,12 @@
         let service = route.split.first()?.service.clone();
         let mut flight = Flight::new(route.clone(), config.version, now);
         flight.prompt.tokens = tokens;
-        flight.service.clone_from(&service);
         let unknown = Service::default();
         let kind = config.service(&service).unwrap_or(&unknown);
-        let quiet = self.quiet(&service);
-        let mut view = self.view(&service, &[], now);
-        view.quiet = &quiet;
-        view.sensitive = self.is_sensitive(route, &service);
-        let same = self
-            .states
-            .iter()
-            .filter(|state| state.info.service == service);
-        let explain = |state: &State| {
-            let admitted = view.admits(state, &flight);
-            let estimate = admitted.map(|()| view.estimate(state, &flight, kind));
-            (state.info.id.clone(), estimate)
-        };
-        Some(same.map(explain).collect())
+        flight.service = service;
+        let estimates = self.estimates(&flight, kind, now).into_iter();
+        let named = estimates.map(|(state, estimate)| (state.info.id.clone(), estimate));
+        Some(named.collect())
     }
 
     /// A cold endpoint takes requests from a few nodes of its data centre, at a part of its rate.
@@ -297,8 +318,8 @@
             }
         }
         self.fleet.touch();
-        let view = self.view(&flight.service, &[], now);
-        let source = estimate.source.and_then(|source| view.address(source));
+        let source = estimate.source.and_then(|source| self.state(source));
+        let source = source.map(|state| state.info.address);
         let hedge = hedge(flight, &estimate);
         let roster = self.registry.revision(Area::Roster).changed;
         let roster_age = self.registry.age(Area::Roster, now);
@@ -366,9 +387,9 @@
 
 /// Returns the time after which a repeatable request is better asked elsewhere.
 fn hedge(flight: &Flight, estimate: &Estimate) -> Option<Duration> {
-    let may = flight.route.is_repeatable() && flight.runs + 1 < flight.route.attempts;
     let target = flight.route.target;
     let expected = estimate.first.mul_f64(HEDGE_FACTOR);
     let (least, most) = (target.mul_f64(HEDGE_PARTS.0), target.mul_f64(HEDGE_PARTS.1));
-    (may && flight.route.kind != Kind::NonIdempotent).then(|| expected.clamp(least, most))
+    let may = flight.may_run_after(flight.runs + 1);
+    may.then(|| expected.clamp(least, most))
 }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/upkeep.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/upkeep.rs
@@ -62,12 +62,9 @@
             return Vec::new();
         };
         let wanted = std::mem::take(&mut self.inquiries);
-        let states = wanted.iter().filter_map(|inquiry| {
-            let at = self
-                .states
-                .binary_search_by_key(&inquiry.key, |each| each.key);
-            Some((inquiry, &self.states[at.ok()?]))
-        });
+        let states = wanted
+            .iter()
+            .filter_map(|inquiry| Some((inquiry, self.state(inquiry.key)?)));
         let mut due: Vec<(bool, Inquiry)> = states
             .filter(|(_, state)| {
                 let service = config.service(&state.info.service);
--- a/crates/peridotdeck-core/src/dispatch/endpoint.rs
+++ b/crates/peridotdeck-core/src/dispatch/endpoint.rs
@@ -106,8 +106,6 @@
     pub health: Health,
     /// Ends that other nodes have told.
     pub told: Health,
-    /// Connections of this node.
-    pub connections: u32,
     pace: f64,
     cold_until: Time,
     cold_bucket: Bucket,
@@ -130,7 +128,6 @@
             foreign: Load::default(),
             health: Health::default(),
             told: Health::default(),
-            connections: 0,
             pace: 1.0,
             cold_until,
             cold_bucket: Bucket::full(1.0, now),
--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use peridotdeck_wire::beat;
+use telling::round_time;
 
 use super::{Key, Node, Place, Prefix, endpoint::Load};
 use crate::{id::Time, rank};
@@ -252,20 +253,6 @@
             .collect()
     }
 
-    /// Returns a node that is alive, the own data centre's first, for a question.
-    #[must_use]
-    pub fn someone(&self, turn: usize, now: Time) -> Option<Node> {
-        let mut members = self.members(now);
-        members.sort_by_key(|&(node, place)| (place != self.place, node));
-        let near = members
-            .iter()
-            .filter(|(_, place)| *place == self.place)
-            .count();
-        let choices = if near > 0 { near } else { members.len() };
-        let pool = members.get(..choices).filter(|pool| !pool.is_empty())?;
-        Some(pool[turn % pool.len()].0)
-    }
-
     /// Returns the work that all other nodes together have at an endpoint.
     #[must_use]
     pub fn load(&self, key: Key) -> Load {
@@ -346,7 +333,8 @@
         let seeds = &self.seeds;
         self.peers
             .retain(|peer| seeds.contains(&peer.node) || now.saturating_sub(peer.known) < FORGET);
-        let far = self.round_time(now) * NEWS_ROUNDS;
+        let here = self.live(self.place, now).len();
+        let far = round_time(here) * NEWS_ROUNDS;
         self.news.retain(|news| {
             let told = if news.own {
                 far.max(NEWS_NEAR)
--- a/crates/peridotdeck-core/src/dispatch/fleet/telling.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/telling.rs
@@ -65,7 +65,8 @@
         let near = self
             .find(node)
             .is_ok_and(|at| self.peers[at].place == Some(self.place));
-        self.compose(status, near, false, now)
+        let beat = self.compose(status, near, false, now);
+        self.number(beat)
     }
 
     fn beat_locally(&mut self, status: &Status, now: Time, beats: &mut Vec<(Node, beat::Beat)>) {
@@ -73,11 +74,9 @@
         let nodes = self.live(self.place, now);
         self.local_due = now + BUSY * (nodes.len() as u32).max(1).div_ceil(BUSY_NODES);
         self.quiet_due = now + QUIET;
-        for node in nodes {
-            if node != self.me {
-                beats.push((node, self.compose(status, true, false, now)));
-            }
-        }
+        let peers = nodes.into_iter().filter(|&node| node != self.me).collect();
+        let beat = self.compose(status, true, false, now);
+        self.send(&beat, peers, beats);
     }
 
     /// The n-th node of this data centre tells every n-th node of each other one, and the
@@ -85,25 +84,26 @@
     fn beat_remotely(&mut self, status: &Status, now: Time, beats: &mut Vec<(Node, beat::Beat)>) {
         let here = self.live(self.place, now);
         let count = here.len().max(1);
-        self.round_due = now + self.round_time(now);
+        self.round_due = now + round_time(here.len());
         self.round += 1;
         let mine = here.binary_search(&self.me).unwrap_or(0);
         let mut places: Vec<Place> = self.remotes.iter().map(|each| each.place).collect();
         places.sort_unstable();
+        let mut peers = Vec::new();
         for place in places {
-            let there = self.live(place, now);
-            for (at, &node) in there.iter().enumerate() {
-                if at % count == (mine + self.round) % count {
-                    beats.push((node, self.compose(status, false, false, now)));
-                }
-            }
+            let there = self.live(place, now).into_iter();
+            peers.extend(there.skip((mine + self.round) % count).step_by(count));
         }
+        let beat = self.compose(status, false, false, now);
+        self.send(&beat, peers, beats);
     }
 
-    /// The sum of many nodes changes less from round to round, and costs more to tell them all.
-    pub(super) fn round_time(&self, now: Time) -> Duration {
-        let nodes = self.live(self.place, now).len() as u32;
-        ROUND * nodes.max(1).div_ceil(ROUND_NODES)
+    /// Adds the same beat for several peers; each copy has a number of its own.
+    fn send(&mut self, beat: &beat::Beat, peers: Vec<Node>, beats: &mut Vec<(Node, beat::Beat)>) {
+        for node in peers {
+            let copy = self.number(beat.clone());
+            beats.push((node, copy));
+        }
     }
 
     /// Seeds and members that are not heard are asked to answer, seldom after the first seconds.
@@ -129,13 +129,21 @@
                 let near = peer.place == Some(self.place);
                 let node = peer.node;
                 self.peers[at].told = Some(now);
-                beats.push((node, self.compose(status, near, true, now)));
+                let beat = self.compose(status, near, true, now);
+                beats.push((node, self.number(beat)));
             }
         }
     }
 
-    fn compose(&mut self, status: &Status, near: bool, joining: bool, now: Time) -> beat::Beat {
+    /// Gives a beat the next number, by which peers tell an old one.
+    fn number(&mut self, mut beat: beat::Beat) -> beat::Beat {
         self.sequence += 1;
+        beat.sequence = self.sequence;
+        beat
+    }
+
+    /// Returns what this node says now, which has no number yet.
+    fn compose(&self, status: &Status, near: bool, joining: bool, now: Time) -> beat::Beat {
         let recent = |news: &&News| now.saturating_sub(news.learnt) < NEWS_NEAR;
         let news = self.news.iter().rev();
         let holdings = news
@@ -148,7 +156,7 @@
         beat::Beat {
             node: self.me.into(),
             incarnation: self.incarnation,
-            sequence: self.sequence,
+            sequence: 0,
             place: self.place,
             leaving: self.leaving,
             joining,
@@ -213,3 +221,8 @@
             .collect()
     }
 }
+
+/// The sum of many nodes changes less from round to round, and costs more to tell them all.
+pub(super) fn round_time(nodes: usize) -> Duration {
+    ROUND * (nodes as u32).max(1).div_ceil(ROUND_NODES)
+}
--- a/crates/peridotdeck-core/src/dispatch/flight.rs
+++ b/crates/peridotdeck-core/src/dispatch/flight.rs
@@ -117,6 +117,12 @@
         allows(&self.route.regions) && organisation.is_none_or(|each| allows(&each.regions))
     }
 
+    /// Returns whether the request may run again after so many runs.
+    #[must_use]
+    pub fn may_run_after(&self, runs: u32) -> bool {
+        self.route.is_repeatable() && runs < self.route.attempts
+    }
+
     /// Returns the time that is left.
     #[must_use]
     pub fn left(&self, now: Time) -> Duration {
--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -6,7 +6,7 @@
 //! are worth in time. A cached prefix is used where it lies if that is near and free, or fetched
 //! from there by the endpoint that is.
 
-use std::{cmp::Reverse, net::SocketAddrV4, time::Duration};
+use std::{cmp::Reverse, time::Duration};
 
 use strum::{Display, IntoStaticStr};
 
@@ -145,6 +145,17 @@
     pub read: u32,
 }
 
+impl Held {
+    /// Returns the larger part of either.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            sent: self.sent.max(other.sent),
+            read: self.read.max(other.read),
+        }
+    }
+}
+
 /// What a placement looks at beside the request.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
@@ -152,8 +163,8 @@
     pub states: &'a [State],
     /// What each of the endpoints holds of the prompt's beginning.
     pub held: &'a [Held],
-    /// Data centres that are taken out.
-    pub closed: &'a [String],
+    /// The most that any of them holds.
+    pub most: Held,
     /// Tokens of the prompt's beginning that some endpoint has used lately.
     pub recent: u32,
     /// Endpoints that long prompts should leave to sensitive streams, sorted.
@@ -185,26 +196,6 @@
         Some(&self.states[at])
     }
 
-    /// Returns whether an endpoint may take the request, apart from how cold it is.
-    ///
-    /// # Errors
-    /// Why it may not.
-    pub fn admits(&self, state: &State, flight: &Flight) -> Result<(), Bar> {
-        let info = &state.info;
-        let bars = [
-            (info.service != flight.service, Bar::Service),
-            (!flight.may_run_in(&state.region), Bar::Region),
-            (self.closed.binary_search(&info.place).is_ok(), Bar::Closed),
-            (info.draining, Bar::Draining),
-            (flight.tried.contains(&state.key), Bar::Tried),
-            (state.is_resting(), Bar::Resting),
-        ];
-        match bars.iter().find(|(barred, _)| *barred) {
-            Some((_, bar)) => Err(*bar),
-            None => Ok(()),
-        }
-    }
-
     /// Estimates what an endpoint would do for a request.
     #[must_use]
     pub fn estimate(&self, state: &State, flight: &Flight, service: &Service) -> Estimate {
@@ -320,7 +311,7 @@
             first: Duration::from_secs_f64(first / 1e3),
             cached,
             unread,
-            known: self.most_held(),
+            known: self.most.sent,
             source: source.map(|(at, _)| at),
         }
     }
@@ -331,10 +322,6 @@
         (f64::from(again) * REREAD_SCORE_PER_K + f64::from(fetched) * FETCH_SCORE_PER_K) / 1e3
     }
 
-    fn most_held(&self) -> u32 {
-        self.held.iter().map(|held| held.sent).max().unwrap_or(0)
-    }
-
     /// Returns the tokens of the prompt's beginning that an endpoint holds.
     fn held(&self, key: Key) -> u32 {
         let at = self.states.binary_search_by_key(&key, |each| each.key);
@@ -345,6 +332,9 @@
 
     /// Returns the nearest endpoint that holds the most of the prompt, and how much it holds.
     fn source(&self, state: &State, flight: &Flight, cached: u32) -> Option<(Key, u32)> {
+        if self.most.read < cached + FETCH_TOKENS {
+            return None;
+        }
         let others = self.states.iter().zip(self.held);
         others
             .filter(|(other, held)| {
@@ -377,12 +367,6 @@
             FETCH_MS + 2.0 * transfer + FAR_MS
         }
     }
-
-    /// Returns the address of an endpoint.
-    #[must_use]
-    pub fn address(&self, key: Key) -> Option<SocketAddrV4> {
-        self.state(key).map(|state| state.info.address)
-    }
 }
 
 /// Returns whether a request is a stream with a short target.
--- a/crates/peridotdeck-core/src/dispatch/prefix.rs
+++ b/crates/peridotdeck-core/src/dispatch/prefix.rs
@@ -44,13 +44,10 @@
 }
 
 impl Index {
-    /// Notes a use and returns whether the holding was unknown before.
-    pub fn note(&mut self, prefix: Prefix, endpoint: Key, now: Time) -> bool {
+    /// Notes a use.
+    pub fn note(&mut self, prefix: Prefix, endpoint: Key, now: Time) {
         match self.find(prefix, endpoint) {
-            Ok(at) => {
-                self.holdings[at].used = now;
-                false
-            }
+            Ok(at) => self.holdings[at].used = now,
             Err(at) => {
                 let holding = Holding {
                     prefix,
@@ -61,7 +58,6 @@
                 };
                 self.holdings.insert(at, holding);
                 self.bound();
-                true
             }
         }
     }
--- a/crates/peridotdeck-core/src/dispatch/registry.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry.rs
@@ -8,14 +8,19 @@
 //! reports, and that of the last change, by which nodes compare what they know. The first moves
 //! also while nothing changes.
 
-use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+mod endpoint;
+mod report;
+mod snapshot;
 
-use serde::{Deserialize, Serialize};
-use strum::{Display, EnumString, IntoStaticStr};
+use std::{sync::Arc, time::Duration};
 
-use super::{Key, config::Config, key};
+use super::config::Config;
 use crate::id::Time;
 
+pub use endpoint::Endpoint;
+pub use report::{Area, Change, Fact, Report, Revision};
+pub use snapshot::Snapshot;
+
 /// Time after the last trouble with the publisher until which an endpoint that vanishes is still
 /// used: its entry may have lapsed with the publisher, and is back within two seconds of its return.
 const LAPSE: Duration = Duration::from_millis(2_600);
@@ -23,157 +28,6 @@
 /// Changes of the endpoint list that are remembered for peers.
 const MOST_RECENT: usize = 1_024;
 
-/// What is published together, with one revision.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, IntoStaticStr, Serialize, Deserialize,
-)]
-#[strum(serialize_all = "kebab-case")]
-pub enum Area {
-    /// The operators' configuration and the data centres that they have taken out.
-    Policy,
-    /// The endpoints that have announced themselves.
-    Roster,
-}
-
-/// Where an endpoint is and how it says it is.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Endpoint {
-    /// Name that it answers to.
-    pub id: String,
-    /// Start of its process in Unix milliseconds.
-    pub born: u64,
-    /// Service that it belongs to.
-    pub service: String,
-    /// Where it listens.
-    pub address: SocketAddrV4,
-    /// Its data centre.
-    pub place: String,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Whether it is about to leave.
-    pub draining: bool,
-    /// How much longer it says that it is cold.
-    pub cold: Duration,
-}
-
-impl Endpoint {
-    /// Returns the digest of id and start.
-    #[must_use]
-    pub fn key(&self) -> Key {
-        key(&self.id, self.born)
-    }
-}
-
-/// One thing that a publisher says.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Fact {
-    /// A configuration.
-    Config(Config),
-    /// A data centre takes no new work.
-    Closed(String),
-    /// A data centre takes work again.
-    Opened(String),
-    /// An endpoint, new or changed.
-    Endpoint(Endpoint),
-    /// An endpoint is no longer listed, or its entry cannot be read.
-    Gone(String),
-}
-
-/// How new an area is.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Revision {
-    /// Of the last change.
-    pub changed: u64,
-    /// As of which the publisher was read last.
-    pub read: u64,
-}
-
-/// What a publisher reports.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Report {
-    /// What the facts belong to.
-    pub area: Area,
-    /// Revision as of which the facts hold.
-    pub revision: u64,
-    /// Revision of the newest fact.
-    pub newest: u64,
-    /// Whether the facts are all there is, or only what has changed.
-    pub whole: bool,
-    /// The facts.
-    pub facts: Vec<Fact>,
-}
-
-/// The whole of one area, as one node hands it to another.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Snapshot {
-    /// Configuration and data centres taken out.
-    Policy {
-        /// Revisions of the area.
-        revision: Revision,
-        /// Configuration, if one was ever published.
-        config: Option<Arc<Config>>,
-        /// Data centres taken out.
-        closed: Vec<String>,
-    },
-    /// All endpoints, or what has changed since a revision that the peer knows.
-    Roster {
-        /// Revisions of the area.
-        revision: Revision,
-        /// Whether the endpoints are all there are.
-        whole: bool,
-        /// The endpoints.
-        endpoints: Vec<Endpoint>,
-        /// Those that have left, where not all are told.
-        gone: Vec<String>,
-        /// Those that have vanished and may come back, with the time that they have left for it.
-        lapsing: Vec<(String, Duration)>,
-    },
-}
-
-impl Snapshot {
-    fn into_facts(self) -> (Area, Revision, bool, Vec<Fact>, Vec<(String, Duration)>) {
-        match self {
-            Self::Policy {
-                revision,
-                config,
-                closed,
-            } => {
-                let config = config.map(|config| Fact::Config(Arc::unwrap_or_clone(config)));
-                let closed = closed.into_iter().map(Fact::Closed);
-                let facts = config.into_iter().chain(closed).collect();
-                (Area::Policy, revision, true, facts, Vec::new())
-            }
-            Self::Roster {
-                revision,
-                whole,
-                endpoints,
-                gone,
-                lapsing,
-            } => {
-                let listed = endpoints.into_iter().map(Fact::Endpoint);
-                let gone = gone.into_iter().map(Fact::Gone);
-                let facts = listed.chain(gone).collect();
-                (Area::Roster, revision, whole, facts, lapsing)
-            }
-        }
-    }
-}
-
-/// What has changed by a report or a snapshot.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Change {
-    /// Version of a configuration that came into force.
-    pub version: Option<u64>,
-    /// Data centres taken out.
-    pub closed: Vec<String>,
-    /// Data centres taken back.
-    pub opened: Vec<String>,
-    /// Endpoints that came or changed.
-    pub updated: Vec<Endpoint>,
-    /// Endpoints that left the list.
-    pub removed: Vec<Endpoint>,
-}
-
 /// Everything that is in force at this node.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
@@ -251,30 +105,40 @@
     /// Most changes concern one endpoint of many, so only what has changed is told where it is known.
     fn roster_since(&self, known: u64, now: Time) -> Snapshot {
         let whole = known < self.recent_from;
-        let news = self.recent.iter().filter(|(revision, _)| *revision > known);
-        let mut ids: Vec<&String> = news.map(|(_, id)| id).collect();
-        ids.sort_unstable();
-        ids.dedup();
-        let (listed, gone): (Vec<&String>, Vec<&String>) =
-            ids.into_iter().partition(|id| self.find(id).is_ok());
-        let endpoints = if whole {
-            self.endpoints.clone()
+        let (endpoints, gone) = if whole {
+            (self.endpoints.clone(), Vec::new())
         } else {
-            let found = listed.iter().filter_map(|id| self.find(id).ok());
-            found.map(|at| self.endpoints[at].clone()).collect()
+            self.changed_since(known)
         };
         let lapsing = self.lapsing.iter();
         Snapshot::Roster {
             revision: self.roster,
             whole,
             endpoints,
-            gone: gone.into_iter().cloned().collect(),
+            gone,
             lapsing: lapsing
                 .map(|(id, until)| (id.clone(), until.saturating_sub(now)))
                 .collect(),
         }
     }
 
+    /// Returns the endpoints that came or changed after a revision, and the names of those that left.
+    fn changed_since(&self, known: u64) -> (Vec<Endpoint>, Vec<String>) {
+        let news = self.recent.iter().filter(|(revision, _)| *revision > known);
+        let mut ids: Vec<&String> = news.map(|(_, id)| id).collect();
+        ids.sort_unstable();
+        ids.dedup();
+        let mut endpoints = Vec::new();
+        let mut gone = Vec::new();
+        for id in ids {
+            match self.find(id) {
+                Ok(at) => endpoints.push(self.endpoints[at].clone()),
+                Err(_) => gone.push(id.clone()),
+            }
+        }
+        (endpoints, gone)
+    }
+
     /// Remembers what a change of the endpoint list concerned; what came before the first is unknown.
     fn remember(&mut self, change: &Change, first: bool) {
         let revision = self.roster.changed;
@@ -301,9 +165,7 @@
         }
         self.confirm(area, now);
         // The peer has seen the publisher later than this node: its doubts count, not this one's.
-        let doubts = self.trouble.take();
-        let change = self.follow(area, facts, whole, now);
-        self.trouble = doubts;
+        let change = self.follow(area, facts, whole, None);
         for (id, left) in lapsing {
             // An entry that this node has given up, or expects back no longer than so, stays as it is.
             let doubted = self.lapsing.iter().any(|(each, _)| *each == id);
@@ -311,13 +173,8 @@
                 self.lapsing.push((id, now + left));
             }
         }
-        *self.revision_mut(area) = Revision {
-            changed: revision.changed,
-            read: revision.read.max(known.read),
-        };
-        if area == Area::Roster {
-            self.remember(&change, known.changed == 0);
-        }
+        let read = revision.read.max(known.read);
+        self.advance(area, Revision { read, ..revision }, &change);
         change
     }
 
@@ -330,35 +187,49 @@
         if report.revision < known.read || (report.revision == known.read && !report.whole) {
             return Change::default();
         }
-        let change = self.follow(report.area, report.facts, report.whole, now);
+        let doubted = self
+            .trouble
+            .map(|at| at + LAPSE)
+            .filter(|until| now < *until);
+        let change = self.follow(report.area, report.facts, report.whole, doubted);
         // What has vanished from a whole report has changed at an unknown revision before it.
         let changed = if report.whole && change != Change::default() {
             report.revision
         } else {
             report.newest
         };
-        *self.revision_mut(report.area) = Revision {
+        let revision = Revision {
             changed: changed.max(known.changed),
             read: report.revision,
         };
-        if report.area == Area::Roster {
-            self.remember(&change, known.changed == 0);
-        }
+        self.advance(report.area, revision, &change);
         change
     }
 
-    fn revision_mut(&mut self, area: Area) -> &mut Revision {
+    /// Sets the revision that a change has led to.
+    fn advance(&mut self, area: Area, revision: Revision, change: &Change) {
         match area {
-            Area::Policy => &mut self.policy,
-            Area::Roster => &mut self.roster,
+            Area::Policy => self.policy = revision,
+            Area::Roster => {
+                let first = self.roster.changed == 0;
+                self.roster = revision;
+                self.remember(change, first);
+            }
         }
     }
 
-    fn follow(&mut self, area: Area, facts: Vec<Fact>, whole: bool, now: Time) -> Change {
+    /// Takes in facts; an endpoint that has vanished may come back until `doubted`, if that is given.
+    fn follow(
+        &mut self,
+        area: Area,
+        facts: Vec<Fact>,
+        whole: bool,
+        doubted: Option<Time>,
+    ) -> Change {
         let mut change = Change::default();
         match area {
             Area::Policy => self.follow_policy(facts, whole, &mut change),
-            Area::Roster => self.follow_roster(facts, whole, now, &mut change),
+            Area::Roster => self.follow_roster(facts, whole, doubted, &mut change),
         }
         change
     }
@@ -396,14 +267,19 @@
         }
     }
 
-    fn follow_roster(&mut self, facts: Vec<Fact>, whole: bool, now: Time, change: &mut Change) {
+    fn follow_roster(
+        &mut self,
+        facts: Vec<Fact>,
+        whole: bool,
+        doubted: Option<Time>,
+        change: &mut Change,
+    ) {
         let mut gone: Vec<String> = Vec::new();
         if whole {
-            let listed = |id: &str| {
-                let same = |fact: &Fact| matches!(fact, Fact::Endpoint(each) if each.id == id);
-                facts.iter().any(same)
-            };
-            let missing = self.endpoints.iter().filter(|each| !listed(&each.id));
+            let mut listed: Vec<&str> = facts.iter().filter_map(Fact::listed).collect();
+            listed.sort_unstable();
+            let stays = |each: &Endpoint| listed.binary_search(&each.id.as_str()).is_ok();
+            let missing = self.endpoints.iter().filter(|each| !stays(each));
             gone.extend(missing.map(|each| each.id.clone()));
         }
         for fact in newest(facts) {
@@ -414,7 +290,7 @@
             }
         }
         for id in gone {
-            self.lose(&id, now, change);
+            self.lose(&id, doubted, change);
         }
     }
 
@@ -441,15 +317,18 @@
 
     /// An entry that vanishes means departure, except around an outage of the publisher, when it
     /// may have lapsed for want of a heartbeat.
-    fn lose(&mut self, id: &str, now: Time, change: &mut Change) {
+    fn lose(&mut self, id: &str, doubted: Option<Time>, change: &mut Change) {
         let Ok(at) = self.find(id) else { return };
-        let until = self.trouble.map_or(Time::ZERO, |at| at + LAPSE);
-        let suspicious = now < until;
-        if !suspicious || self.endpoints[at].draining {
-            change.removed.push(self.endpoints.remove(at));
-            self.lapsing.retain(|(each, _)| each != id);
-        } else if !self.lapsing.iter().any(|(each, _)| each == id) {
-            self.lapsing.push((id.to_owned(), until));
+        match doubted {
+            Some(until) if !self.endpoints[at].draining => {
+                if !self.lapsing.iter().any(|(each, _)| each == id) {
+                    self.lapsing.push((id.to_owned(), until));
+                }
+            }
+            _ => {
+                change.removed.push(self.endpoints.remove(at));
+                self.lapsing.retain(|(each, _)| each != id);
+            }
         }
     }
 
@@ -478,14 +357,11 @@
 /// it tells that the entry left.
 fn newest(facts: Vec<Fact>) -> Vec<Fact> {
     let mut last: Vec<Fact> = Vec::with_capacity(facts.len());
-    let id = |fact: &Fact| match fact {
-        Fact::Endpoint(endpoint) => Some(endpoint.id.clone()),
-        Fact::Gone(id) => Some(id.clone()),
-        Fact::Config(_) | Fact::Closed(_) | Fact::Opened(_) => None,
-    };
     let mut seen: Vec<String> = Vec::new();
     for fact in facts.into_iter().rev() {
-        let Some(id) = id(&fact) else { continue };
+        let Some(id) = fact.endpoint().map(str::to_owned) else {
+            continue;
+        };
         if let Err(at) = seen.binary_search(&id) {
             seen.insert(at, id);
             last.push(fact);
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -1,24 +1,20 @@
 //! One attempt of a request at one endpoint, up to the head of its answer.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
-use async_io::Timer;
-use futures_lite::future;
+use async_std::future::timeout;
 use http_body_util::Full;
 use hyper::{
     HeaderMap, Request, Response, StatusCode, Version,
     body::{Bytes, Incoming},
     http::request,
 };
-use peridotdeck_core::{
-    dispatch::{
-        Key,
-        attempt::{End, Order},
-        config::Kind,
-        due::Inquiry,
-        flight::Flight,
-    },
-    id::Time,
+use peridotdeck_core::dispatch::{
+    Key,
+    attempt::{End, Order},
+    config::Kind,
+    due::Inquiry,
+    flight::Flight,
 };
 
 use crate::{
@@ -92,7 +88,7 @@
     }
 }
 
-/// Sends a request and waits for the head of the answer until `deadline`.
+/// Sends a request and waits for the head of the answer as long as the request has time.
 ///
 /// # Errors
 /// How the attempt ended, if there is no head that belongs to it.
@@ -102,7 +98,6 @@
     flight: &Flight,
     order: &Order,
     resume: Option<&str>,
-    deadline: Time,
 ) -> Result<Answer, Failure> {
     let mut link = open(shared, flight, order).await?;
     let left = flight.left(clock::now());
@@ -112,17 +107,10 @@
     let headers = shared
         .ingress
         .forward(&message.head, flight, order, left, resume);
-    let answer = async {
-        match link.sender.send_request(message.copy(headers)).await {
-            Ok(response) => Ok(response),
-            Err(cause) => Err(failure(&cause)),
-        }
-    };
-    let late = async {
-        Timer::after(deadline.saturating_sub(clock::now())).await;
-        Err(Failure::new(End::TimedOut, "no answer in time"))
-    };
-    let response = future::or(answer, late).await?;
+    let answer = link.sender.send_request(message.copy(headers));
+    let answer = timeout(flight.left(clock::now()), answer).await;
+    let late = |_| Failure::new(End::TimedOut, "no answer in time");
+    let response = answer.map_err(late)?.map_err(|cause| failure(&cause))?;
     let (head, body) = response.into_parts();
     let reply = shared.ingress.classify(&flight.id, &head);
     if reply == Reply::Foreign {
@@ -162,22 +150,25 @@
     if let Some(link) = shared.pool.reuse(key, fresh) {
         return Ok(link);
     }
-    let watch = Arc::clone(shared);
-    let dialed = pool::dial(order.address, move || watch.suspect(key)).await;
-    shared.metrics.dialed(dialed.is_ok());
+    let dialed = dial(shared, key, order.address).await;
     dialed.map_err(|cause| Failure::new(End::Unreachable, &cause))
 }
 
-/// Opens a connection to see whether an endpoint is there, and keeps it.
-pub async fn probe<I: Ingress>(
+/// Opens a connection that casts suspicion on its endpoint if it breaks while idle.
+async fn dial<I: Ingress>(
     shared: &Arc<Shared<I>>,
     key: Key,
-    address: std::net::SocketAddrV4,
-) -> bool {
+    address: SocketAddrV4,
+) -> Result<Link, pool::Error> {
     let watch = Arc::clone(shared);
     let dialed = pool::dial(address, move || watch.suspect(key)).await;
     shared.metrics.dialed(dialed.is_ok());
-    match dialed {
+    dialed
+}
+
+/// Opens a connection to see whether an endpoint is there, and keeps it.
+pub async fn probe<I: Ingress>(shared: &Arc<Shared<I>>, key: Key, address: SocketAddrV4) -> bool {
+    match dial(shared, key, address).await {
         Ok(link) => {
             shared.pool.keep(key, link, None);
             true
--- a/crates/peridotdeck-relay/src/fetch.rs
+++ b/crates/peridotdeck-relay/src/fetch.rs
@@ -2,8 +2,7 @@
 
 use std::{net::SocketAddrV4, time::Duration};
 
-use async_io::Timer;
-use futures_lite::future;
+use async_std::future::timeout;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode, body::Bytes, header};
 use quick_error::quick_error;
@@ -77,11 +76,8 @@
             let body = body.map_err(|cause| Error::Invalid(cause.to_string()))?;
             Ok((link, head.status, body.to_bytes()))
         };
-        let late = async {
-            Timer::after(time).await;
-            Err(Error::Late)
-        };
-        let (link, status, body) = future::or(work, late).await?;
+        let read: Result<_, Error> = timeout(time, work).await.unwrap_or(Err(Error::Late));
+        let (link, status, body) = read?;
         self.link = Some(link);
         Ok((status, body))
     }
--- a/crates/peridotdeck-relay/src/front.rs
+++ b/crates/peridotdeck-relay/src/front.rs
@@ -2,8 +2,7 @@
 
 use std::{error::Error, sync::Arc};
 
-use async_io::Timer;
-use futures_lite::future;
+use async_std::future::timeout;
 use http_body_util::{BodyExt, Either, Full};
 use hyper::{
     HeaderMap, Request, Response,
@@ -132,11 +131,8 @@
         if body.is_end_stream() {
             return Ok(parts.into());
         }
-        let late = async {
-            Timer::after(limits.head_time).await;
-            Err(Cause::SlowBody)
-        };
-        let frame = future::or(async { Ok(body.frame().await) }, late).await?;
+        let frame = timeout(limits.head_time, body.frame()).await;
+        let frame = frame.map_err(|_| Cause::SlowBody)?;
         let data = match frame {
             None => return Ok(parts.into()),
             Some(Err(cause)) => {
--- a/crates/peridotdeck-relay/src/journal.rs
+++ b/crates/peridotdeck-relay/src/journal.rs
@@ -57,16 +57,6 @@
             .spawn(move || write_out(&shared, output))?;
         Ok(journal)
     }
-
-    /// Returns the lines that were dropped and not yet reported.
-    #[must_use]
-    pub fn dropped(&self) -> u64 {
-        self.shared
-            .0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .dropped
-    }
 }
 
 impl Write for Journal {
--- a/crates/peridotdeck-relay/src/journey.rs
+++ b/crates/peridotdeck-relay/src/journey.rs
@@ -1,5 +1,7 @@
 //! One caller's request from its admission to its end.
 
+mod account;
+
 use std::{
     pin::pin,
     sync::{Arc, atomic::Ordering},
@@ -7,7 +9,7 @@
 };
 
 use async_io::Timer;
-use futures_lite::future;
+use async_std::future::timeout;
 use http_body_util::BodyExt;
 use hyper::{
     Response,
@@ -21,9 +23,7 @@
         attempt::{Attempt, End, Next, Order, Placement},
         config::Kind,
         flight::Flight,
-        placement::Bar,
         refusal::Refusal,
-        registry::Area,
     },
 };
 
@@ -109,14 +109,7 @@
                 Ok(order) => order,
                 Err(refusal) => return self.refuse(refusal),
             };
-            let (result, hedged) = self.attempt(&order, None).await;
-            if hedged {
-                self.finish(End::Silent, "slow");
-                self.flight.runs += 1;
-                placed = self.place().await;
-                continue;
-            }
-            match result {
+            match self.attempt(&order).await {
                 Some(Ok(arrival)) => match self.arrive(&order, arrival) {
                     Ok(outcome) => return *outcome,
                     Err(journey) => self = *journey,
@@ -127,7 +120,10 @@
                         return self.refuse(refusal);
                     }
                 }
-                None => {}
+                None => {
+                    self.finish(End::Silent, "slow");
+                    self.flight.runs += 1;
+                }
             }
             placed = self.place().await;
         }
@@ -160,33 +156,20 @@
         }
     }
 
-    /// Makes one attempt; the flag says that another endpoint should be asked instead.
-    async fn attempt(
-        &mut self,
-        order: &Order,
-        resume: Option<&str>,
-    ) -> (Option<Result<Arrival, Failure>>, bool) {
-        let work = Self::answer(&self.shared, &self.message, &self.flight, order, resume);
+    /// Makes one attempt; nothing comes of it if it is slow and another endpoint should be asked.
+    async fn attempt(&self, order: &Order) -> Option<Result<Arrival, Failure>> {
+        let work = Self::answer(&self.shared, &self.message, &self.flight, order, None);
         let mut work = pin!(work);
-        let mut hedge = order.hedge;
-        loop {
-            let Some(patience) = hedge else {
-                return (Some(work.as_mut().await), false);
-            };
-            let impatient = async {
-                Timer::after(patience).await;
-                None
-            };
-            let result = future::or(async { Some(work.as_mut().await) }, impatient).await;
-            if result.is_some() {
-                return (result, false);
+        if let Some(patience) = order.hedge {
+            if let Ok(result) = timeout(patience, work.as_mut()).await {
+                return Some(result);
             }
             let now = clock::now();
             if self.shared.dispatcher().may_hedge(&self.flight, now) {
-                return (None, true);
+                return None;
             }
-            hedge = None;
         }
+        Some(work.await)
     }
 
     async fn answer(
@@ -196,7 +179,7 @@
         order: &Order,
         resume: Option<&str>,
     ) -> Result<Arrival, Failure> {
-        let answer = exchange::send(shared, message, flight, order, resume, flight.until).await?;
+        let answer = exchange::send(shared, message, flight, order, resume).await?;
         let (head, mut body) = answer.response.into_parts();
         let (link, keep_alive) = (answer.link, answer.keep_alive);
         let end = match answer.reply {
@@ -227,12 +210,8 @@
         };
         let cause = format!("status {}", head.status.as_u16());
         if end == End::Rejected {
-            let rest = async { body.collect().await.is_ok() };
-            let late = async {
-                Timer::after(DRAIN).await;
-                false
-            };
-            if future::or(rest, late).await {
+            let rest = timeout(DRAIN, body.collect()).await;
+            if matches!(rest, Ok(Ok(_))) {
                 shared.pool.keep(order.attempt.key(), link, keep_alive);
             }
         }
@@ -339,99 +318,6 @@
         self.end_with(outcome, &refusal);
         Outcome::Refused(refusal)
     }
-
-    pub(crate) fn end_with(&mut self, outcome: &str, refusal: &Refusal) {
-        let wait = refusal.retry_after.unwrap_or_default().as_millis();
-        let cause = format!(
-            "{} verdict={} retry_after_ms={wait}",
-            refusal.cause, refusal.verdict
-        );
-        self.end(outcome, 0, &cause);
-    }
-
-    /// Logs and counts the end of the request.
-    pub(crate) fn end(&mut self, outcome: &str, status: u16, cause: &str) {
-        if std::mem::replace(&mut self.ended, true) {
-            return;
-        }
-        let flight = &self.flight;
-        let time = clock::now().saturating_sub(flight.arrived);
-        self.shared.metrics.ended(&flight.route.name, outcome);
-        if outcome == "answered" {
-            let (class, organisation) = (&flight.route.name, flight.customer());
-            self.shared.metrics.whole(class, organisation, time);
-        }
-        log::info!(
-            "event=request_ended id={} route={} organisation={} version={} outcome={outcome} \
-             status={status} ms={} first_ms={} pause_ms={} attempts={} runs={} rejections={} \
-             cause={cause}",
-            flight.id,
-            flight.route.name,
-            flight.customer(),
-            flight.version,
-            time.as_millis(),
-            self.first.unwrap_or(time).as_millis(),
-            self.pause.as_millis(),
-            self.attempts,
-            flight.runs,
-            flight.rejections,
-        );
-    }
-
-    fn log_placed(&self, order: &Order) {
-        let estimate = &order.estimate;
-        log::info!(
-            "event=request_placed id={} route={} endpoint={} attempt={} rank={} score={:.0} \
-             expected_ms={} prompt={} shared={} known={} cached={} unread={} fetch={} running={} \
-             backlog={} left_ms={} roster={} roster_age_ms={}",
-            self.flight.id,
-            self.flight.route.name,
-            order.instance,
-            self.attempts,
-            order.rank,
-            estimate.score,
-            estimate.first.as_millis(),
-            self.flight.prompt.tokens,
-            self.flight
-                .prompt
-                .shared
-                .last()
-                .map_or(0, |part| part.tokens),
-            estimate.known,
-            estimate.cached,
-            estimate.unread,
-            order.source.is_some(),
-            order.load.running,
-            order.load.unread,
-            self.flight.left(clock::now()).as_millis(),
-            order.roster,
-            order.roster_age.as_millis(),
-        );
-    }
-
-    /// Logs why no endpoint could take the request: how many were barred by what.
-    fn log_unplaced(&self, bars: &[Bar]) {
-        let mut bars = bars.to_vec();
-        bars.sort_unstable();
-        let counts: Vec<String> = bars
-            .chunk_by(|one, other| one == other)
-            .map(|same| format!("{}:{}", same[0], same.len()))
-            .collect();
-        let dispatcher = self.shared.dispatcher();
-        let registry = dispatcher.registry();
-        let now = clock::now();
-        log::info!(
-            "event=request_unplaced id={} service={} barred={} roster={} roster_age_ms={} \
-             policy={} policy_age_ms={}",
-            self.flight.id,
-            self.flight.service,
-            counts.join(","),
-            registry.revision(Area::Roster).changed,
-            registry.age(Area::Roster, now).as_millis(),
-            registry.revision(Area::Policy).changed,
-            registry.age(Area::Policy, now).as_millis(),
-        );
-    }
 }
 
 impl<I: Ingress> Drop for Journey<I> {
@@ -448,11 +334,8 @@
     flight: &Flight,
     work: impl Future<Output = Result<T, Failure>>,
 ) -> Result<T, Failure> {
-    let late = async {
-        Timer::after(flight.left(clock::now())).await;
-        Err(Failure::new(End::TimedOut, "answer not whole in time"))
-    };
-    future::or(work, late).await
+    let done = timeout(flight.left(clock::now()), work).await;
+    done.unwrap_or_else(|_| Err(Failure::new(End::TimedOut, "answer not whole in time")))
 }
 
 async fn whole(body: Incoming, flight: &Flight) -> Result<Bytes, Failure> {
--- a/crates/peridotdeck-relay/src/pool.rs
+++ b/crates/peridotdeck-relay/src/pool.rs
@@ -14,7 +14,8 @@
     time::Duration,
 };
 
-use async_io::{Async, Timer};
+use async_io::Async;
+use async_std::future::timeout;
 use futures_lite::future;
 use http_body_util::Full;
 use hyper::{
@@ -91,11 +92,8 @@
 /// # Errors
 /// If the peer refuses or does not answer in time.
 pub async fn connect(address: SocketAddr) -> io::Result<Async<TcpStream>> {
-    let late = async {
-        Timer::after(CONNECT).await;
-        Err(io::ErrorKind::TimedOut.into())
-    };
-    let stream = future::or(Async::<TcpStream>::connect(address), late).await?;
+    let connected = timeout(CONNECT, Async::<TcpStream>::connect(address)).await;
+    let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     tune(stream.get_ref())?;
     Ok(stream)
 }
@@ -112,8 +110,6 @@
 pub struct Link {
     /// Sends requests.
     pub sender: SendRequest<Full<Bytes>>,
-    /// Whether it has carried an exchange before.
-    pub reused: bool,
     busy: Arc<AtomicBool>,
     _cord: Cord,
 }
@@ -143,9 +139,8 @@
         let usable =
             |each: &Kept| each.link.sender.is_ready() && now.saturating_sub(each.since) < fresh;
         let at = kept.iter().rposition(usable)?;
-        let mut link = kept.remove(at).link;
+        let link = kept.remove(at).link;
         link.busy.store(true, Ordering::Relaxed);
-        link.reused = true;
         Some(link)
     }
 
@@ -236,7 +231,6 @@
     });
     Ok(Link {
         sender,
-        reused: false,
         busy,
         _cord: Cord { _end: end },
     })
--- a/crates/peridotdeck-relay/src/server.rs
+++ b/crates/peridotdeck-relay/src/server.rs
@@ -48,8 +48,9 @@
 /// What a connection is doing.
 #[derive(Debug)]
 struct Activity {
-    // Requests in progress in the upper half, milliseconds of the last end in the lower.
+    /// Requests in progress.
     requests: AtomicU64,
+    /// When the last one ended, in milliseconds of the clock.
     last_ms: AtomicU64,
 }
 
