Keep long prompts from streams that they would make late, by score

An engine that reads without a break makes an event of seven tokens every 280 ms; 250 ms are allowed. A third of each data centre's engines was to be left to such streams, but a data centre of two engines had none, long prompts of 1,024 tokens and more were kept from the third even while it was idle, and pauses were learnt at the end of streams, ten seconds late.

Change: an endpoint whose unread prompts would fill the allowed pause scores worse for a stream that is late beside them, and for a long prompt by the streams that it would make late. Such streams prefer the same endpoints, in an order that all nodes share. A pause that is longer than usual is learnt when it happens.

stream_pauses fails with the three scores at zero.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -1,11 +1,11 @@
 //! All decisions of a node that places its own callers' requests.
 //!
 //! The state is here, with what the publisher says; what is done with it stands in modules by its
-//! cause: a request (`placing`), the end of an attempt (`ends`), a peer (`peers`) or time
-//! (`upkeep`).
+//! cause: a request (`placing`), the end of an attempt (`ends`), pauses of streams (`pauses`), a peer
+//! (`peers`) or time (`upkeep`).
 
 mod ends;
-mod lanes;
+mod pauses;
 mod peers;
 mod placing;
 mod upkeep;
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/ends.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/ends.rs
@@ -45,20 +45,6 @@
         self.fleet.touch();
     }
 
-    /// Learns the longest pause that a whole stream had at one endpoint.
-    ///
-    /// The running value approaches the pause that nine of ten streams stay within.
-    pub fn note_pause(&mut self, service: &str, pause: Duration) {
-        /// Change for a pause above the value, and for one below, in milliseconds.
-        const STEP: (f64, f64) = (9.0, 1.0);
-        let value = self.pauses.value_mut(service);
-        if pause.as_secs_f64() * 1e3 > *value {
-            *value += STEP.0;
-        } else {
-            *value = (*value - STEP.1).max(0.0);
-        }
-    }
-
     /// Takes an attempt back and learns from how it ended.
     pub fn finish(&mut self, attempt: &Attempt, end: End, flight: &Flight, now: Time) {
         self.fleet.touch();
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -207,7 +207,7 @@
             held: &held,
             most: held.iter().copied().fold(Held::default(), Held::max),
             recent: self.recent(flight, now),
-            quiet: &self.quiet(name),
+            gap: self.gap(name),
             sensitive: self.is_sensitive(&flight.route, name),
             place: &self.options.place,
             region: &self.region,
--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -13,7 +13,7 @@
 use super::{
     Key,
     config::{Model, Service},
-    endpoint::State,
+    endpoint::{Load, State},
     flight::Flight,
 };
 use crate::id::Time;
@@ -76,14 +76,23 @@
 /// Score of each request that runs already: it slows the others' tokens.
 const COMPANY_SCORE: f64 = 4.0;
 
-/// Score of an endpoint with long prompts for a stream that is late beside them.
+/// Score of an endpoint that reads without a break, for a stream that is late beside that.
 const NOISE_SCORE: f64 = 1_000.0;
 
-/// Score of an endpoint with such streams for a long prompt.
-const INTRUSION_SCORE: f64 = 10_000.0;
+/// Score of each such stream at an endpoint, for a prompt that makes the endpoint read so long.
+const INTRUSION_SCORE: f64 = 300.0;
 
-/// Unread tokens beyond which a prompt is long: reading it shows in the pauses of others.
-const LONG_PROMPT: u32 = 1_024;
+/// Such streams at one endpoint that count.
+const MOST_INTRUDED: u32 = 16;
+
+/// Part of the allowed pause that reading may fill; the rest is for the tokens themselves.
+const READING_PART: f64 = 0.6;
+
+/// Part of that up to which nobody notices.
+const UNNOTICED_PART: f64 = 0.5;
+
+/// Largest score by which such streams prefer some endpoints to others, so that they meet there.
+const MEETING_SCORE: f64 = 300.0;
 
 /// Score of an endpoint all of whose attempts fail, in targets of the route.
 const FAILURE_TARGETS: f64 = 5.0;
@@ -167,9 +176,9 @@
     pub most: Held,
     /// Tokens of the prompt's beginning that some endpoint has used lately.
     pub recent: u32,
-    /// Endpoints that long prompts should leave to sensitive streams, sorted.
-    pub quiet: &'a [Key],
-    /// Whether the request is a stream that is late beside long prompts.
+    /// Shortest pause that is allowed to streams which are late beside long prompts, if any are.
+    pub gap: Option<Duration>,
+    /// Whether the request is such a stream.
     pub sensitive: bool,
     /// The node's own data centre.
     pub place: &'a str,
@@ -298,14 +307,7 @@
             reading + DISTURBANCE * reading * f64::from(load.urgent.min(MOST_DISTURBED));
         score += (SLOWDOWN * reading + COMPANY_SCORE) * f64::from(load.running);
         score += self.moving_score(known, known - cached);
-        if !self.quiet.is_empty() {
-            let quiet = self.quiet.binary_search(&state.key).is_ok();
-            if self.sensitive && !quiet {
-                score += NOISE_SCORE;
-            } else if quiet && unread > LONG_PROMPT {
-                score += INTRUSION_SCORE;
-            }
-        }
+        score += self.disturbance(state, load, reading);
         Estimate {
             score,
             first: Duration::from_secs_f64(first / 1e3),
@@ -316,6 +318,24 @@
         }
     }
 
+    /// What long reading costs streams that are late beside it: those that run, or the request itself.
+    fn disturbance(&self, state: &State, load: Load, reading: f64) -> f64 {
+        let Some(gap) = self.gap else {
+            return 0.0;
+        };
+        let room = gap.as_secs_f64() * 1e3 * READING_PART;
+        let noticed = |reading: f64| {
+            let part = reading * self.pace(state) / room;
+            ((part - UNNOTICED_PART) / (1.0 - UNNOTICED_PART)).clamp(0.0, 1.0)
+        };
+        let before = f64::from(load.unread) / READ_PER_MS;
+        if self.sensitive {
+            return NOISE_SCORE * noticed(before) + MEETING_SCORE * fraction(state.key);
+        }
+        let streams = f64::from(load.urgent.min(MOST_INTRUDED));
+        INTRUSION_SCORE * streams * noticed(before + reading)
+    }
+
     /// What is lost by reading again what some endpoint has read lately, and by moving it.
     fn moving_score(&self, known: u32, fetched: u32) -> f64 {
         let again = self.recent.saturating_sub(known);
@@ -369,6 +389,13 @@
     }
 }
 
+/// Returns a number from 0 to 1 that is the same for an endpoint at every node.
+fn fraction(key: Key) -> f64 {
+    /// Odd factor that puts keys into an order of their own.
+    const SHUFFLE: Key = 0x9e37_79b1;
+    f64::from(key.wrapping_mul(SHUFFLE)) / f64::from(Key::MAX)
+}
+
 /// Returns whether a request is a stream with a short target.
 #[must_use]
 pub fn is_urgent(flight: &Flight) -> bool {
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -18,4 +18,5 @@
 mod recovery;
 mod roster_lapse;
 mod shared_bounds;
+mod stream_pauses;
 mod world;
--- a/crates/peridotdeck-relay/src/journey.rs
+++ b/crates/peridotdeck-relay/src/journey.rs
@@ -79,6 +79,8 @@
     pub(crate) first: Option<Duration>,
     /// Longest time between two events that were passed on.
     pub(crate) pause: Duration,
+    /// Whether such a pause was longer than usual.
+    paused: bool,
     attempts: u32,
     ended: bool,
 }
@@ -96,6 +98,7 @@
             endpoint: String::new(),
             first: None,
             pause: Duration::ZERO,
+            paused: false,
             attempts: 0,
             ended: false,
         }
@@ -269,11 +272,24 @@
         }
     }
 
-    /// Tells how long the stream paused, unless another endpoint had to go on.
-    pub(crate) fn note_pause(&self) {
-        if self.attempts == 1 {
+    /// Notes a pause between two events; a long one is learnt from at once, unless another endpoint
+    /// had to go on.
+    pub(crate) fn note_pause(&mut self, pause: Duration) {
+        if pause <= self.pause {
+            return;
+        }
+        self.pause = pause;
+        if self.attempts == 1 && !self.paused {
+            let mut dispatcher = self.shared.dispatcher();
+            self.paused = dispatcher.note_pause(&self.flight.service, pause);
+        }
+    }
+
+    /// Notes that the stream is whole.
+    pub(crate) fn note_whole(&self) {
+        if self.attempts == 1 && !self.paused {
             let mut dispatcher = self.shared.dispatcher();
-            dispatcher.note_pause(&self.flight.service, self.pause);
+            dispatcher.note_steady(&self.flight.service);
         }
     }
 
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -126,7 +126,7 @@
             self.journey.first = Some(time);
         } else {
             let pause = now.saturating_sub(self.sent);
-            self.journey.pause = self.journey.pause.max(pause);
+            self.journey.note_pause(pause);
         }
         self.sent = now;
     }
@@ -137,7 +137,7 @@
             let pool = &self.journey.shared.pool;
             pool.keep(self.key, link, self.keep_alive);
             self.journey.finish(End::Finished, "");
-            self.journey.note_pause();
+            self.journey.note_whole();
             self.journey.end("answered", 200, "");
         }
         self.events.rest()
