Let the least urgent class wait at its node while engines are full

Change: a request whose route is the least urgent of several at its service waits, for one and a half targets at most, while the best engine's batch is nine tenths full, or while it would be late wherever it goes and no engine has room. It is logged once with what that was decided on. A leaving node holds nothing back. What holds and refuses has a module of its own.

overload_waits fails before: nothing waited.

--- a/crates/peridotdeck-core/src/dispatch/attempt.rs
+++ b/crates/peridotdeck-core/src/dispatch/attempt.rs
@@ -17,12 +17,54 @@
 pub enum Placement {
     /// Send it.
     Send(Order),
-    /// Ask again after this time.
-    Wait(Duration),
+    /// Ask again after a while.
+    Wait(Pause),
     /// Tell the caller.
     Refuse(Refusal, Vec<Bar>),
 }
 
+/// Why a request waits at its node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Obstacle {
+    /// The configuration is not known any more.
+    Unconfigured,
+    /// No endpoint may take it.
+    NoEndpoint,
+    /// The best endpoint has no room that more urgent requests would not take from it.
+    Full,
+    /// It would be late wherever it goes, and make others late.
+    Late,
+}
+
+/// A time to wait, and what that was decided on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pause {
+    /// Time until the next decision.
+    pub time: Duration,
+    /// Why.
+    pub cause: Obstacle,
+    /// Requests at the best endpoint; 0 if there is none.
+    pub running: u32,
+    /// Expected time to its answer; zero if there is none.
+    pub expected: Duration,
+}
+
+impl Pause {
+    /// Returns a wait until the next look for an endpoint.
+    #[must_use]
+    pub fn short(cause: Obstacle) -> Self {
+        /// Pause between two looks.
+        const LOOK: Duration = Duration::from_millis(20);
+        Self {
+            time: LOOK,
+            cause,
+            running: 0,
+            expected: Duration::ZERO,
+        }
+    }
+}
+
 /// An attempt to make.
 #[derive(Clone, Debug)]
 pub struct Order {
--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -2,13 +2,14 @@
 //!
 //! The state is here, with what the publisher says; what is done with it stands in modules by its
 //! cause: a request (`placing`), the end of an attempt (`ends`), pauses of streams (`pauses`), a peer
-//! (`peers`) or time (`upkeep`).
+//! (`peers`) or time (`upkeep`); who waits is decided in `waiting`.
 
 mod ends;
 mod pauses;
 mod peers;
 mod placing;
 mod upkeep;
+mod waiting;
 
 use std::time::Duration;
 
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/ends.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/ends.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Dispatcher, Suspect, placing::give_up};
+use super::{Dispatcher, Suspect, waiting::give_up};
 use crate::{
     Verdict,
     dispatch::{
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -4,11 +4,14 @@
 
 use rand::Rng;
 
-use super::Dispatcher;
+use super::{
+    Dispatcher,
+    waiting::{BLIND, RETURN_PART, give_up},
+};
 use crate::{
     dispatch::{
         Key,
-        attempt::{Attempt, Order, Placement},
+        attempt::{Attempt, Obstacle, Order, Pause, Placement},
         config::{Service, Share},
         endpoint::{Load, State},
         flight::{Ask, Flight},
@@ -22,28 +25,9 @@
     id::{Fingerprint, Time},
 };
 
-/// Part of the target for which a request waits for an endpoint before it is refused.
-const HOLD_PART: f64 = 0.3;
-
-/// Shortest time for which a request waits for an endpoint.
-const HOLD: Duration = Duration::from_millis(100);
-
 /// Largest random addition to a score, so that nodes that see the same choose differently.
 const JITTER: f64 = 8.0;
 
-/// Pause between two looks for an endpoint.
-const LOOK: Duration = Duration::from_millis(20);
-
-/// Shortest and longest time that a refused caller is told to stay away.
-const RETURN: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(2));
-
-/// Longest time that callers are told to stay away from a node without a configuration: what
-/// publishes it is down, and nobody knows for how long.
-const BLIND: Duration = Duration::from_secs(4);
-
-/// Part of the caller's time that it may be told to stay away: callers ignore longer ones.
-const RETURN_PART: f64 = 0.3;
-
 /// Answers are awaited this many times longer than expected before another endpoint is asked.
 const HEDGE_FACTOR: f64 = 2.5;
 
@@ -119,11 +103,16 @@
             return Placement::Refuse(give_up(flight, Cause::TimedOut, None), Vec::new());
         }
         let Some(config) = self.registry.config().cloned() else {
-            return Placement::Wait(LOOK);
+            return Placement::Wait(Pause::short(Obstacle::Unconfigured));
         };
         let unknown = Service::default();
         let service = config.service(&flight.service).unwrap_or(&unknown);
         let (ranked, mut bars) = self.rank(flight, service, now);
+        if let Some((key, estimate)) = ranked.first()
+            && let Some(pause) = self.defer(flight, service, *key, estimate, now)
+        {
+            return Placement::Wait(pause);
+        }
         for (key, estimate) in ranked {
             match self.take(key, service, now) {
                 Ok(()) => return Placement::Send(self.send(key, estimate, flight, service, now)),
@@ -351,38 +340,6 @@
             roster_age,
         }
     }
-
-    fn hold(&mut self, flight: &mut Flight, bars: Vec<Bar>, now: Time) -> Placement {
-        let target = flight.route.target.mul_f64(HOLD_PART).max(HOLD);
-        let since = *flight.waiting.get_or_insert(now);
-        let hopeless = bars.iter().all(|bar| *bar == Bar::Region) && !bars.is_empty();
-        if !hopeless && now.saturating_sub(since) < target.min(flight.left(now)) {
-            return Placement::Wait(LOOK);
-        }
-        let wait = self.return_time(flight, now);
-        Placement::Refuse(give_up(flight, Cause::NoEndpoint, Some(wait)), bars)
-    }
-
-    /// Returns a time in the last third up to `most`, so that callers do not return together.
-    fn spread(&mut self, most: Duration) -> Duration {
-        most.mul_f64(1.0 - self.rng.random::<f64>() / 3.0)
-    }
-
-    /// Returns spread over the time in which endpoints come back, within what callers heed.
-    pub(super) fn return_time(&mut self, flight: &Flight, now: Time) -> Duration {
-        let most = flight.left(now).mul_f64(RETURN_PART).min(RETURN.1);
-        let least = RETURN.0.min(most);
-        least + most.saturating_sub(least).mul_f64(self.rng.random::<f64>())
-    }
-}
-
-/// Ends a flight with what is true of it.
-pub(super) fn give_up(flight: &Flight, cause: Cause, wait: Option<Duration>) -> Refusal {
-    if flight.runs > 0 {
-        Refusal::may_have_run(cause)
-    } else {
-        Refusal::not_run(cause, wait)
-    }
 }
 
 /// Returns the time after which a repeatable request is better asked elsewhere.
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod handover;
 mod membership;
 mod numbering;
+mod overload_waits;
 mod poison;
 mod preemption;
 mod prompt_placement;
--- a/crates/peridotdeck-core/tests/testsuite/random_dispatch.rs
+++ b/crates/peridotdeck-core/tests/testsuite/random_dispatch.rs
@@ -179,7 +179,7 @@
                     assert!(wait <= flight.route.timeout / 3);
                 }
             }
-            Placement::Wait(pause) => assert!(pause > Duration::ZERO),
+            Placement::Wait(pause) => assert!(pause.time > Duration::ZERO),
         }
     }
 
--- a/crates/peridotdeck-relay/src/journey.rs
+++ b/crates/peridotdeck-relay/src/journey.rs
@@ -20,7 +20,7 @@
     Verdict,
     dispatch::{
         Key,
-        attempt::{Attempt, End, Next, Order, Placement},
+        attempt::{Attempt, End, Next, Obstacle, Order, Placement},
         config::Kind,
         flight::Flight,
         refusal::Refusal,
@@ -82,6 +82,8 @@
     /// Whether such a pause was longer than usual.
     paused: bool,
     attempts: u32,
+    /// Why it waits for an endpoint, as logged.
+    obstacle: Option<Obstacle>,
     ended: bool,
 }
 
@@ -100,6 +102,7 @@
             pause: Duration::ZERO,
             paused: false,
             attempts: 0,
+            obstacle: None,
             ended: false,
         }
     }
@@ -235,7 +238,8 @@
                     return Ok(order);
                 }
                 Placement::Wait(pause) => {
-                    Timer::after(pause).await;
+                    self.log_waiting(&pause);
+                    Timer::after(pause.time).await;
                 }
                 Placement::Refuse(refusal, bars) => {
                     self.log_unplaced(&bars);
--- a/crates/peridotdeck-relay/src/journey/account.rs
+++ b/crates/peridotdeck-relay/src/journey/account.rs
@@ -1,7 +1,10 @@
 //! What the log and the metrics tell of a request: where it went, why it waits, how it ended.
 
 use peridotdeck_core::dispatch::{
-    attempt::Order, placement::Bar, refusal::Refusal, registry::Area,
+    attempt::{Order, Pause},
+    placement::Bar,
+    refusal::Refusal,
+    registry::Area,
 };
 
 use super::Journey;
@@ -50,10 +53,11 @@
     /// Logs where an attempt goes, and on what that was decided.
     pub(super) fn log_placed(&self, order: &Order) {
         let estimate = &order.estimate;
+        let now = clock::now();
         log::info!(
             "event=request_placed id={} route={} endpoint={} attempt={} rank={} score={:.0} \
              expected_ms={} prompt={} shared={} known={} cached={} unread={} fetch={} running={} \
-             backlog={} left_ms={} roster={} roster_age_ms={}",
+             backlog={} waited_ms={} left_ms={} roster={} roster_age_ms={}",
             self.flight.id,
             self.flight.route.name,
             order.instance,
@@ -73,12 +77,31 @@
             order.source.is_some(),
             order.load.running,
             order.load.unread,
-            self.flight.left(clock::now()).as_millis(),
+            now.saturating_sub(self.flight.arrived).as_millis(),
+            self.flight.left(now).as_millis(),
             order.roster,
             order.roster_age.as_millis(),
         );
     }
 
+    /// Logs why the request waits, once for each cause.
+    pub(super) fn log_waiting(&mut self, pause: &Pause) {
+        if self.obstacle.replace(pause.cause) == Some(pause.cause) {
+            return;
+        }
+        log::info!(
+            "event=request_waits id={} route={} cause={} running={} expected_ms={} target_ms={} \
+             left_ms={}",
+            self.flight.id,
+            self.flight.route.name,
+            pause.cause,
+            pause.running,
+            pause.expected.as_millis(),
+            self.flight.route.target.as_millis(),
+            self.flight.left(clock::now()).as_millis(),
+        );
+    }
+
     /// Logs why no endpoint could take the request: how many were barred by what.
     pub(super) fn log_unplaced(&self, bars: &[Bar]) {
         let mut bars = bars.to_vec();
