Tell a request's delay from a stream's pause, and let every region hear of a leave

Reading the diff: `Pause` meant both the wait of a request and the gap in a stream; the former is now `Delay`. Who has a turn in a round has functions of its own. A node that leaves makes the next round one that tells all data centres; since the region's own are told in further rounds, it might have been one of those.

The random test of several nodes now has a class that may wait.

--- a/crates/peridotdeck-core/src/dispatch/attempt.rs
+++ b/crates/peridotdeck-core/src/dispatch/attempt.rs
@@ -18,7 +18,7 @@
     /// Send it.
     Send(Order),
     /// Ask again after a while.
-    Wait(Pause),
+    Wait(Delay),
     /// Tell the caller.
     Refuse(Refusal, Vec<Bar>),
 }
@@ -39,7 +39,7 @@
 
 /// A time to wait, and what that was decided on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Pause {
+pub struct Delay {
     /// Time until the next decision.
     pub time: Duration,
     /// Why.
@@ -50,8 +50,8 @@
     pub expected: Duration,
 }
 
-impl Pause {
-    /// Returns a wait until the next look for an endpoint.
+impl Delay {
+    /// Returns the time until the next look for an endpoint.
     #[must_use]
     pub fn short(cause: Obstacle) -> Self {
         /// Pause between two looks.
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -11,7 +11,7 @@
 use crate::{
     dispatch::{
         Key,
-        attempt::{Attempt, Obstacle, Order, Pause, Placement},
+        attempt::{Attempt, Delay, Obstacle, Order, Placement},
         config::{Service, Share},
         endpoint::{Load, State},
         flight::{Ask, Flight},
@@ -103,15 +103,15 @@
             return Placement::Refuse(give_up(flight, Cause::TimedOut, None), Vec::new());
         }
         let Some(config) = self.registry.config().cloned() else {
-            return Placement::Wait(Pause::short(Obstacle::Unconfigured));
+            return Placement::Wait(Delay::short(Obstacle::Unconfigured));
         };
         let unknown = Service::default();
         let service = config.service(&flight.service).unwrap_or(&unknown);
         let (ranked, mut bars) = self.rank(flight, service, now);
         if let Some((key, estimate)) = ranked.first()
-            && let Some(pause) = self.defer(flight, service, *key, estimate, now)
+            && let Some(delay) = self.defer(flight, service, *key, estimate, now)
         {
-            return Placement::Wait(pause);
+            return Placement::Wait(delay);
         }
         for (key, estimate) in ranked {
             match self.take(key, service, now) {
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/waiting.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/waiting.rs
@@ -8,7 +8,7 @@
 use crate::{
     dispatch::{
         Key,
-        attempt::{Obstacle, Pause, Placement},
+        attempt::{Delay, Obstacle, Placement},
         config::{Route, Service},
         flight::Flight,
         placement::{Bar, Estimate},
@@ -56,7 +56,7 @@
         key: Key,
         estimate: &Estimate,
         now: Time,
-    ) -> Option<Pause> {
+    ) -> Option<Delay> {
         let model = service.model?;
         let target = flight.route.target;
         let waited = now.saturating_sub(flight.arrived);
@@ -75,8 +75,8 @@
         };
         // Requests that look again at different times do not meet at the same engine.
         let stretch = 1.0 + 2.0 * self.rng.random::<f64>();
-        let short = Pause::short(cause);
-        Some(Pause {
+        let short = Delay::short(cause);
+        Some(Delay {
             time: short.time.mul_f64(stretch),
             running,
             expected,
@@ -110,7 +110,7 @@
         let since = *flight.waiting.get_or_insert(now);
         let hopeless = bars.iter().all(|bar| *bar == Bar::Region) && !bars.is_empty();
         if !hopeless && now.saturating_sub(since) < target.min(flight.left(now)) {
-            return Placement::Wait(Pause::short(Obstacle::NoEndpoint));
+            return Placement::Wait(Delay::short(Obstacle::NoEndpoint));
         }
         let wait = self.return_time(flight, now);
         Placement::Refuse(give_up(flight, Cause::NoEndpoint, Some(wait)), bars)
--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -184,7 +184,7 @@
     pub fn leave(&mut self) {
         self.leaving = true;
         self.dirty = true;
-        self.round_due = Time::ZERO;
+        self.hasten_round();
     }
 
     /// Notes that what this node says of itself has changed.
--- a/crates/peridotdeck-core/src/dispatch/fleet/telling.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/telling.rs
@@ -88,23 +88,14 @@
     fn beat_remotely(&mut self, status: &Status, now: Time, beats: &mut Vec<(Node, beat::Beat)>) {
         let here = self.live(self.place, now);
         let count = here.len().max(1);
-        let rounds = if self.siblings.is_empty() {
-            1
-        } else {
-            SIBLING_ROUNDS
-        };
-        self.round_due = now + round_time(here.len()) / rounds as u32;
+        self.round_due = now + round_time(here.len()) / self.rounds() as u32;
         self.round += 1;
         let mine = here.binary_search(&self.me).unwrap_or(0);
         let mut places: Vec<Place> = self.remotes.iter().map(|each| each.place).collect();
         places.sort_unstable();
         let mut peers = Vec::new();
         for place in places {
-            let turn = if self.siblings.contains(&place) {
-                self.round
-            } else if self.round.is_multiple_of(rounds) {
-                self.round / rounds
-            } else {
+            let Some(turn) = self.turn(place) else {
                 continue;
             };
             let there = self.live(place, now).into_iter();
@@ -114,6 +105,32 @@
         self.send(&parts, &peers, beats);
     }
 
+    /// Makes a round due that tells all other data centres.
+    pub(super) fn hasten_round(&mut self) {
+        let rounds = self.rounds();
+        self.round = (self.round / rounds + 1) * rounds - 1;
+        self.round_due = Time::ZERO;
+    }
+
+    /// Returns in how many rounds all other data centres are told once.
+    fn rounds(&self) -> usize {
+        if self.siblings.is_empty() {
+            1
+        } else {
+            SIBLING_ROUNDS
+        }
+    }
+
+    /// Returns how often a data centre has had its turn, if this is one.
+    fn turn(&self, place: Place) -> Option<usize> {
+        if self.siblings.contains(&place) {
+            return Some(self.round);
+        }
+        let rounds = self.rounds();
+        let due = self.round.is_multiple_of(rounds);
+        due.then(|| self.round / rounds)
+    }
+
     /// Adds the same beats for several peers; each copy has a number of its own.
     fn send(&mut self, parts: &[beat::Beat], peers: &[Node], beats: &mut Vec<(Node, beat::Beat)>) {
         for node in peers {
--- a/crates/peridotdeck-core/tests/testsuite/overload_waits.rs
+++ b/crates/peridotdeck-core/tests/testsuite/overload_waits.rs
@@ -2,7 +2,7 @@
 
 use peridotdeck_core::dispatch::{
     Dispatcher,
-    attempt::{End, Obstacle, Order, Pause, Placement},
+    attempt::{Delay, End, Obstacle, Order, Placement},
     config::{Config, Kind, Route},
     flight::Flight,
     registry::{Area, Fact},
@@ -50,9 +50,9 @@
     sent
 }
 
-fn pause(placement: Placement) -> Pause {
+fn delay(placement: Placement) -> Delay {
     match placement {
-        Placement::Wait(pause) => pause,
+        Placement::Wait(delay) => delay,
         other => panic!("{other:?} in place of a wait"),
     }
 }
@@ -68,7 +68,7 @@
     assert!((50..SLOTS).contains(&sent.len()), "{} sent", sent.len());
     let mut bulk = request(&mut node, "bulk", 10, 1);
     assert_eq!(
-        pause(node.place(&mut bulk, ms(1))).cause,
+        delay(node.place(&mut bulk, ms(1))).cause,
         Obstacle::Full,
         "others would displace it"
     );
@@ -81,7 +81,7 @@
     let mut node = site(&["chat", "bulk"]);
     let sent = fill(&mut node, "bulk", 10);
     let mut bulk = request(&mut node, "bulk", 10, 1);
-    pause(node.place(&mut bulk, ms(1)));
+    delay(node.place(&mut bulk, ms(1)));
     for (flight, order) in &sent[..SLOTS / 4] {
         let mut attempt = order.attempt.clone();
         node.note_read(&mut attempt, false, flight, ms(50));
@@ -95,9 +95,9 @@
     let mut node = site(&["chat", "bulk"]);
     fill(&mut node, "bulk", 20_000);
     let mut bulk = request(&mut node, "bulk", 20_000, 1);
-    let pause = pause(node.place(&mut bulk, ms(1)));
-    assert_eq!(pause.cause, Obstacle::Late);
-    assert!(pause.expected > bulk.route.target);
+    let delay = delay(node.place(&mut bulk, ms(1)));
+    assert_eq!(delay.cause, Obstacle::Late);
+    assert!(delay.expected > bulk.route.target);
 }
 
 #[test]
@@ -106,7 +106,7 @@
     fill(&mut node, "bulk", 10);
     let mut bulk = request(&mut node, "bulk", 10, 1);
     let target = bulk.route.target;
-    pause(node.place(&mut bulk, ms(1)));
+    delay(node.place(&mut bulk, ms(1)));
     assert!(is_sent(&node.place(&mut bulk, ms(1) + 2 * target)));
 }
 
--- a/crates/peridotdeck-core/tests/testsuite/random_dispatch.rs
+++ b/crates/peridotdeck-core/tests/testsuite/random_dispatch.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::BTreeMap,
-    sync::atomic::{AtomicU64, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -12,7 +15,7 @@
     dispatch::{
         Dispatcher, Key, Node,
         attempt::{Attempt, End, Next, Placement},
-        config::LAST_RANK,
+        config::{Config, LAST_RANK},
         flight::Flight,
         registry::{Area, Fact},
     },
@@ -61,6 +64,16 @@
     REGIONS[at % 2].0
 }
 
+/// A configuration in which one class is less urgent than the others of its service, and may wait.
+fn ranked(version: u64) -> Config {
+    let mut config = config(version);
+    for route in &mut config.routes {
+        let priority = u8::from(route.name == "bulk");
+        Arc::make_mut(route).priority = priority;
+    }
+    config
+}
+
 impl World {
     fn new() -> Self {
         let mut world = Self {
@@ -82,7 +95,7 @@
     fn fresh(&self, at: usize) -> Dispatcher {
         let endpoints: Vec<_> = (0..4).map(|number| self.endpoint(number, 1)).collect();
         let mut fresh = dispatcher(at as u8 + 1, place_of(at), &endpoints);
-        let facts = vec![Fact::Config(config(self.version))];
+        let facts = vec![Fact::Config(ranked(self.version))];
         fresh.publish(report(Area::Policy, self.revision, true, facts), self.now);
         fresh
     }
@@ -179,7 +192,7 @@
                     assert!(wait <= flight.route.timeout / 3);
                 }
             }
-            Placement::Wait(pause) => assert!(pause.time > Duration::ZERO),
+            Placement::Wait(delay) => assert!(delay.time > Duration::ZERO),
         }
     }
 
@@ -243,7 +256,7 @@
         let (area, fact) = match value % 6 {
             0 => {
                 self.version += 1;
-                (Area::Policy, Fact::Config(config(self.version)))
+                (Area::Policy, Fact::Config(ranked(self.version)))
             }
             1 => (
                 Area::Policy,
--- a/crates/peridotdeck-relay/src/journey.rs
+++ b/crates/peridotdeck-relay/src/journey.rs
@@ -237,9 +237,9 @@
                     self.log_placed(&order);
                     return Ok(order);
                 }
-                Placement::Wait(pause) => {
-                    self.log_waiting(&pause);
-                    Timer::after(pause.time).await;
+                Placement::Wait(delay) => {
+                    self.log_waiting(&delay);
+                    Timer::after(delay.time).await;
                 }
                 Placement::Refuse(refusal, bars) => {
                     self.log_unplaced(&bars);
--- a/crates/peridotdeck-relay/src/journey/account.rs
+++ b/crates/peridotdeck-relay/src/journey/account.rs
@@ -1,7 +1,7 @@
 //! What the log and the metrics tell of a request: where it went, why it waits, how it ended.
 
 use peridotdeck_core::dispatch::{
-    attempt::{Order, Pause},
+    attempt::{Delay, Order},
     placement::Bar,
     refusal::Refusal,
     registry::Area,
@@ -85,8 +85,8 @@
     }
 
     /// Logs why the request waits, once for each cause.
-    pub(super) fn log_waiting(&mut self, pause: &Pause) {
-        if self.obstacle.replace(pause.cause) == Some(pause.cause) {
+    pub(super) fn log_waiting(&mut self, delay: &Delay) {
+        if self.obstacle.replace(delay.cause) == Some(delay.cause) {
             return;
         }
         log::info!(
@@ -94,9 +94,9 @@
              left_ms={}",
             self.flight.id,
             self.flight.route.name,
-            pause.cause,
-            pause.running,
-            pause.expected.as_millis(),
+            delay.cause,
+            delay.running,
+            delay.expected.as_millis(),
             self.flight.route.target.as_millis(),
             self.flight.left(clock::now()).as_millis(),
         );
