Say once what the reading of the whole change found twice

- `compose` cloned every list of a beat to make a following beat that most beats do not have, forty times a second; lists are now made for the first beat only, and the ranges follow from the loads.
- `hear_loads` scanned and sorted what is sorted; it replaces the range.
- Two modules looked up the routes of a service: `Config::routes_to`.
- `Pool` had one check and one lock written out several times, the control page one query field twice, `node::run` a block around a future.
- `strikes::List::add` returned what nobody read.
`View::disturbance` had the name of a constant that means something else: `interference`.

No decision changes. The log's words for a refused read do: "the answer was 503".

--- a/crates/peridotdeck-core/src/dispatch/config.rs
+++ b/crates/peridotdeck-core/src/dispatch/config.rs
@@ -169,6 +169,13 @@
             .max_by_key(|route| route.prefix.len())
     }
 
+    /// Returns the routes that use a service.
+    pub fn routes_to(&self, service: &str) -> impl Iterator<Item = &Route> {
+        let uses =
+            move |route: &&Arc<Route>| route.split.iter().any(|each| each.service == service);
+        self.routes.iter().filter(uses).map(Arc::as_ref)
+    }
+
     /// Returns the organisation that holds a key.
     #[must_use]
     pub fn organisation(&self, key: &str) -> Option<&Arc<Organisation>> {
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/pauses.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/pauses.rs
@@ -42,9 +42,7 @@
 
     /// Returns the shortest pause that is allowed to such streams of a service, if there are any.
     pub(super) fn gap(&self, service: &str) -> Option<Duration> {
-        let config = self.registry.config()?;
-        let uses = |route: &Route| route.split.iter().any(|share| share.service == service);
-        let routes = config.routes.iter().filter(|route| uses(route));
+        let routes = self.registry.config()?.routes_to(service);
         routes
             .filter(|route| self.is_sensitive(route, service))
             .filter_map(|route| route.gap)
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/waiting.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/waiting.rs
@@ -9,7 +9,7 @@
     dispatch::{
         Key,
         attempt::{Delay, Obstacle, Placement},
-        config::{Route, Service},
+        config::Service,
         flight::Flight,
         placement::{Bar, Estimate},
         refusal::{Cause, Refusal},
@@ -89,19 +89,17 @@
         let Some(config) = self.registry.config() else {
             return false;
         };
-        let serves = |route: &Route| {
-            let mut shares = route.split.iter();
-            !route.public && shares.any(|share| share.service == flight.service)
-        };
-        let own = flight.route.priority;
-        let mut more_urgent = false;
-        for route in config.routes.iter().filter(|route| serves(route)) {
-            if route.priority > own {
-                return false;
-            }
-            more_urgent |= route.priority < own;
+        let routes = config.routes_to(&flight.service);
+        let priorities = routes
+            .filter(|route| !route.public)
+            .map(|route| route.priority);
+        let (mut first, mut last) = (u8::MAX, u8::MIN);
+        for priority in priorities {
+            first = first.min(priority);
+            last = last.max(priority);
         }
-        more_urgent
+        let own = flight.route.priority;
+        first < own && own >= last
     }
 
     /// Waits for an endpoint that may take a request, or refuses it after a while.
--- a/crates/peridotdeck-core/src/dispatch/fleet/hearing.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/hearing.rs
@@ -54,11 +54,10 @@
             &mut self.remote(beat.place, now).loads
         };
         // The others keep what another beat told.
-        let covered = loads.extract_if(.., |(key, _)| (beat.first..=beat.last).contains(key));
-        heard.removed.extend(covered);
+        let begin = loads.partition_point(|(key, _)| *key < beat.first);
+        let end = loads.partition_point(|(key, _)| *key <= beat.last);
         heard.added.clone_from(&told);
-        loads.extend(told);
-        loads.sort_unstable_by_key(|(key, _)| *key);
+        heard.removed.extend(loads.splice(begin..end, told));
     }
 
     /// Returns what another data centre has told, and notes that it tells something now.
--- a/crates/peridotdeck-core/src/dispatch/fleet/telling.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/telling.rs
@@ -181,41 +181,33 @@
     /// loads that it has no room for.
     fn compose(&self, status: &Status, near: bool, joining: bool, now: Time) -> Vec<beat::Beat> {
         let loads = self.sum(status, near);
-        let mut parts = loads.chunks(MOST_LOADS).peekable();
-        let mut beat = self.introduction(status, near, joining, now);
-        let mut beats = Vec::new();
-        loop {
-            beat.loads = parts.next().unwrap_or_default().to_vec();
-            beat.last = match (parts.peek(), beat.loads.last()) {
-                (Some(_), Some(load)) => load.endpoint,
-                _ => Key::MAX,
-            };
-            let next = beat::Beat {
-                first: beat.last.saturating_add(1),
-                members: Vec::new(),
-                holdings: Vec::new(),
-                health: Vec::new(),
-                strikes: Vec::new(),
-                ..beat.clone()
-            };
-            beats.push(std::mem::replace(&mut beat, next));
-            if parts.peek().is_none() {
-                return beats;
-            }
+        let frame = self.frame(status, joining);
+        let part = |loads: &[beat::Load]| beat::Beat {
+            last: loads.last().map_or(Key::MAX, |load| load.endpoint),
+            loads: loads.to_vec(),
+            ..frame.clone()
+        };
+        let mut beats: Vec<beat::Beat> = loads.chunks(MOST_LOADS).map(part).collect();
+        if beats.is_empty() {
+            beats.push(frame);
+        }
+        // Together they cover every endpoint.
+        for at in 1..beats.len() {
+            beats[at].first = beats[at - 1].last.saturating_add(1);
+        }
+        if let Some(beat) = beats.last_mut() {
+            beat.last = Key::MAX;
         }
+        let whole = &mut beats[0];
+        whole.members = self.introduce(joining || !near, now);
+        whole.holdings = self.holdings(near, now);
+        whole.health.clone_from(&status.health);
+        whole.strikes.clone_from(&status.strikes);
+        beats
     }
 
-    /// Returns a beat without loads.
-    fn introduction(&self, status: &Status, near: bool, joining: bool, now: Time) -> beat::Beat {
-        let recent = |news: &&News| now.saturating_sub(news.learnt) < NEWS_NEAR;
-        let news = self.news.iter().rev();
-        let holdings = news
-            .filter(|news| if near { recent(news) } else { news.own })
-            .take(MOST_NEWS)
-            .map(|news| beat::Holding {
-                endpoint: news.endpoint,
-                prefix: news.prefix,
-            });
+    /// Returns a beat that tells who speaks and what is in force, and that nothing has any load.
+    fn frame(&self, status: &Status, joining: bool) -> beat::Beat {
         beat::Beat {
             node: self.me.into(),
             incarnation: self.incarnation,
@@ -225,16 +217,28 @@
             joining,
             policy: status.policy,
             roster: status.roster,
-            members: self.introduce(joining || !near, now),
+            members: Vec::new(),
             first: 0,
             last: Key::MAX,
             loads: Vec::new(),
-            holdings: holdings.collect(),
-            health: status.health.clone(),
-            strikes: status.strikes.clone(),
+            holdings: Vec::new(),
+            health: Vec::new(),
+            strikes: Vec::new(),
         }
     }
 
+    fn holdings(&self, near: bool, now: Time) -> Vec<beat::Holding> {
+        let recent = |news: &&News| now.saturating_sub(news.learnt) < NEWS_NEAR;
+        let news = self.news.iter().rev();
+        let told = news.filter(|news| if near { recent(news) } else { news.own });
+        told.take(MOST_NEWS)
+            .map(|news| beat::Holding {
+                endpoint: news.endpoint,
+                prefix: news.prefix,
+            })
+            .collect()
+    }
+
     /// Names the live nodes; peers of the same data centre know each other after the first beat.
     fn introduce(&self, fully: bool, now: Time) -> Vec<beat::Member> {
         if !fully && !self.round.is_multiple_of(8) {
--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -307,7 +307,7 @@
             reading + DISTURBANCE * reading * f64::from(load.urgent.min(MOST_DISTURBED));
         score += (SLOWDOWN * reading + COMPANY_SCORE) * f64::from(load.running);
         score += self.moving_score(known, known - cached);
-        score += self.disturbance(state, load, reading);
+        score += self.interference(state, load, reading);
         Estimate {
             score,
             first: Duration::from_secs_f64(first / 1e3),
@@ -319,7 +319,7 @@
     }
 
     /// What long reading costs streams that are late beside it: those that run, or the request itself.
-    fn disturbance(&self, state: &State, load: Load, reading: f64) -> f64 {
+    fn interference(&self, state: &State, load: Load, reading: f64) -> f64 {
         let Some(gap) = self.gap else {
             return 0.0;
         };
--- a/crates/peridotdeck-core/src/dispatch/strikes.rs
+++ b/crates/peridotdeck-core/src/dispatch/strikes.rs
@@ -35,11 +35,11 @@
 }
 
 impl List {
-    /// Adds a strike and returns whether it is new.
-    pub fn add(&mut self, fingerprint: Fingerprint, endpoint: Key, now: Time) -> bool {
+    /// Adds a strike that is not known yet.
+    pub fn add(&mut self, fingerprint: Fingerprint, endpoint: Key, now: Time) {
         let known = |each: &Strike| (each.fingerprint, each.endpoint) == (fingerprint, endpoint);
         if self.strikes.iter().any(known) {
-            return false;
+            return;
         }
         if self.strikes.len() == CAPACITY {
             self.strikes.remove(0);
@@ -49,7 +49,6 @@
             endpoint,
             learnt: now,
         });
-        true
     }
 
     /// Returns how many endpoints a request has crashed.
--- a/crates/peridotdeck-policy/src/lib.rs
+++ b/crates/peridotdeck-policy/src/lib.rs
@@ -21,16 +21,6 @@
 mod builder;
 mod check;
 mod define;
-#[allow(
-    clippy::all,
-    clippy::pedantic,
-    clippy::cargo,
-    dead_code,
-    missing_docs,
-    missing_debug_implementations,
-    rustdoc::all,
-    reason = "generated code follows the generator's style"
-)]
 #[rustfmt::skip]
 mod generated;
 mod part;
--- a/crates/peridotdeck-relay/src/control.rs
+++ b/crates/peridotdeck-relay/src/control.rs
@@ -20,6 +20,7 @@
     ready: &str,
 ) -> Response<Full<Bytes>> {
     let path = request.uri().path();
+    let query = request.uri().query().unwrap_or_default();
     if path == ready || path == "/readyz" {
         return readiness(shared.dispatcher().is_ready());
     }
@@ -27,16 +28,10 @@
         "/healthz" => text(StatusCode::OK, "ok\n"),
         "/metrics" => metrics(shared),
         "/status" => text(StatusCode::OK, status(&shared.dispatcher())),
-        "/explain" => explain(
-            &shared.dispatcher(),
-            request.uri().query().unwrap_or_default(),
-        ),
+        "/explain" => explain(&shared.dispatcher(), query),
         "/fleet/policy" => snapshot(shared, Area::Policy, 0),
         "/fleet/roster" => {
-            let query = request.uri().query().unwrap_or_default();
-            let known = query
-                .strip_prefix("known=")
-                .and_then(|known| known.parse().ok());
+            let known = field(query, "known").and_then(|known| known.parse().ok());
             // Who names no revision knows nothing.
             snapshot(shared, Area::Roster, known.unwrap_or(0))
         }
@@ -95,16 +90,17 @@
     }
 }
 
+/// Returns the value of a query's field.
+fn field<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let mut fields = query.split('&').filter_map(|field| field.split_once('='));
+    let found = fields.find(|(each, _)| *each == name);
+    found.map(|(_, value)| value)
+}
+
 /// Lists what each endpoint would do for a request, by `route=NAME&tokens=NUMBER`.
 fn explain(dispatcher: &Dispatcher, query: &str) -> Response<Full<Bytes>> {
-    let field = |name: &str| {
-        let mut fields = query.split('&').filter_map(|field| field.split_once('='));
-        fields
-            .find(|(each, _)| *each == name)
-            .map(|(_, value)| value)
-    };
-    let route = field("route").unwrap_or_default();
-    let tokens = field("tokens").map_or(Ok(0), str::parse);
+    let route = field(query, "route").unwrap_or_default();
+    let tokens = field(query, "tokens").map_or(Ok(0), str::parse);
     let Ok(tokens) = tokens else {
         return text(StatusCode::BAD_REQUEST, "tokens: write a whole number\n");
     };
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -5,7 +5,7 @@
 use async_std::future::timeout;
 use http_body_util::Full;
 use hyper::{
-    HeaderMap, Request, Response, StatusCode, Version,
+    HeaderMap, Request, Response, Version,
     body::{Bytes, Incoming},
     http::request,
 };
@@ -187,11 +187,10 @@
     };
     let read = Source::new(inquiry.address).get(path, INQUIRY).await;
     let listed = match read {
-        Ok((StatusCode::OK, body)) => shared
+        Ok(body) => shared
             .ingress
             .inventory(&body)
             .map_err(|cause| cause.to_string()),
-        Ok((status, _)) => Err(format!("status {status}")),
         Err(cause) => Err(cause.to_string()),
     };
     let key = inquiry.key;
--- a/crates/peridotdeck-relay/src/fetch.rs
+++ b/crates/peridotdeck-relay/src/fetch.rs
@@ -32,6 +32,10 @@
         Invalid(cause: String) {
             display("{cause}")
         }
+        /// The answer is a refusal.
+        Status(status: StatusCode) {
+            display("the answer was {status}")
+        }
         /// The answer did not come in time.
         Late {
             display("no answer in time")
@@ -56,11 +60,11 @@
         }
     }
 
-    /// Reads a path within a time. The connection is kept unless something goes wrong.
+    /// Reads a path within a time. The connection is kept if there is a whole answer.
     ///
     /// # Errors
-    /// If there is no whole answer in time.
-    pub async fn get(&mut self, path: &str, time: Duration) -> Result<(StatusCode, Bytes), Error> {
+    /// If there is no whole answer in time, or a refusal.
+    pub async fn get(&mut self, path: &str, time: Duration) -> Result<Bytes, Error> {
         let link = self.link.take().filter(|link| link.sender.is_ready());
         let work = async {
             let mut link = match link {
@@ -79,6 +83,10 @@
         let read: Result<_, Error> = timeout(time, work).await.unwrap_or(Err(Error::Late));
         let (link, status, body) = read?;
         self.link = Some(link);
-        Ok((status, body))
+        if status == StatusCode::OK {
+            Ok(body)
+        } else {
+            Err(Error::Status(status))
+        }
     }
 }
--- a/crates/peridotdeck-relay/src/node.rs
+++ b/crates/peridotdeck-relay/src/node.rs
@@ -99,10 +99,7 @@
         closing,
         reload,
     ));
-    let ticks = async {
-        tick(&shared, &peers).await;
-    };
-    future::or(left, ticks).await;
+    future::or(left, tick(&shared, &peers)).await;
     Ok(())
 }
 
--- a/crates/peridotdeck-relay/src/peers.rs
+++ b/crates/peridotdeck-relay/src/peers.rs
@@ -147,7 +147,7 @@
             Area::Policy => "/fleet/policy".to_owned(),
             Area::Roster => format!("/fleet/roster?known={}", errand.known),
         };
-        let (_, body) = Source::new(address).get(&path, PATIENCE).await?;
+        let body = Source::new(address).get(&path, PATIENCE).await?;
         Ok(postcard::from_bytes(&body)?)
     }
 }
--- a/crates/peridotdeck-relay/src/pool.rs
+++ b/crates/peridotdeck-relay/src/pool.rs
@@ -8,7 +8,7 @@
     io,
     net::{SocketAddr, SocketAddrV4, TcpStream},
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -121,21 +121,35 @@
     until: Time,
 }
 
+impl Kept {
+    /// Returns whether both ends still keep the connection, as far as is known.
+    fn is_open(&self, now: Time) -> bool {
+        !self.link.sender.is_closed() && self.until > now
+    }
+}
+
+/// Kept connections, sorted by endpoint; the newest of each endpoint comes last.
+type Table = Vec<(Key, Vec<Kept>)>;
+
 /// Connections that wait for their next use, by endpoint.
 #[derive(Debug, Default)]
 pub struct Pool {
-    kept: Mutex<Vec<(Key, Vec<Kept>)>>,
+    kept: Mutex<Table>,
 }
 
 impl Pool {
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns a kept connection that has been idle for less than `fresh`.
     #[must_use]
     pub fn reuse(&self, key: Key, fresh: Duration) -> Option<Link> {
         let now = clock::now();
-        let mut table = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut table = self.table();
         let at = table.binary_search_by_key(&key, |(each, _)| *each).ok()?;
         let kept = &mut table[at].1;
-        kept.retain(|each| !each.link.sender.is_closed() && each.until > now);
+        kept.retain(|each| each.is_open(now));
         let usable =
             |each: &Kept| each.link.sender.is_ready() && now.saturating_sub(each.since) < fresh;
         let at = kept.iter().rposition(usable)?;
@@ -152,7 +166,7 @@
         let now = clock::now();
         let trust = limit.map_or(UNSAID, |limit| limit.mul_f64(KEPT_PART).min(TRUST));
         link.busy.store(false, Ordering::Relaxed);
-        let mut table = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut table = self.table();
         let at = match table.binary_search_by_key(&key, |(each, _)| *each) {
             Ok(at) => at,
             Err(at) => {
@@ -173,16 +187,16 @@
 
     /// Closes the connections to an endpoint.
     pub fn forget(&self, key: Key) {
-        let mut table = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut table = self.table();
         table.retain(|(each, _)| *each != key);
     }
 
     /// Closes what has been idle for too long.
     pub fn expire(&self) {
         let now = clock::now();
-        let mut table = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut table = self.table();
         for (_, kept) in table.iter_mut() {
-            kept.retain(|each| !each.link.sender.is_closed() && each.until > now);
+            kept.retain(|each| each.is_open(now));
         }
         table.retain(|(_, kept)| !kept.is_empty());
     }
@@ -190,7 +204,7 @@
     /// Returns the number of kept connections.
     #[must_use]
     pub fn len(&self) -> usize {
-        let table = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        let table = self.table();
         table.iter().map(|(_, kept)| kept.len()).sum()
     }
 
--- a/crates/peridotdeck-settings/src/lib.rs
+++ b/crates/peridotdeck-settings/src/lib.rs
@@ -4,16 +4,6 @@
 //! remedy. The types are generated from `schema/settings.json`; `docs/OPERATORS.md` lists every key.
 
 mod check;
-#[allow(
-    clippy::all,
-    clippy::pedantic,
-    clippy::cargo,
-    dead_code,
-    missing_docs,
-    missing_debug_implementations,
-    rustdoc::all,
-    reason = "generated code follows the generator's style"
-)]
 #[rustfmt::skip]
 mod generated;
 
--- a/crates/peridotdeck-wire/src/lib.rs
+++ b/crates/peridotdeck-wire/src/lib.rs
@@ -5,29 +5,9 @@
 //! do not fit a datagram travel as a JSON-RPC call instead, with the same types.
 //! See `docs/ARCHITECTURE.md`, section "Between routers".
 
-#[allow(
-    clippy::all,
-    clippy::pedantic,
-    clippy::cargo,
-    dead_code,
-    missing_docs,
-    missing_debug_implementations,
-    rustdoc::all,
-    reason = "generated code follows the generator's style"
-)]
 #[rustfmt::skip]
 pub mod beat;
 mod codec;
-#[allow(
-    clippy::all,
-    clippy::pedantic,
-    clippy::cargo,
-    dead_code,
-    missing_docs,
-    missing_debug_implementations,
-    rustdoc::all,
-    reason = "generated code follows the generator's style"
-)]
 #[rustfmt::skip]
 mod generated;
 
