--- a/crates/peridotdeck-core/src/dispatch.rs
+++ b/crates/peridotdeck-core/src/dispatch.rs
@@ -23,6 +23,7 @@
 pub mod budget;
 pub mod config;
 pub mod crashes;
+pub mod departures;
 pub mod dispatcher;
 pub mod due;
 pub mod endpoint;
--- a/crates/peridotdeck-core/src/dispatch/attempt.rs
+++ b/crates/peridotdeck-core/src/dispatch/attempt.rs
@@ -9,6 +9,7 @@
     endpoint::Load,
     placement::{Estimate, Exclusion},
     refusal::Refusal,
+    registry::Position,
 };
 use crate::{Verdict, id::Time};
 
@@ -84,8 +85,8 @@
     pub estimate: Estimate,
     /// Known load of the endpoint before this request.
     pub load: Load,
-    /// Revision of the endpoint list.
-    pub roster: u64,
+    /// Position of the endpoint list.
+    pub roster: Position,
     /// Time since the endpoint list was last confirmed as up to date.
     pub roster_age: Duration,
 }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -24,14 +24,13 @@
 use super::{
     DataCentre, Key, Node,
     budget::{Bound, Budget},
-    crashes::List,
-    data_centre,
+    crashes, data_centre, departures,
     due::{CacheQuery, SnapshotRequest},
     endpoint::State,
     fleet::Fleet,
     mean,
     prefix::Index,
-    registry::{self, Change, Registry, Report},
+    registry::{self, Change, Position, Registry, Report},
 };
 use crate::id::{Fingerprint, Time};
 
@@ -68,11 +67,12 @@
     pub is_restart: bool,
 }
 
-/// A peer's announcement of a newer revision.
+/// A peer's announcement of a newer state of an area.
 #[derive(Clone, Copy, Debug)]
-struct NewerRevision {
+struct NewerState {
     request: SnapshotRequest,
-    revision: u64,
+    position: Position,
+    version: u64,
     is_local: bool,
 }
 
@@ -94,13 +94,14 @@
     prefixes: Index,
     fleet: Fleet,
     budget: Budget,
-    crashes: List,
+    crashes: crashes::List,
+    departures: departures::List,
     suspects: Vec<Suspect>,
     plain_answer_ms: mean::Table,
     whole_answer_ms: mean::Table,
     failure_rate: mean::Table,
     pause_ms: mean::Table,
-    newer_revisions: Vec<(NewerRevision, Time)>,
+    newer_states: Vec<(NewerState, Time)>,
     clean_up_due: Time,
     cache_queries: Vec<CacheQuery>,
     rng: SmallRng,
@@ -127,13 +128,14 @@
             prefixes: Index::default(),
             fleet,
             budget: Budget::new(options.retry_bound),
-            crashes: List::default(),
+            crashes: crashes::List::default(),
+            departures: departures::List::default(),
             suspects: Vec::new(),
             plain_answer_ms: mean::Table::new(INITIAL_PLAIN_ANSWER_MS),
             whole_answer_ms: mean::Table::new(INITIAL_WHOLE_ANSWER_MS),
             failure_rate: mean::Table::new(0.0),
             pause_ms: mean::Table::new(0.0),
-            newer_revisions: Vec::new(),
+            newer_states: Vec::new(),
             clean_up_due: now,
             cache_queries: Vec::new(),
             rng: SmallRng::seed_from_u64(options.incarnation),
@@ -226,6 +228,9 @@
                     let region = region(&self.options.regions, &endpoint.data_centre);
                     let mut state = State::new(endpoint.clone(), region, now);
                     state.peer_load = self.fleet.load_at(key);
+                    if self.departures.contains(key) {
+                        state.mark_departing();
+                    }
                     if query_caches {
                         let address = endpoint.address;
                         self.cache_queries.push(CacheQuery { key, address });
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -25,12 +25,10 @@
     /// Performs the periodic work and returns the actions that are due.
     pub fn tick(&mut self, now: Time) -> Due {
         let mut due = Due {
-            removed: self.registry.expire(now),
+            change: self.registry.expire(now),
             ..Due::default()
         };
-        for endpoint in &due.removed {
-            self.remove(endpoint);
-        }
+        self.apply_change(&due.change, now);
         let (removed, silent) = self.fleet.expire(now);
         due.silent = silent;
         let changes = Changes {
@@ -49,6 +47,7 @@
             self.clean_up_due = now + CLEAN_UP_INTERVAL;
             self.prefixes.expire(now);
             self.crashes.expire(now);
+            self.departures.expire(now);
             self.suspects
                 .retain(|suspect| now.saturating_sub(suspect.broken_at) < CRASH_WINDOW);
         }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
@@ -6,6 +6,7 @@
 use crate::{
     Verdict,
     dispatch::{
+        Key,
         attempt::{Attempt, End, Next},
         crashes,
         endpoint::Load,
@@ -24,6 +25,9 @@
 /// Weight of a rejection in the endpoint's health, since it says little about the endpoint.
 const REJECTION_WEIGHT: f64 = 0.5;
 
+/// Longest time for which an endpoint may ask for no requests; a longer one is likely an error.
+const MAX_PAUSE: Duration = Duration::from_secs(300);
+
 impl Dispatcher {
     /// Records that the answer has begun, which means that the prompt has been read.
     pub fn record_answer_start(
@@ -51,6 +55,25 @@
         self.fleet.mark_changed();
     }
 
+    /// Records an endpoint's announcement that it is leaving; returns whether it was unknown.
+    pub fn record_departure(&mut self, key: Key, now: Time) -> bool {
+        let is_new = self.departures.record(key, now);
+        if is_new {
+            self.fleet.mark_changed();
+            if let Some(state) = self.state_mut(key) {
+                state.mark_departing();
+            }
+        }
+        is_new
+    }
+
+    /// Sends nothing to an endpoint for a time that it has asked for.
+    pub fn pause_endpoint(&mut self, key: Key, time: Duration, now: Time) {
+        if let Some(state) = self.state_mut(key) {
+            state.pause(now + time.min(MAX_PAUSE));
+        }
+    }
+
     /// Ends an attempt and updates load, health and expectations from its outcome.
     pub fn finish(&mut self, attempt: &Attempt, end: End, flight: &Flight, now: Time) {
         self.fleet.mark_changed();
@@ -108,7 +131,7 @@
             && self
                 .states
                 .iter()
-                .any(|state| self.admits(state, flight).is_ok())
+                .any(|state| self.admits(state, flight, now).is_ok())
             && self.budget.take_retry(&flight.service, nodes, now)
     }
 
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
@@ -4,14 +4,14 @@
 
 use peridotdeck_wire::beat;
 
-use super::{Dispatcher, NewerRevision};
+use super::{Dispatcher, NewerState};
 use crate::{
     dispatch::{
         Node, data_centre,
         due::SnapshotRequest,
         endpoint::Load,
         fleet::{Changes, Status},
-        registry::Area,
+        registry::{Area, Position},
     },
     id::Time,
 };
@@ -31,8 +31,8 @@
 impl Dispatcher {
     /// Handles a peer's heartbeat.
     ///
-    /// Returns the reply that the peer requests, if any, and whether the peer is new.
-    pub fn receive(&mut self, beat: &beat::Beat, now: Time) -> (Option<beat::Beat>, bool) {
+    /// Returns the replies that the peer requests, if any, and whether the peer is new.
+    pub fn receive(&mut self, beat: &beat::Beat, now: Time) -> (Vec<beat::Beat>, bool) {
         let changes = self.fleet.receive(beat, now);
         self.apply_peer_loads(&changes);
         let is_local = beat.place == data_centre(&self.options.data_centre);
@@ -56,13 +56,18 @@
             self.crashes
                 .record(strike.fingerprint, strike.endpoint, now);
         }
-        self.note_newer_revisions(beat, now);
+        for key in &beat.departures {
+            self.record_departure(*key, now);
+        }
+        self.note_newer_states(beat, now);
         let node = Node::from(beat.node);
-        let answer = changes.reply_requested.then(|| {
+        let replies = if changes.reply_requested {
             let status = self.status(now);
             self.fleet.reply(node, &status, now)
-        });
-        (answer, changes.joined)
+        } else {
+            Vec::new()
+        };
+        (replies, changes.joined)
     }
 
     /// Applies changes of the load that peers have at endpoints.
@@ -79,43 +84,56 @@
         }
     }
 
-    /// Records which areas a peer has in a newer revision, and confirms those that are equal.
-    fn note_newer_revisions(&mut self, beat: &beat::Beat, now: Time) {
+    /// Records which areas a peer has in a newer state, and confirms those that are equal.
+    fn note_newer_states(&mut self, beat: &beat::Beat, now: Time) {
         let node = Node::from(beat.node);
         let is_local = beat.place == data_centre(&self.options.data_centre);
-        for (area, revision) in [(Area::Policy, beat.policy), (Area::Roster, beat.roster)] {
+        let reported = [
+            (Area::Policy, &beat.policy, beat.version),
+            (Area::Roster, &beat.roster, 0),
+        ];
+        for (area, position, version) in reported {
+            let position = Position::new(position.era, position.revision);
             let known = self.registry.revision(area).changed;
-            if revision == known {
+            if position == known {
                 self.registry.confirm(area, now);
             }
-            if revision <= known {
-                continue;
-            }
-            let request = SnapshotRequest { node, area, known };
-            let announced = NewerRevision {
-                request,
-                revision,
+            let announced = NewerState {
+                request: SnapshotRequest { node, area, known },
+                position,
+                version,
                 is_local,
             };
+            if !self.is_newer(&announced) {
+                continue;
+            }
             match self
-                .newer_revisions
+                .newer_states
                 .iter_mut()
                 .find(|(newer, _)| newer.request.area == area)
             {
                 // Traffic within a data centre has a shorter path and is not charged.
                 Some((newer, _)) if is_local && !newer.is_local => *newer = announced,
                 Some(_) => {}
-                None => self.newer_revisions.push((announced, now)),
+                None => self.newer_states.push((announced, now)),
             }
         }
     }
 
+    /// Returns whether this node lacks the state that a peer has announced.
+    fn is_newer(&self, announced: &NewerState) -> bool {
+        let known = self.registry.revision(announced.request.area).changed;
+        announced.position > known || announced.version > self.registry.version()
+    }
+
     /// Returns the status that this node sends in its heartbeats.
     pub(super) fn status(&self, now: Time) -> Status {
         /// Number of endpoints whose health is sent: those with the most failures.
         const MAX_HEALTH_ENTRIES: usize = 8;
         /// Number of crashes that are sent.
-        const MAX_CRASHES: usize = 8;
+        const MAX_CRASHES: usize = 4;
+        /// Number of departures that are sent.
+        const MAX_DEPARTURES: usize = 8;
         let busy = self
             .states
             .iter()
@@ -138,6 +156,8 @@
         Status {
             policy: self.registry.revision(Area::Policy).changed,
             roster: self.registry.revision(Area::Roster).changed,
+            version: self.registry.version(),
+            departures: self.departures.recent(now).take(MAX_DEPARTURES).collect(),
             loads: busy.map(|state| (state.key, state.own_load)).collect(),
             health,
             strikes: crashes
@@ -158,7 +178,7 @@
         } else {
             FOLLOWER_FETCH_DELAY
         };
-        let is_due = |(newer, since): &mut (NewerRevision, Time)| {
+        let is_due = |(newer, since): &mut (NewerState, Time)| {
             let delay = if newer.is_local {
                 base_delay
             } else {
@@ -166,10 +186,10 @@
             };
             now.saturating_sub(*since) >= delay
         };
-        let due: Vec<(NewerRevision, Time)> = self.newer_revisions.extract_if(.., is_due).collect();
+        let due: Vec<(NewerState, Time)> = self.newer_states.extract_if(.., is_due).collect();
         let newer = due.into_iter().map(|(newer, _)| newer);
         newer
-            .filter(|newer| newer.revision > self.registry.revision(newer.request.area).changed)
+            .filter(|newer| self.is_newer(newer))
             .map(|newer| newer.request)
             .collect()
     }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -16,6 +16,7 @@
         crashes, data_centre,
         endpoint::{Load, State},
         flight::{DecodedRequest, Flight},
+        key as endpoint_key,
         placement::{CachedTokens, Estimate, Exclusion, View, is_urgent},
         prefix::{Index, REFRESH},
         refusal::{Cause, Refusal},
@@ -138,7 +139,12 @@
     ///
     /// # Errors
     /// Returns the first reason that excludes the endpoint.
-    pub(super) fn admits(&self, state: &State, flight: &Flight) -> Result<(), Exclusion> {
+    pub(super) fn admits(
+        &self,
+        state: &State,
+        flight: &Flight,
+        now: Time,
+    ) -> Result<(), Exclusion> {
         let info = &state.info;
         let closed = self
             .registry
@@ -150,6 +156,8 @@
             (!flight.may_run_in(&state.region), Exclusion::Region),
             (closed, Exclusion::Closed),
             (info.draining, Exclusion::Draining),
+            (state.is_departing(), Exclusion::Departing),
+            (state.pause_left(now).is_some(), Exclusion::RetryAfter),
             (flight.tried.contains(&state.key), Exclusion::Tried),
             (state.is_in_backoff(), Exclusion::Resting),
         ];
@@ -226,7 +234,7 @@
             now,
         };
         let estimate = |state| {
-            self.admits(state, flight)
+            self.admits(state, flight, now)
                 .map(|()| view.estimate(state, flight, service))
         };
         self.endpoints_of(name)
@@ -283,7 +291,8 @@
     /// Counts a request towards this node's share of a cold endpoint's rate.
     ///
     /// A cold endpoint accepts requests from a few nodes of its data centre, at a fraction of its
-    /// rate. Each node may accumulate an allowance of one request. If the data centre is split into
+    /// rate. They are the same for all processes under its id, as nodes learn of a restart at
+    /// different times. Each node may accumulate an allowance of one request. If the data centre is split into
     /// two sets of nodes that cannot reach each other, each set may choose its own senders.
     /// Together they send at most five requests plus one and a half times the rate.
     ///
@@ -305,7 +314,9 @@
         let senders = (SENDER_COUNT.0 + SENDER_COUNT.1 * rate) as usize;
         if state.info.data_centre != self.options.data_centre
             || self.fleet.is_isolated(now)
-            || !self.fleet.is_among_first(senders, key, now)
+            || !self
+                .fleet
+                .is_among_first(senders, sender_ranking(&state.info.id), now)
         {
             return Err(Exclusion::ColdElsewhere);
         }
@@ -370,6 +381,13 @@
     }
 }
 
+/// Returns the key that ranks the nodes of a data centre as senders to an endpoint while cold.
+fn sender_ranking(id: &str) -> Key {
+    /// Start time that stands for all processes under the id.
+    const ANY_START: u64 = 0;
+    endpoint_key(id, ANY_START)
+}
+
 /// Returns the time after which another endpoint is tried, if the request may run again.
 fn hedge_after(flight: &Flight, estimate: &Estimate) -> Option<Duration> {
     let target = flight.route.target;
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/waiting.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/waiting.rs
@@ -125,13 +125,34 @@
             .iter()
             .all(|exclusion| *exclusion == Exclusion::Region)
             && !exclusions.is_empty();
-        if !excluded_by_region && now.saturating_sub(since) < max_wait.min(flight.time_left(now)) {
+        let waited = now.saturating_sub(since);
+        let left = max_wait.min(flight.time_left(now)).saturating_sub(waited);
+        let pause = self.pause_left(flight, &exclusions, now);
+        if !excluded_by_region && left > pause.unwrap_or_default() {
             return Placement::Wait(Delay::poll(WaitCause::NoEndpoint));
         }
-        let wait = self.retry_after(flight, now);
+        let wait = self.retry_after(flight, now).max(pause.unwrap_or_default());
         Placement::Refuse(give_up(flight, Cause::NoEndpoint, Some(wait)), exclusions)
     }
 
+    /// Returns the time until an endpoint accepts requests again, if all that could take a request
+    /// have asked for none.
+    fn pause_left(&self, flight: &Flight, exclusions: &[Exclusion], now: Time) -> Option<Duration> {
+        let usable = |exclusion: &Exclusion| {
+            matches!(
+                exclusion,
+                Exclusion::Tried | Exclusion::Resting | Exclusion::Cold | Exclusion::ColdElsewhere
+            )
+        };
+        if exclusions.iter().any(usable) {
+            return None;
+        }
+        let paused = self
+            .endpoints_of(&flight.service)
+            .filter(|state| self.admits(state, flight, now) == Err(Exclusion::RetryAfter));
+        paused.filter_map(|state| state.pause_left(now)).min()
+    }
+
     /// Returns a random time between two thirds of `most` and `most`, so that callers do not retry
     /// together.
     pub(super) fn random_upper_third(&mut self, most: Duration) -> Duration {
--- a/crates/peridotdeck-core/src/dispatch/due.rs
+++ b/crates/peridotdeck-core/src/dispatch/due.rs
@@ -2,11 +2,10 @@
 
 use std::net::SocketAddrV4;
 
-use peridotdeck_wire::beat;
-
 use super::{
     Key, Node,
-    registry::{self, Area},
+    fleet::Broadcast,
+    registry::{Area, Change, Position},
 };
 
 /// A connection attempt that only tests whether an endpoint accepts connections.
@@ -28,8 +27,8 @@
     pub node: Node,
     /// Area to fetch.
     pub area: Area,
-    /// Revision of the area that this node has.
-    pub known: u64,
+    /// Position of the area that this node has.
+    pub known: Position,
 }
 
 /// Actions and changes that are due at a tick.
@@ -37,14 +36,14 @@
 pub struct Due {
     /// Endpoints whose cached prompt prefixes should be listed.
     pub cache_queries: Vec<CacheQuery>,
-    /// Heartbeats to send, each with the peer that receives it.
-    pub heartbeats: Vec<(Node, beat::Beat)>,
+    /// Heartbeats to send, each with the peers that receive it.
+    pub heartbeats: Vec<Broadcast>,
     /// Endpoints to probe.
     pub probes: Vec<Probe>,
     /// Newer revisions to fetch from peers.
     pub snapshot_requests: Vec<SnapshotRequest>,
-    /// Endpoints that were missing from the endpoint list for too long and are now removed.
-    pub removed: Vec<registry::Endpoint>,
+    /// Postponed changes of the registry, such as the removal of endpoints missing for too long.
+    pub change: Change,
     /// Peers whose heartbeats have stopped.
     pub silent: Vec<Node>,
 }
--- a/crates/peridotdeck-core/src/dispatch/endpoint.rs
+++ b/crates/peridotdeck-core/src/dispatch/endpoint.rs
@@ -119,6 +119,8 @@
     failures: u32,
     suspected: bool,
     probing: bool,
+    departing: bool,
+    paused_until: Time,
 }
 
 impl State {
@@ -141,6 +143,8 @@
             failures: 0,
             suspected: false,
             probing: false,
+            departing: false,
+            paused_until: Time::ZERO,
         }
     }
 
@@ -194,6 +198,29 @@
         self.cold_bucket.take(rate, 1.0, now)
     }
 
+    /// Returns whether the endpoint has announced its departure in an answer.
+    #[must_use]
+    pub fn is_departing(&self) -> bool {
+        self.departing
+    }
+
+    /// Marks the endpoint as departing, which never ends.
+    pub fn mark_departing(&mut self) {
+        self.departing = true;
+    }
+
+    /// Returns how long the endpoint still wants nothing from this node, if it has said so.
+    #[must_use]
+    pub fn pause_left(&self, now: Time) -> Option<Duration> {
+        let left = self.paused_until.saturating_sub(now);
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Sends nothing to the endpoint until a time that it has announced.
+    pub fn pause(&mut self, until: Time) {
+        self.paused_until = self.paused_until.max(until);
+    }
+
     /// Returns whether the endpoint could not be reached and has not been reached since.
     #[must_use]
     pub fn is_in_backoff(&self) -> bool {
--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -17,16 +17,20 @@
 use peridotdeck_wire::beat;
 use send::round_time;
 
-use super::{DataCentre, Key, Node, Prefix, endpoint::Load};
+use super::{DataCentre, Key, Node, Prefix, endpoint::Load, registry::Position};
 use crate::{id::Time, rendezvous};
 
 /// Time without a heartbeat after which a peer in the same data centre counts as dead.
 const LOCAL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Time without a heartbeat after which the reported load of another data centre is dropped.
+/// Shortest time without a heartbeat after which another data centre's reported load is dropped.
 ///
-/// Peers in other data centres count as dead after the same time.
-const REMOTE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Peers in other data centres count as dead after the same time. It is longer in large data
+/// centres, which exchange heartbeats less often.
+const MIN_REMOTE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Rounds of heartbeats without one of another data centre after which its load is dropped.
+const REMOTE_TIMEOUT_ROUNDS: f64 = 2.5;
 
 /// Time after its start during which a node probes for peers at the shorter interval.
 const STARTUP: Duration = Duration::from_secs(5);
@@ -79,19 +83,32 @@
     own: bool,
 }
 
+/// A heartbeat and the peers that receive it.
+#[derive(Clone, Debug)]
+pub struct Broadcast {
+    /// Peers that receive the heartbeat.
+    pub receivers: Vec<Node>,
+    /// The heartbeat.
+    pub beat: beat::Beat,
+}
+
 /// State that a node reports in its heartbeats.
 #[derive(Clone, Debug, Default)]
 pub struct Status {
-    /// Revision of the last change of the configuration.
-    pub policy: u64,
-    /// Revision of the last change of the endpoint list.
-    pub roster: u64,
+    /// Position of the last change of the configuration.
+    pub policy: Position,
+    /// Position of the last change of the endpoint list.
+    pub roster: Position,
+    /// Version of the configuration in force; 0 without one.
+    pub version: u64,
     /// This node's load at each endpoint where it has any, sorted by key.
     pub loads: Vec<(Key, Load)>,
     /// Health of endpoints as this node has observed it.
     pub health: Vec<beat::Health>,
     /// Crashes attributed to requests that peers may not know of yet.
     pub strikes: Vec<beat::Strike>,
+    /// Endpoints whose departure has become known recently.
+    pub departures: Vec<Key>,
 }
 
 /// Changes that a received heartbeat leads to.
@@ -126,6 +143,11 @@
     local_due: Time,
     keepalive_due: Time,
     remote_due: Time,
+    probe_due: Time,
+    members_due: Time,
+    /// Number of member lists sent, which selects the part of the members in the next one.
+    member_lists: usize,
+    remote_timeout: Duration,
     round: usize,
     sizes: Vec<(Time, usize)>,
     local_sizes: Vec<(Time, usize)>,
@@ -158,6 +180,10 @@
             local_due: now,
             keepalive_due: now,
             remote_due: now,
+            probe_due: now,
+            members_due: now,
+            member_lists: 0,
+            remote_timeout: MIN_REMOTE_TIMEOUT,
             round: 0,
             sizes: Vec::new(),
             local_sizes: Vec::new(),
@@ -301,7 +327,7 @@
         let limit = if peer.data_centre == Some(self.data_centre) {
             LOCAL_TIMEOUT
         } else {
-            REMOTE_TIMEOUT
+            self.remote_timeout
         };
         let recent = |received: Time| now.saturating_sub(received) < limit;
         peer.received.is_some_and(recent)
@@ -358,7 +384,7 @@
             }
         }
         for mut remote in self.remotes.extract_if(.., |remote| {
-            now.saturating_sub(remote.received) >= REMOTE_TIMEOUT
+            now.saturating_sub(remote.received) >= self.remote_timeout
         }) {
             removed.append(&mut remote.loads);
         }
@@ -367,6 +393,9 @@
             seeds.contains(&peer.node) || now.saturating_sub(peer.last_known) < FORGET_AFTER
         });
         let here = self.live_nodes(self.data_centre, now).len();
+        self.remote_timeout =
+            MIN_REMOTE_TIMEOUT.max(round_time(here).mul_f64(REMOTE_TIMEOUT_ROUNDS));
+        self.record_size(here, now);
         let remote_time = round_time(here) * ANNOUNCE_ROUNDS;
         self.announcements.retain(|announcement| {
             let kept_for = if announcement.own {
--- a/crates/peridotdeck-core/src/dispatch/fleet/receive.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/receive.rs
@@ -44,11 +44,14 @@
         }
         self.receive_loads(index, beat, now, &mut changes);
         self.receive_members(beat, now);
-        self.record_size(now);
         changes
     }
 
     fn receive_loads(&mut self, index: usize, beat: &beat::Beat, now: Time, changes: &mut Changes) {
+        if beat.first > beat.last {
+            // The heartbeat only lists members.
+            return;
+        }
         let reported: Vec<(Key, Load)> = beat.loads.iter().map(load).collect();
         let loads = if beat.place == self.data_centre {
             &mut self.peers[index].loads
@@ -96,10 +99,11 @@
         }
     }
 
-    fn record_size(&mut self, now: Time) {
-        let size = 1 + self.members(now).len();
+    /// Records the current size of the fleet, and of this data centre, for the recent maximum.
+    pub(super) fn record_size(&mut self, here: usize, now: Time) {
+        let live = self.peers.iter().filter(|peer| self.is_live(peer, now));
+        let size = 1 + live.count();
         record_max(&mut self.sizes, size, now);
-        let here = self.live_nodes(self.data_centre, now).len();
         record_max(&mut self.local_sizes, here, now);
     }
 }
--- a/crates/peridotdeck-core/src/dispatch/fleet/send.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/send.rs
@@ -4,9 +4,9 @@
 
 use peridotdeck_wire::beat;
 
-use super::{Announcement, Fleet, LOCAL_ANNOUNCE, STARTUP, Status};
+use super::{Announcement, Broadcast, Fleet, LOCAL_ANNOUNCE, STARTUP, Status};
 use crate::{
-    dispatch::{DataCentre, Key, Node},
+    dispatch::{DataCentre, Key, Node, registry::Position},
     id::Time,
 };
 
@@ -14,12 +14,12 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Shortest time between two heartbeats to a peer of the same data centre.
-///
-/// It is a multiple in data centres of more than [`MIN_INTERVAL_NODES`] nodes.
 const MIN_LOCAL_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Nodes of a data centre for each multiple of [`MIN_LOCAL_INTERVAL`].
-const MIN_INTERVAL_NODES: u32 = 10;
+/// Share of [`MIN_LOCAL_INTERVAL`] for each node of the data centre, if that is longer.
+///
+/// So a node in a large data centre sends no more datagrams a second than in a small one.
+const LOCAL_INTERVAL_PER_NODE: Duration = Duration::from_millis(4);
 
 /// Time between two rounds of heartbeats to other data centres.
 ///
@@ -40,61 +40,95 @@
 /// Time between two probes of a seed or member that is not live, after the startup time.
 const PROBE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time between two checks for peers to probe, during the startup time and after it.
+const PROBE_CHECKS: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(250));
+
+/// Time between two lists of members to peers of the same data centre, which know each other.
+const MEMBERS_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Members of each other data centre that a list contains, through which its nodes are found.
+const CONTACTS: usize = 2;
+
 /// Most cached prefixes in one heartbeat, so that it fits a datagram.
-const MAX_HOLDINGS: usize = 40;
+const MAX_HOLDINGS: usize = 24;
 
 /// Most loads in one heartbeat, so that it fits a datagram; more need further heartbeats.
-const MAX_LOADS: usize = 40;
+const MAX_LOADS: usize = 36;
+
+/// Most members in one heartbeat, so that it fits a datagram; more need further heartbeats.
+const MAX_MEMBERS: usize = 20;
 
-/// Most members in one heartbeat, so that it fits a datagram.
-const MAX_MEMBERS: usize = 24;
+/// What a heartbeat contains, depending on its receivers.
+#[derive(Clone, Copy, Debug)]
+struct Form {
+    /// Whether the receivers are in the same data centre, and get the sender's own loads.
+    local: bool,
+    /// Whether a reply is requested.
+    joining: bool,
+    /// Whether all members of the data centre are listed.
+    complete: bool,
+}
 
 impl Fleet {
     /// Returns whether any heartbeat is due.
     #[must_use]
     pub fn is_due(&self, now: Time) -> bool {
-        now >= self.remote_due || now >= self.keepalive_due || (self.dirty && now >= self.local_due)
+        now >= self.remote_due
+            || now >= self.probe_due
+            || now >= self.keepalive_due
+            || (self.dirty && now >= self.local_due)
     }
 
     /// Returns the heartbeats that are due, with their receivers.
-    pub fn beats(&mut self, status: &Status, now: Time) -> Vec<(Node, beat::Beat)> {
-        let mut beats = Vec::new();
+    pub fn beats(&mut self, status: &Status, now: Time) -> Vec<Broadcast> {
+        let mut broadcasts = Vec::new();
         if now >= self.keepalive_due || (self.dirty && now >= self.local_due) {
-            self.send_local(status, now, &mut beats);
+            broadcasts.append(&mut self.send_local(status, now));
         }
         if now >= self.remote_due {
-            self.send_remote(status, now, &mut beats);
-            self.probe_peers(status, now, &mut beats);
+            broadcasts.append(&mut self.send_remote(status, now));
         }
-        beats
+        if now >= self.probe_due {
+            broadcasts.append(&mut self.probe_peers(status, now));
+        }
+        broadcasts
     }
 
-    /// Returns the heartbeat that replies to a joining peer.
-    pub fn reply(&mut self, node: Node, status: &Status, now: Time) -> beat::Beat {
+    /// Returns the heartbeats that reply to a joining peer, which list all members.
+    pub fn reply(&mut self, node: Node, status: &Status, now: Time) -> Vec<beat::Beat> {
         let local = self
             .find_peer(node)
             .is_ok_and(|index| self.peers[index].data_centre == Some(self.data_centre));
-        let beat = self.compose(status, local, false, now).swap_remove(0);
-        self.assign_sequence(beat)
+        let form = Form {
+            local,
+            joining: false,
+            complete: true,
+        };
+        self.compose(status, form, now)
     }
 
-    fn send_local(&mut self, status: &Status, now: Time, beats: &mut Vec<(Node, beat::Beat)>) {
+    fn send_local(&mut self, status: &Status, now: Time) -> Vec<Broadcast> {
         self.dirty = false;
         let nodes = self.live_nodes(self.data_centre, now);
-        self.local_due =
-            now + MIN_LOCAL_INTERVAL * (nodes.len() as u32).max(1).div_ceil(MIN_INTERVAL_NODES);
+        let interval = LOCAL_INTERVAL_PER_NODE * nodes.len() as u32;
+        self.local_due = now + interval.max(MIN_LOCAL_INTERVAL);
         self.keepalive_due = now + KEEPALIVE_INTERVAL;
-        let peers: Vec<Node> = nodes.into_iter().filter(|&node| node != self.me).collect();
-        let parts = self.compose(status, true, false, now);
-        self.push_beats(&parts, &peers, beats);
+        let form = Form {
+            local: true,
+            joining: false,
+            complete: false,
+        };
+        let beats = self.compose(status, form, now);
+        let peers = nodes.into_iter().filter(|&node| node != self.me);
+        broadcast(&peers.collect::<Vec<_>>(), beats)
     }
 
-    /// Adds the heartbeats of a round to other data centres.
+    /// Returns the heartbeats of a round to other data centres.
     ///
     /// The live nodes there are dealt out in turn to the nodes of this data centre, and the
     /// assignment shifts with each round. Data centres of the same region take part in every round,
     /// others only in one of [`SIBLING_ROUNDS`].
-    fn send_remote(&mut self, status: &Status, now: Time, beats: &mut Vec<(Node, beat::Beat)>) {
+    fn send_remote(&mut self, status: &Status, now: Time) -> Vec<Broadcast> {
         let here = self.live_nodes(self.data_centre, now);
         let count = here.len().max(1);
         self.remote_due = now + round_time(here.len()) / self.rounds() as u32;
@@ -114,8 +148,15 @@
             let remote_nodes = self.live_nodes(data_centre, now).into_iter();
             peers.extend(remote_nodes.skip((own_index + turn) % count).step_by(count));
         }
-        let parts = self.compose(status, false, false, now);
-        self.push_beats(&parts, &peers, beats);
+        if peers.is_empty() {
+            return Vec::new();
+        }
+        let form = Form {
+            local: false,
+            joining: false,
+            complete: true,
+        };
+        broadcast(&peers, self.compose(status, form, now))
     }
 
     /// Makes a round to all other data centres due now.
@@ -144,89 +185,88 @@
         due.then(|| self.round / rounds)
     }
 
-    /// Adds the same heartbeats for several peers; each copy has its own sequence number.
-    fn push_beats(
-        &mut self,
-        parts: &[beat::Beat],
-        peers: &[Node],
-        beats: &mut Vec<(Node, beat::Beat)>,
-    ) {
-        for node in peers {
-            for part in parts {
-                let copy = self.assign_sequence(part.clone());
-                beats.push((*node, copy));
+    /// Returns heartbeats that request a reply from seeds and members that are not live.
+    fn probe_peers(&mut self, status: &Status, now: Time) -> Vec<Broadcast> {
+        let starting = now.saturating_sub(self.started) < STARTUP;
+        let (check, interval) = if starting {
+            (PROBE_CHECKS.0, STARTUP_PROBE_INTERVAL)
+        } else {
+            (PROBE_CHECKS.1, PROBE_INTERVAL)
+        };
+        self.probe_due = now + check;
+        if self.leaving {
+            return Vec::new();
+        }
+        let mut broadcasts = Vec::new();
+        for local in [true, false] {
+            let peers = self.peers_to_probe(local, interval, now);
+            if peers.is_empty() {
+                continue;
             }
+            let form = Form {
+                local,
+                joining: true,
+                complete: true,
+            };
+            broadcasts.append(&mut broadcast(&peers, self.compose(status, form, now)));
         }
+        broadcasts
     }
 
-    /// Adds heartbeats that request a reply from seeds and members that are not live.
-    fn probe_peers(&mut self, status: &Status, now: Time, beats: &mut Vec<(Node, beat::Beat)>) {
-        if self.leaving {
-            return;
-        }
-        let starting = now.saturating_sub(self.started) < STARTUP;
-        let interval = if starting {
-            STARTUP_PROBE_INTERVAL
-        } else {
-            PROBE_INTERVAL
-        };
+    /// Marks the peers whose probe is due as probed and returns them.
+    fn peers_to_probe(&mut self, local: bool, interval: Duration, now: Time) -> Vec<Node> {
+        let mut due = Vec::new();
         for index in 0..self.peers.len() {
             let peer = &self.peers[index];
-            let due = peer
+            let is_local = peer.data_centre == Some(self.data_centre);
+            let was_probed = peer
                 .probed
-                .is_none_or(|probed| now.saturating_sub(probed) >= interval);
+                .is_some_and(|probed| now.saturating_sub(probed) < interval);
+            if is_local != local || was_probed || peer.leaving || self.is_live(peer, now) {
+                continue;
+            }
             // One live node of another data centre lists the others.
-            let needed = match peer.data_centre {
-                Some(data_centre) if data_centre != self.data_centre => !self
+            let is_covered = !is_local
+                && self
                     .remotes
                     .iter()
-                    .any(|remote| remote.data_centre == data_centre),
-                _ => true,
-            };
-            if due && needed && !peer.leaving && !self.is_live(peer, now) {
-                let local = peer.data_centre == Some(self.data_centre);
-                let node = peer.node;
+                    .any(|remote| Some(remote.data_centre) == peer.data_centre);
+            if !is_covered {
+                due.push(peer.node);
                 self.peers[index].probed = Some(now);
-                let parts = self.compose(status, local, true, now);
-                self.push_beats(&parts, &[node], beats);
             }
         }
+        due
     }
 
-    /// Sets the next sequence number, by which peers recognise outdated heartbeats.
-    fn assign_sequence(&mut self, mut beat: beat::Beat) -> beat::Beat {
-        self.sequence += 1;
-        beat.sequence = self.sequence;
-        beat
-    }
-
-    /// Returns the heartbeats that report the state of this node, without sequence numbers.
+    /// Returns the heartbeats that report the state of this node.
     ///
-    /// The first one is complete, except that loads beyond [`MAX_LOADS`] are in further ones.
-    fn compose(&self, status: &Status, local: bool, joining: bool, now: Time) -> Vec<beat::Beat> {
-        let loads = self.reported_loads(status, local);
-        let empty = self.empty_beat(status, joining);
-        let part = |loads: &[beat::Load]| beat::Beat {
-            last: loads.last().map_or(Key::MAX, |load| load.endpoint),
-            loads: loads.to_vec(),
-            ..empty.clone()
-        };
-        let mut beats: Vec<beat::Beat> = loads.chunks(MAX_LOADS).map(part).collect();
-        if beats.is_empty() {
-            beats.push(empty);
-        }
-        // The ranges of all heartbeats together cover every endpoint key.
-        for index in 1..beats.len() {
-            beats[index].first = beats[index - 1].last.saturating_add(1);
-        }
-        if let Some(beat) = beats.last_mut() {
-            beat.last = Key::MAX;
+    /// The first one is complete, except that loads beyond [`MAX_LOADS`] and members beyond
+    /// [`MAX_MEMBERS`] are in further ones. Each has its own sequence number, by which peers
+    /// recognise outdated heartbeats.
+    fn compose(&mut self, status: &Status, form: Form, now: Time) -> Vec<beat::Beat> {
+        let loads = self.reported_loads(status, form.local);
+        let members = self.listed_members(form.complete, now);
+        let loads: Vec<&[beat::Load]> = loads.chunks(MAX_LOADS).collect();
+        let members: Vec<&[beat::Member]> = members.chunks(MAX_MEMBERS).collect();
+        let count = loads.len().max(members.len()).max(1);
+        let mut beats: Vec<beat::Beat> = (0..count)
+            .map(|index| beat::Beat {
+                loads: loads.get(index).copied().unwrap_or_default().to_vec(),
+                members: members.get(index).copied().unwrap_or_default().to_vec(),
+                ..self.empty_beat(status, form.joining)
+            })
+            .collect();
+        assign_ranges(&mut beats, loads.len().max(1));
+        for beat in &mut beats {
+            self.sequence += 1;
+            beat.sequence = self.sequence;
         }
         let first = &mut beats[0];
-        first.members = self.listed_members(joining || !local, now);
-        first.holdings = self.holdings(local, now);
+        first.holdings = self.holdings(form.local, now);
         first.health.clone_from(&status.health);
         first.strikes.clone_from(&status.strikes);
+        first.departures.clone_from(&status.departures);
         beats
     }
 
@@ -239,8 +279,9 @@
             place: self.data_centre,
             leaving: self.leaving,
             joining,
-            policy: status.policy,
-            roster: status.roster,
+            policy: position(status.policy),
+            roster: position(status.roster),
+            version: status.version,
             members: Vec::new(),
             first: 0,
             last: Key::MAX,
@@ -248,6 +289,7 @@
             holdings: Vec::new(),
             health: Vec::new(),
             strikes: Vec::new(),
+            departures: Vec::new(),
         }
     }
 
@@ -271,26 +313,40 @@
             .collect()
     }
 
-    /// Returns the live nodes that a heartbeat lists, those of this data centre first.
+    /// Returns the live nodes that a heartbeat lists.
     ///
-    /// Peers of the same data centre know each other after the first heartbeat, so the list is sent
-    /// to them only in one of eight rounds.
-    fn listed_members(&self, complete: bool, now: Time) -> Vec<beat::Member> {
-        if !complete && !self.round.is_multiple_of(8) {
+    /// A complete list contains those of this data centre, and a few [`CONTACTS`] in each other.
+    /// Peers of the same data centre know each other after the first heartbeats, so a part of the
+    /// list is sent to them now and then.
+    fn listed_members(&mut self, complete: bool, now: Time) -> Vec<beat::Member> {
+        if !complete && now < self.members_due {
             return Vec::new();
         }
         let mut members = self.members(now);
         if !self.leaving {
             members.push((self.me, self.data_centre));
         }
-        members.sort_by_key(|&(node, data_centre)| (data_centre != self.data_centre, node));
-        let named = members.into_iter().take(MAX_MEMBERS);
-        named
-            .map(|(node, data_centre)| beat::Member {
+        members.sort_by_key(|&(node, data_centre)| (data_centre, node));
+        let groups = members.chunk_by(|(_, one), (_, other)| one == other);
+        let limited = groups.flat_map(|group| {
+            let is_here = group[0].1 == self.data_centre;
+            let count = if is_here { group.len() } else { CONTACTS };
+            group.iter().take(count)
+        });
+        let mut listed: Vec<beat::Member> = limited
+            .map(|&(node, data_centre)| beat::Member {
                 node: node.into(),
                 place: data_centre,
             })
-            .collect()
+            .collect();
+        if !complete && !listed.is_empty() {
+            self.members_due = now + MEMBERS_INTERVAL;
+            let start = self.member_lists * MAX_MEMBERS % listed.len();
+            listed.rotate_left(start);
+            listed.truncate(MAX_MEMBERS);
+            self.member_lists += 1;
+        }
+        listed
     }
 
     /// Returns this node's loads, or for other data centres the sum of the whole data centre.
@@ -323,6 +379,44 @@
     }
 }
 
+/// Sets the ranges of endpoint keys whose loads the heartbeats report.
+///
+/// The ranges of the first `reporting` heartbeats together cover every key. The others have empty
+/// ranges.
+fn assign_ranges(beats: &mut [beat::Beat], reporting: usize) {
+    let mut next: Option<Key> = Some(0);
+    for (index, beat) in beats.iter_mut().enumerate() {
+        let Some(first) = next.filter(|_| index < reporting) else {
+            (beat.first, beat.last) = (1, 0);
+            continue;
+        };
+        let last = match beat.loads.last() {
+            Some(load) if index + 1 < reporting => load.endpoint,
+            _ => Key::MAX,
+        };
+        (beat.first, beat.last) = (first, last);
+        next = last.checked_add(1);
+    }
+}
+
+/// Returns heartbeats that all the same peers receive.
+fn broadcast(receivers: &[Node], beats: Vec<beat::Beat>) -> Vec<Broadcast> {
+    let beats = beats.into_iter();
+    beats
+        .map(|beat| Broadcast {
+            receivers: receivers.to_vec(),
+            beat,
+        })
+        .collect()
+}
+
+fn position(position: Position) -> beat::Position {
+    beat::Position {
+        era: position.era,
+        revision: position.revision,
+    }
+}
+
 /// Returns the time between two rounds to other data centres.
 ///
 /// It grows with the number of nodes: their sum changes less from round to round, and sending it to
--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -120,6 +120,10 @@
     Closed,
     /// The endpoint is draining.
     Draining,
+    /// The endpoint has announced in an answer that it is leaving.
+    Departing,
+    /// The endpoint has asked this node to send nothing for a while.
+    RetryAfter,
     /// The request has already been sent to the endpoint.
     Tried,
     /// The endpoint is in backoff because it could not be reached.
--- a/crates/peridotdeck-core/src/dispatch/registry.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry.rs
@@ -4,12 +4,17 @@
 //! [`Snapshot`]. Each is applied only if it is newer than the state in force. The two areas have
 //! separate revisions, because they are watched separately.
 //!
-//! Each area has two revisions. The revision as of which the publisher was last read orders its
-//! reports, and advances even if nothing changes. The revision of the last change is what nodes
+//! Each area has two positions. The position as of which the publisher was last read orders its
+//! reports, and advances even if nothing changes. The position of the last change is what nodes
 //! compare with each other.
+//!
+//! A publisher that is restored from a copy has forgotten its latest changes. What this node knew
+//! of them stays in force for a while ([`restoration`]), since it is published again soon.
 
 mod endpoint;
+mod position;
 mod report;
+mod restoration;
 mod snapshot;
 
 use std::{sync::Arc, time::Duration};
@@ -17,7 +22,10 @@
 use super::config::Config;
 use crate::id::Time;
 
+use restoration::Restoration;
+
 pub use endpoint::Endpoint;
+pub use position::Position;
 pub use report::{Area, Change, Fact, Report, Revision};
 pub use snapshot::Snapshot;
 
@@ -41,10 +49,11 @@
     missing: Vec<(String, Time)>,
     publisher_failure: Option<Time>,
     confirmed: [Time; 2],
-    /// Revisions and ids of the latest changes of the endpoint list.
-    recent_changes: Vec<(u64, String)>,
-    /// Revision after which `recent_changes` is complete.
-    recent_complete_after: u64,
+    /// Positions and ids of the latest changes of the endpoint list.
+    recent_changes: Vec<(Position, String)>,
+    /// Position after which `recent_changes` is complete.
+    recent_complete_after: Position,
+    restoration: Restoration,
 }
 
 impl Registry {
@@ -66,7 +75,7 @@
         &self.closed
     }
 
-    /// Returns the revisions of an area.
+    /// Returns the positions of an area.
     #[must_use]
     pub fn revision(&self, area: Area) -> Revision {
         match area {
@@ -91,9 +100,15 @@
         self.publisher_failure = Some(now);
     }
 
-    /// Returns a snapshot of an area for a peer at the revision `known`.
+    /// Returns the version of the configuration in force; 0 without one.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |config| config.version)
+    }
+
+    /// Returns a snapshot of an area for a peer at the position `known`.
     #[must_use]
-    pub fn snapshot(&self, area: Area, known: u64, now: Time) -> Snapshot {
+    pub fn snapshot(&self, area: Area, known: Position, now: Time) -> Snapshot {
         match area {
             Area::Policy => Snapshot::Policy {
                 revision: self.policy,
@@ -104,12 +119,12 @@
         }
     }
 
-    /// Returns a snapshot of the endpoint list for a peer at the revision `known`.
+    /// Returns a snapshot of the endpoint list for a peer at the position `known`.
     ///
     /// It is incremental if all changes since then are kept, as most changes concern a single
-    /// endpoint of many.
-    fn endpoints_since(&self, known: u64, now: Time) -> Snapshot {
-        let whole = known < self.recent_complete_after;
+    /// endpoint of many. A peer in an older era may know changes that the publisher has forgotten.
+    fn endpoints_since(&self, known: Position, now: Time) -> Snapshot {
+        let whole = known.era < self.roster.changed.era || known < self.recent_complete_after;
         let (endpoints, gone) = if whole {
             (self.endpoints.clone(), Vec::new())
         } else {
@@ -127,12 +142,12 @@
         }
     }
 
-    /// Returns the endpoints added or changed after a revision, and the ids of those removed.
-    fn changed_since(&self, known: u64) -> (Vec<Endpoint>, Vec<String>) {
+    /// Returns the endpoints added or changed after a position, and the ids of those removed.
+    fn changed_since(&self, known: Position) -> (Vec<Endpoint>, Vec<String>) {
         let later = self
             .recent_changes
             .iter()
-            .filter(|(revision, _)| *revision > known);
+            .filter(|(position, _)| *position > known);
         let mut ids: Vec<&String> = later.map(|(_, id)| id).collect();
         ids.sort_unstable();
         ids.dedup();
@@ -149,15 +164,15 @@
 
     /// Keeps the ids that a change of the endpoint list concerned, for incremental snapshots.
     ///
-    /// Changes up to the first known revision are not available.
+    /// Changes up to the first known position are not available.
     fn record_change(&mut self, change: &Change, first: bool) {
-        let revision = self.roster.changed;
+        let position = self.roster.changed;
         if first {
-            self.recent_complete_after = revision;
+            self.recent_complete_after = position;
             return;
         }
         let changed = change.updated.iter().chain(&change.removed);
-        let ids = changed.map(|endpoint| (revision, endpoint.id.clone()));
+        let ids = changed.map(|endpoint| (position, endpoint.id.clone()));
         self.recent_changes.extend(ids);
         let surplus = self.recent_changes.len().saturating_sub(MAX_RECENT_CHANGES);
         if surplus > 0 {
@@ -167,15 +182,19 @@
     }
 
     /// Applies a peer's snapshot if it is newer, and returns the changes.
+    ///
+    /// A configuration of a higher version is adopted from any peer. A node that started after the
+    /// publisher was restored has read only the copy, which may lack the last version.
     pub fn adopt(&mut self, snapshot: Snapshot, now: Time) -> Change {
         let (area, revision, whole, facts, lapsing) = snapshot.into_facts();
         let known = self.revision(area);
         if revision.changed <= known.changed {
-            return Change::default();
+            return self.adopt_version(facts);
         }
         self.confirm(area, now);
+        self.enter_era(area, revision.changed.era, now);
         // The peer has read a later revision: its missing entries count, not this node's outage.
-        let change = self.apply_facts(area, facts, whole, None);
+        let change = self.apply_facts(area, facts, whole, None, now);
         for (id, left) in lapsing {
             // An entry that this node has removed, or already expects back by then, stays as it is.
             let is_missing = self.missing.iter().any(|(missing, _)| *missing == id);
@@ -188,40 +207,74 @@
         change
     }
 
+    /// Applies only the configuration among the facts of an older snapshot.
+    fn adopt_version(&mut self, facts: Vec<Fact>) -> Change {
+        let mut change = Change::default();
+        for fact in facts {
+            if let Fact::Config(config) = fact {
+                self.apply_config(config, &mut change);
+            }
+        }
+        change
+    }
+
     /// Applies a publisher's report if it is newer, and returns the changes.
+    ///
+    /// A new era must begin with a whole report.
     pub fn apply(&mut self, report: Report, now: Time) -> Change {
-        let known = self.revision(report.area);
-        if report.revision >= known.read {
-            self.confirm(report.area, now);
+        let Report {
+            area,
+            position,
+            newest,
+            whole,
+            facts,
+        } = report;
+        let known = self.revision(area);
+        if position >= known.read {
+            self.confirm(area, now);
         }
-        if report.revision < known.read || (report.revision == known.read && !report.whole) {
+        let continues = position.era == known.read.era || known.read == Position::default();
+        if position < known.read || (!whole && (position == known.read || !continues)) {
             return Change::default();
         }
+        self.enter_era(area, position.era, now);
         let grace_until = self
             .publisher_failure
             .map(|failed| failed + MISSING_GRACE)
             .filter(|until| now < *until);
-        let change = self.apply_facts(report.area, report.facts, report.whole, grace_until);
+        let change = self.apply_facts(area, facts, whole, grace_until, now);
         // An entry missing from a whole report has changed at an unknown revision before it.
-        let changed = if report.whole && change != Change::default() {
-            report.revision
+        let changed = if whole && change != Change::default() {
+            position
         } else {
-            report.newest
+            Position::new(position.era, newest)
         };
         let revision = Revision {
             changed: changed.max(known.changed),
-            read: report.revision,
+            read: position,
         };
-        self.set_revision(report.area, revision, &change);
+        self.set_revision(area, revision, &change);
         change
     }
 
-    /// Sets the revisions of an area that a change has led to.
+    /// Notes that the publisher was restored, if an area's era is newer than the known one.
+    ///
+    /// Entries that the copy lacks are expected back, as after an outage.
+    fn enter_era(&mut self, area: Area, era: u64, now: Time) {
+        let known = self.revision(area).read;
+        if known == Position::default() || era <= known.era {
+            return;
+        }
+        self.restoration.begin(area, now);
+        self.note_publisher_failure(now);
+    }
+
+    /// Sets the positions of an area that a change has led to.
     fn set_revision(&mut self, area: Area, revision: Revision, change: &Change) {
         match area {
             Area::Policy => self.policy = revision,
             Area::Roster => {
-                let first = self.roster.changed == 0;
+                let first = self.roster.changed == Position::default();
                 self.roster = revision;
                 self.record_change(change, first);
             }
@@ -235,43 +288,101 @@
         facts: Vec<Fact>,
         whole: bool,
         grace_until: Option<Time>,
+        now: Time,
     ) -> Change {
         let mut change = Change::default();
         match area {
-            Area::Policy => self.apply_policy(facts, whole, &mut change),
-            Area::Roster => self.apply_roster(facts, whole, grace_until, &mut change),
+            Area::Policy => self.apply_policy(facts, whole, now, &mut change),
+            Area::Roster => {
+                let facts = if whole {
+                    self.without_contradictions(facts, now)
+                } else {
+                    self.restoration.release(&facts);
+                    facts
+                };
+                self.apply_roster(facts, whole, grace_until, &mut change);
+                self.restoration.record_removed(&change.removed, now);
+            }
         }
         change
     }
 
-    fn apply_policy(&mut self, facts: Vec<Fact>, whole: bool, change: &mut Change) {
+    fn apply_policy(&mut self, facts: Vec<Fact>, whole: bool, now: Time, change: &mut Change) {
         if whole {
-            let stays = |data_centre: &String| facts.contains(&Fact::Closed(data_centre.clone()));
-            let opened: Vec<String> = self
-                .closed
-                .extract_if(.., |data_centre| !stays(data_centre))
-                .collect();
-            change.opened.extend(opened);
+            self.open_unlisted(&facts, now, change);
         }
         for fact in facts {
             match fact {
                 Fact::Config(config) => self.apply_config(config, change),
                 Fact::Closed(data_centre) => {
+                    self.restoration.confirm_closure(&data_centre);
                     if let Err(index) = self.closed.binary_search(&data_centre) {
                         self.closed.insert(index, data_centre.clone());
                         change.closed.push(data_centre);
                     }
                 }
                 Fact::Opened(data_centre) => {
-                    if let Ok(index) = self.closed.binary_search(&data_centre) {
-                        change.opened.push(self.closed.remove(index));
-                    }
+                    self.restoration.confirm_closure(&data_centre);
+                    self.open(&data_centre, change);
                 }
                 Fact::Endpoint(_) | Fact::Gone(_) => {}
             }
         }
     }
 
+    /// Opens the data centres that a whole report does not close.
+    ///
+    /// The copy from which a publisher was restored may lack a closure, so it stays for a while.
+    fn open_unlisted(&mut self, facts: &[Fact], now: Time, change: &mut Change) {
+        let is_listed = |data_centre: &String| facts.contains(&Fact::Closed(data_centre.clone()));
+        let unlisted: Vec<String> = self
+            .closed
+            .iter()
+            .filter(|data_centre| !is_listed(data_centre))
+            .cloned()
+            .collect();
+        for data_centre in unlisted {
+            if !self.restoration.keep_closed(&data_centre, now) {
+                self.open(&data_centre, change);
+            }
+        }
+    }
+
+    fn open(&mut self, data_centre: &String, change: &mut Change) {
+        if let Ok(index) = self.closed.binary_search(data_centre) {
+            change.opened.push(self.closed.remove(index));
+        }
+    }
+
+    /// Returns the facts of a whole report without those that a restored copy has outdated.
+    ///
+    /// While the publisher counts as restored, its copy may show an endpoint as usable that this
+    /// node knows to be draining, to be gone, or to have restarted since.
+    fn without_contradictions(&mut self, facts: Vec<Fact>, now: Time) -> Vec<Fact> {
+        if !self.restoration.is_recent(Area::Roster, now) {
+            return facts;
+        }
+        let mut kept = Vec::with_capacity(facts.len());
+        for fact in facts {
+            let Fact::Endpoint(copied) = &fact else {
+                kept.push(fact);
+                continue;
+            };
+            match self.find(&copied.id) {
+                Ok(index) if self.endpoints[index].is_later_than(copied) => {
+                    let known = self.endpoints[index].clone();
+                    self.restoration.withhold(copied.clone());
+                    kept.push(Fact::Endpoint(known));
+                }
+                Err(_) if self.restoration.is_removed(copied.key(), now) => {
+                    self.restoration.withhold(copied.clone());
+                }
+                _ => kept.push(fact),
+            }
+        }
+        kept
+    }
+
     fn apply_config(&mut self, config: Config, change: &mut Change) {
         let version = self.config.as_ref().map(|config| config.version);
         if version.is_none_or(|version| version < config.version) {
@@ -348,19 +459,30 @@
         }
     }
 
-    /// Removes missing endpoints whose grace time is over, and returns them.
-    pub fn expire(&mut self, now: Time) -> Vec<Endpoint> {
+    /// Applies what was postponed until now, and returns the changes.
+    ///
+    /// Missing endpoints whose grace time is over are removed. Some time after a restoration the
+    /// publisher's state counts, also where it contradicts what this node knew.
+    pub fn expire(&mut self, now: Time) -> Change {
         let due: Vec<(String, Time)> = self
             .missing
             .extract_if(.., |(_, until)| *until <= now)
             .collect();
         let overdue = |endpoint: &mut Endpoint| due.iter().any(|(id, _)| *id == endpoint.id);
-        let change = Change {
+        let mut change = Change {
             removed: self.endpoints.extract_if(.., overdue).collect(),
             ..Change::default()
         };
+        self.restoration.record_removed(&change.removed, now);
+        let (endpoints, closures) = self.restoration.expire(now);
+        for endpoint in endpoints {
+            self.update(endpoint, &mut change);
+        }
+        for data_centre in closures {
+            self.open(&data_centre, &mut change);
+        }
         self.record_change(&change, false);
-        change.removed
+        change
     }
 
     fn find(&self, id: &str) -> Result<usize, usize> {
--- a/crates/peridotdeck-core/src/dispatch/registry/endpoint.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry/endpoint.rs
@@ -34,4 +34,13 @@
     pub fn key(&self) -> Key {
         key(&self.id, self.born)
     }
+
+    /// Returns whether this entry describes a later state than another entry of the same id.
+    ///
+    /// A process that drains never stops to, and a later process has a later start.
+    #[must_use]
+    pub fn is_later_than(&self, other: &Self) -> bool {
+        let drains = self.born == other.born && self.draining && !other.draining;
+        drains || self.born > other.born
+    }
 }
--- a/crates/peridotdeck-core/src/dispatch/registry/report.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry/report.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
-use super::Endpoint;
+use super::{Endpoint, Position};
 use crate::dispatch::config::Config;
 
 /// Kind of published data, with a revision of its own.
@@ -50,13 +50,13 @@
     }
 }
 
-/// Revisions of an area at a node.
+/// Positions of an area at a node.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Revision {
-    /// Revision of the last change.
-    pub changed: u64,
-    /// Revision as of which the publisher was last read.
-    pub read: u64,
+    /// Position of the last change.
+    pub changed: Position,
+    /// Position as of which the publisher was last read.
+    pub read: Position,
 }
 
 /// Facts of one area, as a publisher reports them.
@@ -64,9 +64,9 @@
 pub struct Report {
     /// Area that the facts belong to.
     pub area: Area,
-    /// Revision as of which the facts hold.
-    pub revision: u64,
-    /// Revision of the newest fact.
+    /// Position as of which the facts hold.
+    pub position: Position,
+    /// Revision of the newest fact, in the same era.
     pub newest: u64,
     /// Whether the facts are the complete state of the area, or only changes.
     pub whole: bool,
--- a/crates/peridotdeck-core/tests/testsuite/dispatch.rs
+++ b/crates/peridotdeck-core/tests/testsuite/dispatch.rs
@@ -12,9 +12,11 @@
     budget::Bound,
     config::{Config, Kind, Model, Organisation, Route, Service, Share},
     dispatcher::Options,
+    fleet::Broadcast,
     flight::{DecodedRequest, Flight, Part, Prompt},
-    registry::{Area, Change, Endpoint, Fact, Report},
+    registry::{Area, Change, Endpoint, Fact, Position, Report},
 };
+use peridotdeck_wire::beat::Beat;
 
 /// Data centres, each with its region.
 pub const REGIONS: [(&str, &str); 3] = [
@@ -135,13 +137,30 @@
 pub fn report(area: Area, revision: u64, whole: bool, facts: Vec<Fact>) -> Report {
     Report {
         area,
-        revision,
+        position: Position::new(0, revision),
         newest: revision,
         whole,
         facts,
     }
 }
 
+/// Returns a whole report of a publisher that was restored from a copy `era` times.
+pub fn restored(area: Area, era: u64, revision: u64, facts: Vec<Fact>) -> Report {
+    Report {
+        position: Position::new(era, revision),
+        ..report(area, revision, true, facts)
+    }
+}
+
+/// Returns a copy of each heartbeat for each peer that receives it.
+pub fn copies(heartbeats: Vec<Broadcast>) -> Vec<(Node, Beat)> {
+    let copies = heartbeats.into_iter().flat_map(|heartbeat| {
+        let receivers = heartbeat.receivers.into_iter();
+        receivers.map(move |node| (node, heartbeat.beat.clone()))
+    });
+    copies.collect()
+}
+
 /// Returns a node that has received the configuration and the given endpoints.
 pub fn dispatcher(number: u8, data_centre: &str, endpoints: &[Endpoint]) -> Dispatcher {
     configure(
--- a/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
+++ b/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
@@ -7,13 +7,13 @@
     attempt::Placement,
     data_centre,
     dispatcher::Options,
-    registry::{Area, Endpoint, Fact},
+    registry::{Area, Endpoint, Fact, Position},
 };
 use peridotdeck_wire::{beat::Beat, pack, unpack};
 
 use crate::dispatch::{
-    REGIONS, admit, config, configure, decoded_request, dispatcher, endpoint, ms, node, options,
-    prompt, report,
+    REGIONS, admit, config, configure, copies, decoded_request, dispatcher, endpoint, ms, node,
+    options, prompt, report,
 };
 
 /// Nodes whose heartbeats arrive at once, except to and from the nodes in `cut`.
@@ -39,7 +39,7 @@
     fn run(&mut self, from_ms: u64, to_ms: u64) {
         for now_ms in (from_ms..to_ms).step_by(25) {
             for sender in 0..self.nodes.len() {
-                let heartbeats = self.nodes[sender].1.tick(ms(now_ms)).heartbeats;
+                let heartbeats = copies(self.nodes[sender].1.tick(ms(now_ms)).heartbeats);
                 for (to, heartbeat) in heartbeats {
                     self.deliver(sender, to, &heartbeat, ms(now_ms));
                 }
@@ -57,7 +57,7 @@
         let Some(index) = self.nodes.iter().position(|(node, _)| *node == to) else {
             return;
         };
-        if let Some(response) = self.nodes[index].1.receive(&heartbeat, now).0 {
+        for response in self.nodes[index].1.receive(&heartbeat, now).0 {
             self.nodes[sender].1.receive(&response, now);
         }
     }
@@ -90,6 +90,37 @@
     }
 }
 
+/// Nodes that do not know each other yet each take the part of the first node, and send too much to
+/// a cold endpoint or read the publisher too often.
+#[test]
+fn nodes_of_a_large_data_centre_know_each_other_soon() {
+    const NODES: u8 = 60;
+    let nodes = (1..=NODES).map(|number| dispatcher(number, REGIONS[0].0, &endpoints()));
+    let mut fleet = Fleet::new(nodes.collect());
+    fleet.run(0, 500);
+    let here = data_centre(REGIONS[0].0);
+    for (node, dispatcher) in &fleet.nodes {
+        let live = dispatcher.fleet().live_nodes(here, ms(500));
+        assert_eq!(live.len(), usize::from(NODES), "{node} knows {live:?}");
+    }
+}
+
+#[test]
+fn nodes_of_large_data_centres_stay_known_to_each_other() {
+    const NODES: u8 = 80;
+    let nodes = (1..=NODES)
+        .map(|number| dispatcher(number, REGIONS[usize::from(number % 2)].0, &endpoints()));
+    let mut fleet = Fleet::new(nodes.collect());
+    fleet.run(0, 3_000);
+    for now_ms in (3_000..15_000).step_by(500) {
+        fleet.run(now_ms, now_ms + 500);
+        for (node, dispatcher) in &fleet.nodes {
+            let members = dispatcher.fleet().members(ms(now_ms + 500));
+            assert_eq!(members.len(), usize::from(NODES) - 1, "{node} at {now_ms}");
+        }
+    }
+}
+
 #[test]
 fn silent_peer_is_removed_and_can_return() {
     let mut fleet = fleet(2);
@@ -258,7 +289,7 @@
         .apply_report(report(Area::Policy, 9, false, facts), ms(1_000));
     let mut snapshot_requests = Vec::new();
     for now_ms in (1_000..1_500).step_by(25) {
-        for (to, heartbeat) in fleet.nodes[0].1.tick(ms(now_ms)).heartbeats {
+        for (to, heartbeat) in copies(fleet.nodes[0].1.tick(ms(now_ms)).heartbeats) {
             fleet.deliver(0, to, &heartbeat, ms(now_ms));
         }
         snapshot_requests.extend(fleet.nodes[3].1.tick(ms(now_ms)).snapshot_requests);
@@ -268,10 +299,11 @@
             .iter()
             .any(|request| request.node == node(1) && request.area == Area::Policy)
     );
-    let snapshot = fleet.nodes[0]
-        .1
-        .registry()
-        .snapshot(Area::Policy, 0, ms(1_500));
+    let snapshot =
+        fleet.nodes[0]
+            .1
+            .registry()
+            .snapshot(Area::Policy, Position::default(), ms(1_500));
     let change = fleet.nodes[3].1.adopt(snapshot, ms(1_500));
     assert_eq!(change.version, Some(2));
 }
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod attempt_ends;
 mod claims;
 mod config;
+mod departures;
 mod dispatch;
 mod fairness;
 mod fleet_beats;
@@ -17,6 +18,7 @@
 mod random;
 mod random_dispatch;
 mod recovery;
+mod restored_publisher;
 mod roster_lapse;
 mod shared_bounds;
 mod simulation;
--- a/crates/peridotdeck-core/tests/testsuite/random_dispatch.rs
+++ b/crates/peridotdeck-core/tests/testsuite/random_dispatch.rs
@@ -26,7 +26,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::dispatch::{
-    REGIONS, config, decoded_request, dispatcher, endpoint, ms, node, prompt, report,
+    REGIONS, config, copies, decoded_request, dispatcher, endpoint, ms, node, prompt, report,
 };
 
 const NODES: usize = 4;
@@ -142,7 +142,7 @@
             .config()
             .map(|config| config.version);
         let due = self.nodes[index].tick(self.now);
-        self.heartbeats.extend(due.heartbeats);
+        self.heartbeats.extend(copies(due.heartbeats));
         for probe in due.probes {
             self.nodes[index].record_probe(probe.key, probe.key.is_multiple_of(2), self.now);
         }
@@ -269,9 +269,11 @@
         let receiver = (0..NODES).find(|&receiver| node(receiver as u8 + 1) == to);
         if let Some(receiver) = receiver
             && !value.is_multiple_of(5)
-            && let Some(response) = self.nodes[receiver].receive(&heartbeat, self.now).0
         {
-            self.heartbeats.push((Node::from(heartbeat.node), response));
+            let responses = self.nodes[receiver].receive(&heartbeat, self.now).0;
+            let sender = Node::from(heartbeat.node);
+            let responses = responses.into_iter().map(|response| (sender, response));
+            self.heartbeats.extend(responses);
         }
     }
 
--- a/crates/peridotdeck-core/tests/testsuite/roster_lapse.rs
+++ b/crates/peridotdeck-core/tests/testsuite/roster_lapse.rs
@@ -4,10 +4,15 @@
 
 use std::time::Duration;
 
-use peridotdeck_core::dispatch::registry::{Area, Fact, Registry, Snapshot};
+use peridotdeck_core::dispatch::registry::{Area, Fact, Position, Registry, Snapshot};
 
 use crate::dispatch::{config, endpoint, ms, report};
 
+/// Returns the position of a revision in the first era.
+fn at(revision: u64) -> Position {
+    Position::new(0, revision)
+}
+
 /// Reports a whole endpoint list, which replaces the one before.
 fn replace_endpoints(registry: &mut Registry, revision: u64, facts: Vec<Fact>, now: Duration) {
     registry.apply(report(Area::Roster, revision, true, facts), now);
@@ -66,12 +71,19 @@
     registry.note_publisher_failure(ms(5_000));
     replace_endpoints(&mut registry, 2, Vec::new(), ms(6_000));
     assert_eq!(registry.endpoints().len(), 1, "kept while it may come back");
-    assert!(registry.expire(ms(7_500)).is_empty());
+    assert!(registry.expire(ms(7_500)).removed.is_empty());
     replace_endpoints(&mut registry, 3, listed, ms(7_550));
-    assert!(registry.expire(ms(9_000)).is_empty(), "it came back");
+    assert!(
+        registry.expire(ms(9_000)).removed.is_empty(),
+        "it came back"
+    );
     registry.note_publisher_failure(ms(9_500));
     replace_endpoints(&mut registry, 4, Vec::new(), ms(10_000));
-    assert_eq!(registry.expire(ms(12_200)).len(), 1, "it did not come back");
+    assert_eq!(
+        registry.expire(ms(12_200)).removed.len(),
+        1,
+        "it did not come back"
+    );
 }
 
 #[test]
@@ -79,13 +91,17 @@
     let (mut watcher, mut follower) = (Registry::default(), Registry::default());
     let listed = vec![Fact::Endpoint(endpoint("e", "text", "muenchen"))];
     replace_endpoints(&mut watcher, 1, listed, ms(0));
-    follower.adopt(watcher.snapshot(Area::Roster, 0, ms(10)), ms(10));
+    follower.adopt(watcher.snapshot(Area::Roster, at(0), ms(10)), ms(10));
     watcher.note_publisher_failure(ms(5_000));
     replace_endpoints(&mut watcher, 2, Vec::new(), ms(6_000));
-    let change = follower.adopt(watcher.snapshot(Area::Roster, 1, ms(6_050)), ms(6_050));
+    let change = follower.adopt(watcher.snapshot(Area::Roster, at(1), ms(6_050)), ms(6_050));
     assert!(change.removed.is_empty(), "it may come back");
-    assert!(follower.expire(ms(7_500)).is_empty());
-    assert_eq!(follower.expire(ms(7_700)).len(), 1, "it did not come back");
+    assert!(follower.expire(ms(7_500)).removed.is_empty());
+    assert_eq!(
+        follower.expire(ms(7_700)).removed.len(),
+        1,
+        "it did not come back"
+    );
 }
 
 #[test]
@@ -133,17 +149,17 @@
     }
     let newer = vec![Fact::Config(config(2)), Fact::Closed("a".into())];
     ahead.apply(report(Area::Policy, 8, false, newer), ms(1));
-    let change = behind.adopt(ahead.snapshot(Area::Policy, 0, ms(2)), ms(2));
+    let change = behind.adopt(ahead.snapshot(Area::Policy, at(0), ms(2)), ms(2));
     assert_eq!(change.version, Some(2));
     assert_eq!(behind.closed(), ["a"]);
     // The publisher's delayed report of the same revision must not undo it.
     let delayed = report(Area::Policy, 7, true, vec![Fact::Config(config(1))]);
     assert_eq!(behind.apply(delayed, ms(3)).opened.len(), 0);
-    let Snapshot::Policy { revision, .. } = behind.snapshot(Area::Policy, 0, ms(2)) else {
+    let Snapshot::Policy { revision, .. } = behind.snapshot(Area::Policy, at(0), ms(2)) else {
         panic!("expected a snapshot of the policy");
     };
-    assert_eq!(revision.changed, 8);
-    let older = ahead.snapshot(Area::Policy, 0, ms(2));
+    assert_eq!(revision.changed, at(8));
+    let older = ahead.snapshot(Area::Policy, at(0), ms(2));
     behind.apply(
         report(Area::Policy, 9, false, vec![Fact::Opened("a".into())]),
         ms(4),
@@ -164,7 +180,7 @@
     quiet.newest = 0;
     registry.apply(quiet, ms(10));
     let revision = registry.revision(Area::Roster);
-    assert_eq!((revision.changed, revision.read), (3, 40));
+    assert_eq!((revision.changed, revision.read), (at(3), at(40)));
 }
 
 /// Returns the ids of a registry's endpoints in its order.
@@ -185,7 +201,7 @@
     }
     let change = vec![Fact::Gone("b".into()), listed(&["d"]).remove(0)];
     ahead.apply(report(Area::Roster, 7, false, change), ms(10));
-    let snapshot = ahead.snapshot(Area::Roster, 3, ms(20));
+    let snapshot = ahead.snapshot(Area::Roster, at(3), ms(20));
     let Snapshot::Roster {
         whole, endpoints, ..
     } = &snapshot
@@ -204,7 +220,7 @@
     replace_endpoints(&mut behind, 3, old, ms(0));
     let new = vec![Fact::Endpoint(endpoint("new", "text", "muenchen"))];
     replace_endpoints(&mut ahead, 9, new, ms(0));
-    behind.adopt(ahead.snapshot(Area::Roster, 3, ms(10)), ms(10));
+    behind.adopt(ahead.snapshot(Area::Roster, at(3), ms(10)), ms(10));
     assert_eq!(
         ids(&behind),
         ["new"],
@@ -218,11 +234,11 @@
         let (mut watcher, mut follower) = (Registry::default(), Registry::default());
         let listed = vec![Fact::Endpoint(endpoint("e", "text", "muenchen"))];
         replace_endpoints(&mut watcher, 1, listed.clone(), ms(0));
-        follower.adopt(watcher.snapshot(Area::Roster, 0, ms(5)), ms(5));
+        follower.adopt(watcher.snapshot(Area::Roster, at(0), ms(5)), ms(5));
         watcher.note_publisher_failure(ms(5_000));
         replace_endpoints(&mut watcher, 2, Vec::new(), ms(5_500));
         if comes_back {
-            follower.adopt(watcher.snapshot(Area::Roster, 1, ms(5_600)), ms(5_600));
+            follower.adopt(watcher.snapshot(Area::Roster, at(1), ms(5_600)), ms(5_600));
             let known = follower.revision(Area::Roster).changed;
             watcher.apply(report(Area::Roster, 4, false, listed), ms(6_000));
             follower.adopt(watcher.snapshot(Area::Roster, known, ms(6_100)), ms(6_100));
@@ -232,7 +248,7 @@
             // The follower gets a snapshot only after the watcher has removed the entry.
             watcher.expire(ms(7_700));
             watcher.apply(report(Area::Roster, 3, false, Vec::new()), ms(7_800));
-            follower.adopt(watcher.snapshot(Area::Roster, 1, ms(7_900)), ms(7_900));
+            follower.adopt(watcher.snapshot(Area::Roster, at(1), ms(7_900)), ms(7_900));
             assert!(ids(&follower).is_empty());
         }
     }
@@ -253,7 +269,7 @@
         let gone = report(Area::Roster, 5, false, vec![Fact::Gone("e".into())]);
         registry.apply(gone, ms(5_000));
     }
-    follower.adopt(keeping.snapshot(Area::Roster, 3, ms(5_050)), ms(5_050));
+    follower.adopt(keeping.snapshot(Area::Roster, at(3), ms(5_050)), ms(5_050));
     let other = vec![Fact::Endpoint(endpoint("f", "text", "muenchen"))];
     removing.apply(report(Area::Roster, 6, false, other), ms(5_100));
     let known = follower.revision(Area::Roster).changed;
--- a/crates/peridotdeck-core/tests/testsuite/shared_bounds.rs
+++ b/crates/peridotdeck-core/tests/testsuite/shared_bounds.rs
@@ -6,10 +6,10 @@
     Dispatcher,
     attempt::{End, Placement},
     budget::{Bound, Budget},
-    registry::Fact,
+    registry::{Endpoint, Fact},
 };
 
-use crate::dispatch::{admit, decoded_request, dispatcher, endpoint, ms, node, publish};
+use crate::dispatch::{admit, copies, decoded_request, dispatcher, endpoint, ms, node, publish};
 
 const RETRY_BOUND: Bound = Bound {
     ratio: 0.2,
@@ -75,11 +75,10 @@
 
 fn exchange_heartbeats(nodes: &mut [Dispatcher], now: Duration) {
     for from in 0..nodes.len() {
-        for (to, heartbeat) in nodes[from].tick(now).heartbeats {
+        for (to, heartbeat) in copies(nodes[from].tick(now).heartbeats) {
             let to = (0..nodes.len()).find(|index| node(*index as u8 + 1) == to);
             let Some(to) = to else { continue };
-            let response = nodes[to].receive(&heartbeat, now).0;
-            if let Some(response) = response {
+            for response in nodes[to].receive(&heartbeat, now).0 {
                 nodes[from].receive(&response, now);
             }
         }
@@ -129,6 +128,31 @@
     assert!((5..=20).contains(&sends), "{sends}");
 }
 
+/// Nodes learn of a restart at different times. The nodes that still know the earlier process must
+/// not send in addition to those that know the later one.
+#[test]
+fn restarted_cold_endpoint_keeps_its_senders() {
+    let mut processes = [1, 2].map(|born| Endpoint {
+        born,
+        cold: Duration::from_secs(60),
+        ..endpoint("cold", "text", "muenchen")
+    });
+    let mut nodes: Vec<Dispatcher> = (1..=12)
+        .map(|number| {
+            processes.rotate_left(1);
+            dispatcher(number, "muenchen", &processes[..1])
+        })
+        .collect();
+    for step in 0..40 {
+        exchange_heartbeats(&mut nodes, ms(step * 25));
+    }
+    let senders = nodes
+        .iter_mut()
+        .filter_map(|node| (count_cold_sends(std::slice::from_mut(node), 1_000) > 0).then_some(()));
+    // Four nodes send to an endpoint that bears 10 requests a second.
+    assert_eq!(senders.count(), 4);
+}
+
 /// An endpoint that answers a probe after a failed connection may have restarted, thus be cold.
 #[test]
 fn endpoint_that_was_unreachable_counts_as_cold() {
--- a/crates/peridotdeck-relay/src/control.rs
+++ b/crates/peridotdeck-relay/src/control.rs
@@ -8,7 +8,10 @@
     body::{Bytes, Incoming},
     header::{CONTENT_TYPE, HeaderValue},
 };
-use peridotdeck_core::dispatch::{Dispatcher, registry::Area};
+use peridotdeck_core::dispatch::{
+    Dispatcher,
+    registry::{Area, Position},
+};
 
 use crate::{Ingress, Shared, clock};
 
@@ -31,11 +34,15 @@
         "/metrics" => metrics_response(shared),
         "/status" => text_response(StatusCode::OK, status(&shared.dispatcher())),
         "/explain" => explain(&shared.dispatcher(), query),
-        "/fleet/policy" => snapshot_response(shared, Area::Policy, 0),
+        "/fleet/policy" => snapshot_response(shared, Area::Policy, Position::default()),
         "/fleet/roster" => {
-            let known = parameter(query, "known").and_then(|known| known.parse().ok());
-            // A peer that names no revision has none yet, which counts as revision 0.
-            snapshot_response(shared, Area::Roster, known.unwrap_or(0))
+            let number = |name| parameter(query, name).and_then(|text| text.parse().ok());
+            // A peer that names no position has none yet, which counts as revision 0.
+            let known = Position::new(
+                number("era").unwrap_or_default(),
+                number("known").unwrap_or_default(),
+            );
+            snapshot_response(shared, Area::Roster, known)
         }
         _ => text_response(StatusCode::NOT_FOUND, "unknown path\n"),
     }
@@ -82,7 +89,7 @@
 fn snapshot_response<I: Ingress>(
     shared: &Shared<I>,
     area: Area,
-    known: u64,
+    known: Position,
 ) -> Response<Full<Bytes>> {
     let snapshot = shared
         .dispatcher()
@@ -166,13 +173,15 @@
         push_line(
             &mut lines,
             format_args!(
-                "endpoint={} key={:08x} service={} place={} draining={} cold={} resting={} \
-                 suspected={} own={} running={} unread={} pace={:.2} failure_rate={:.2}",
+                "endpoint={} key={:08x} service={} place={} draining={} departing={} paused_ms={} \
+                 cold={} resting={} suspected={} own={} running={} unread={} pace={:.2} failure_rate={:.2}",
                 state.info.id,
                 state.key,
                 state.info.service,
                 state.info.data_centre,
                 state.info.draining,
+                state.is_departing(),
+                state.pause_left(now).unwrap_or_default().as_millis(),
                 state.is_cold(now),
                 state.is_in_backoff(),
                 state.is_suspected(),
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -124,6 +124,10 @@
         let cause = format!("answer with status {} is not for this request", head.status);
         return Err(Failure::new(End::Garbled, &cause));
     }
+    if reply != Reply::Misdirected {
+        let notice = shared.ingress.notice(&head);
+        shared.note_endpoint(assignment.attempt.key(), &flight.id, notice);
+    }
     let keep_alive = shared.ingress.keep_alive(&head);
     Ok(Answer {
         reply,
@@ -199,9 +203,9 @@
         .get(path, CACHE_LIST_TIMEOUT)
         .await;
     let list = match read {
-        Ok(body) => shared
+        Ok(response) => shared
             .ingress
-            .decode_cache_list(&body)
+            .decode_cache_list(response.body())
             .map_err(|cause| cause.to_string()),
         Err(cause) => Err(cause.to_string()),
     };
--- a/crates/peridotdeck-relay/src/fetch.rs
+++ b/crates/peridotdeck-relay/src/fetch.rs
@@ -6,7 +6,7 @@
 
 use async_std::future::timeout;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, StatusCode, body::Bytes, header};
+use hyper::{Request, Response, StatusCode, body::Bytes, header};
 use quick_error::quick_error;
 
 use crate::pool::{self, Connection};
@@ -62,14 +62,18 @@
         }
     }
 
-    /// Requests a path and returns the body of the response.
+    /// Requests a path and returns the complete response.
     ///
     /// `time_limit` covers connecting, the request and the complete response. The connection is
     /// kept for the next request if the response was complete.
     ///
     /// # Errors
     /// Returns an error if the response is not complete in time, or its status is not 200.
-    pub async fn get(&mut self, path: &str, time_limit: Duration) -> Result<Bytes, Error> {
+    pub async fn get(
+        &mut self,
+        path: &str,
+        time_limit: Duration,
+    ) -> Result<Response<Bytes>, Error> {
         let idle = self
             .connection
             .take()
@@ -86,17 +90,16 @@
             let (head, body) = connection.sender.send_request(request).await?.into_parts();
             let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
             let body = body.map_err(|cause| Error::Invalid(cause.to_string()))?;
-            Ok((connection, head.status, body.to_bytes()))
+            Ok((connection, Response::from_parts(head, body.to_bytes())))
         };
         let result: Result<_, Error> = timeout(time_limit, exchange)
             .await
             .unwrap_or(Err(Error::TimedOut));
-        let (connection, status, body) = result?;
+        let (connection, response) = result?;
         self.connection = Some(connection);
-        if status == StatusCode::OK {
-            Ok(body)
-        } else {
-            Err(Error::Status(status))
+        match response.status() {
+            StatusCode::OK => Ok(response),
+            status => Err(Error::Status(status)),
         }
     }
 }
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -10,7 +10,7 @@
 
 use async_io::Timer;
 use async_std::future::timeout;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     Response,
     body::{Bytes, Incoming},
@@ -35,6 +35,14 @@
     stream::{self, Events, Relay},
 };
 
+/// Largest answer that is read as a whole, in bytes.
+///
+/// A failing endpoint may send bytes without end.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// Largest unused body of a rejection that is read, in bytes.
+const MAX_REJECTION_BYTES: usize = 64 << 10;
+
 /// Longest time to read the unused body of a rejection, so that its connection can be kept.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -232,6 +240,7 @@
         };
         let cause = format!("status {}", head.status.as_u16());
         if end == End::Rejected {
+            let body = Limited::new(body, MAX_REJECTION_BYTES);
             let rest = timeout(DRAIN_TIMEOUT, body.collect()).await;
             if matches!(rest, Ok(Ok(_))) {
                 shared
@@ -392,8 +401,9 @@
 /// Reads a complete body before the deadline of the request.
 async fn read_body(body: Incoming, flight: &Flight) -> Result<Bytes, Failure> {
     let read = async {
-        match body.collect().await {
+        match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
             Ok(collected) => Ok(collected.to_bytes()),
+            Err(cause) if cause.is::<LengthLimitError>() => Err(Failure::new(End::Garbled, &cause)),
             Err(cause) => Err(Failure::new(End::Broken, &cause)),
         }
     };
@@ -410,7 +420,7 @@
         loop {
             match stream::read_data(body).await? {
                 None => return Ok(false),
-                Some(bytes) => events.push(&bytes),
+                Some(bytes) => events.push(&bytes)?,
             }
             if events.has_complete() {
                 return Ok(true);
--- a/crates/peridotdeck-relay/src/ingress.rs
+++ b/crates/peridotdeck-relay/src/ingress.rs
@@ -31,6 +31,15 @@
     Foreign,
 }
 
+/// What an answer's head says of the endpoint that sent it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// Whether the endpoint is about to leave and wants no new requests.
+    pub leaving: bool,
+    /// Time for which the endpoint wants no requests from this node.
+    pub pause: Option<Duration>,
+}
+
 /// Translation between the headers of one platform and the types of the dispatcher.
 pub trait Ingress: Send + Sync + 'static {
     /// Decodes a request's head.
@@ -55,6 +64,9 @@
     /// Classifies an answer's head, received for the request with this id.
     fn classify(&self, id: &str, head: &response::Parts) -> Reply;
 
+    /// Returns what an answer's head says of its endpoint.
+    fn notice(&self, head: &response::Parts) -> Notice;
+
     /// Returns the idle timeout that an endpoint announces for its connection, if any.
     fn keep_alive(&self, head: &response::Parts) -> Option<Duration>;
 
--- a/crates/peridotdeck-relay/src/lib.rs
+++ b/crates/peridotdeck-relay/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod publisher;
 pub mod server;
 pub mod shared;
+pub mod shutdown;
 pub mod stream;
 
 pub use ingress::Ingress;
--- a/crates/peridotdeck-relay/src/node.rs
+++ b/crates/peridotdeck-relay/src/node.rs
@@ -1,11 +1,6 @@
-//! Startup, periodic work and shutdown of a node.
+//! Startup and periodic work of a node.
 
-use std::{
-    io,
-    net::SocketAddr,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use async_channel::Receiver;
 use async_io::Timer;
@@ -19,6 +14,7 @@
     Ingress, Publisher, Shared, clock, control, exchange, front,
     peers::Peers,
     server::{self, Limits},
+    shutdown,
 };
 
 /// Interval at which the dispatcher's due actions are carried out.
@@ -27,14 +23,6 @@
 /// Ticks between two removals of expired idle connections.
 const POOL_EXPIRY_TICKS: u32 = 40;
 
-/// Time for which a leaving node still accepts requests.
-///
-/// The load balancer needs this long to see that the node is no longer ready.
-const LEAVING_DELAY: Duration = Duration::from_millis(2_700);
-
-/// Time before the end of the grace period at which requests still in progress are cut.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
-
 /// Longest idle time of a connection to the ready, control or metrics address.
 const CONTROL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -97,13 +85,11 @@
         options.dispatch.data_centre,
         options.dispatch.incarnation,
     );
-    let shutdown = task::spawn(wait_for_shutdown(
-        signals,
-        Arc::clone(&shared),
-        options.grace_period,
-        closing,
-        reload,
-    ));
+    let state = Arc::clone(&shared);
+    let shutdown = task::spawn(async move {
+        wait_for_signal(signals, &state, reload).await;
+        shutdown::drain(&state, options.grace_period, closing).await;
+    });
     future::or(shutdown, run_ticks(&shared, &peers)).await;
     Ok(())
 }
@@ -149,14 +135,14 @@
             shared.pool.expire();
         }
         let due = shared.dispatcher().tick(clock::now());
-        for endpoint in &due.removed {
-            shared.handle_removal(endpoint, "lapse");
-        }
+        shared.handle_change(&due.change, "lapse");
         for node in &due.silent {
             log::info!("event=peer_silent node={node}");
         }
-        for (node, heartbeat) in &due.heartbeats {
-            peers.send_heartbeat(shared, *node, heartbeat).await;
+        for heartbeat in &due.heartbeats {
+            peers
+                .send_heartbeat(shared, &heartbeat.receivers, &heartbeat.beat)
+                .await;
         }
         for request in due.snapshot_requests {
             let (shared, peers) = (Arc::clone(shared), peers.clone());
@@ -177,17 +163,9 @@
     }
 }
 
-/// Waits for a termination signal and then drains the node.
-///
-/// Returns when the requests in progress have ended, or shortly before the grace period ends. Until
-/// the signal, it applies changes of the seeds.
-async fn wait_for_shutdown<I: Ingress, R>(
-    mut signals: Signals,
-    shared: Arc<Shared<I>>,
-    grace_period: Duration,
-    closing: async_channel::Sender<()>,
-    reload: R,
-) where
+/// Waits for a termination signal; until then, applies changes of the seeds.
+async fn wait_for_signal<I: Ingress, R>(mut signals: Signals, shared: &Shared<I>, reload: R)
+where
     R: Fn() -> Option<Vec<Node>> + Send + Sync + 'static,
 {
     /// Interval at which the settings are read, since they may change without a signal.
@@ -198,7 +176,7 @@
             None
         };
         match future::or(async { signals.next().await }, timer).await {
-            Some(SIGTERM | SIGINT) => break,
+            Some(SIGTERM | SIGINT) => return,
             Some(_) => log::info!("event=reload cause=signal"),
             None => {}
         }
@@ -207,20 +185,6 @@
             shared.dispatcher().set_seeds(&seeds, clock::now());
         }
     }
-    let open = || shared.open_requests.load(Ordering::Relaxed);
-    log::info!("event=leaving open={}", open());
-    shared.dispatcher().leave();
-    Timer::after(LEAVING_DELAY).await;
-    // Stops accepting connections and closes the idle ones.
-    drop(closing);
-    let drain_time = grace_period.saturating_sub(LEAVING_DELAY + SHUTDOWN_MARGIN);
-    let deadline = clock::now() + drain_time;
-    while open() > 0 && clock::now() < deadline {
-        Timer::after(TICK).await;
-    }
-    log::info!("event=stopped open={}", open());
-    // The log writer collects lines for a moment before it writes them.
-    Timer::after(2 * TICK).await;
 }
 
 /// Returns a random number that distinguishes this process from earlier ones.
--- a/crates/peridotdeck-relay/src/peers.rs
+++ b/crates/peridotdeck-relay/src/peers.rs
@@ -12,7 +12,7 @@
 use peridotdeck_core::dispatch::{
     Node,
     due::SnapshotRequest,
-    registry::{Area, Snapshot},
+    registry::{Area, Position, Snapshot},
 };
 use peridotdeck_wire::{MAX_DATAGRAM, beat::Beat, pack, unpack};
 use quick_error::quick_error;
@@ -101,38 +101,42 @@
     async fn handle_heartbeat<I: Ingress>(&self, shared: &Shared<I>, heartbeat: &Beat) {
         shared.metrics.count_peer_messages("received", 1);
         let node = Node::from(heartbeat.node);
-        let (reply, joined) = shared.dispatcher().receive(heartbeat, clock::now());
+        let (replies, joined) = shared.dispatcher().receive(heartbeat, clock::now());
         if joined {
             log::info!(
                 "event=peer_joined node={node} incarnation={:016x} policy={} roster={}",
                 heartbeat.incarnation,
-                heartbeat.policy,
-                heartbeat.roster
+                Position::new(heartbeat.policy.era, heartbeat.policy.revision),
+                Position::new(heartbeat.roster.era, heartbeat.roster.revision)
             );
         }
-        if let Some(reply) = reply {
-            self.send_heartbeat(shared, node, &reply).await;
+        for reply in replies {
+            self.send_heartbeat(shared, &[node], &reply).await;
         }
     }
 
-    /// Sends a heartbeat to a peer. Failures are only logged.
+    /// Sends a heartbeat to peers. Failures are only logged.
     pub async fn send_heartbeat<I: Ingress>(
         &self,
         shared: &Shared<I>,
-        node: Node,
+        receivers: &[Node],
         heartbeat: &Beat,
     ) {
         let bytes = match pack(heartbeat) {
             Ok(bytes) => bytes,
             Err(cause) => {
-                log::warn!("event=beat_too_large node={node} cause=\"{cause}\"");
+                log::warn!("event=beat_too_large cause=\"{cause}\"");
                 return;
             }
         };
-        shared.metrics.count_peer_messages("sent", 1);
-        let address = SocketAddrV4::new(node, self.datagram_port);
-        if let Err(cause) = self.socket.send_to(&bytes, address).await {
-            log::debug!("event=peer_send_failed node={node} cause=\"{cause}\"");
+        shared
+            .metrics
+            .count_peer_messages("sent", receivers.len() as u64);
+        for node in receivers {
+            let address = SocketAddrV4::new(*node, self.datagram_port);
+            if let Err(cause) = self.socket.send_to(&bytes, address).await {
+                log::debug!("event=peer_send_failed node={node} cause=\"{cause}\"");
+            }
         }
     }
 
@@ -155,9 +159,12 @@
         let address = SocketAddrV4::new(request.node, self.control_port);
         let path = match request.area {
             Area::Policy => "/fleet/policy".to_owned(),
-            Area::Roster => format!("/fleet/roster?known={}", request.known),
+            Area::Roster => format!(
+                "/fleet/roster?era={}&known={}",
+                request.known.era, request.known.revision
+            ),
         };
-        let body = Client::new(address).get(&path, FETCH_TIMEOUT).await?;
-        Ok(postcard::from_bytes(&body)?)
+        let response = Client::new(address).get(&path, FETCH_TIMEOUT).await?;
+        Ok(postcard::from_bytes(response.body())?)
     }
 }
--- a/crates/peridotdeck-relay/src/pool.rs
+++ b/crates/peridotdeck-relay/src/pool.rs
@@ -56,6 +56,9 @@
 /// Largest number of idle connections that are kept for one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 32;
 
+/// Largest buffer for the head of an answer, in bytes; a longer head is an error.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 quick_error! {
     /// Reason why a connection could not be opened; no request was sent.
     #[derive(Debug)]
@@ -237,7 +240,10 @@
     // Reset the connection on drop: an orderly close would go on sending undelivered data long
     // after the request was abandoned.
     SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))?;
-    let (sender, driver) = http1::handshake(FuturesIo::new(stream)).await?;
+    let (sender, driver) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(FuturesIo::new(stream))
+        .await?;
     let (close, closed) = async_channel::bounded::<()>(1);
     let in_use = Arc::new(AtomicBool::new(true));
     let task_in_use = Arc::clone(&in_use);
--- a/crates/peridotdeck-relay/src/publisher.rs
+++ b/crates/peridotdeck-relay/src/publisher.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use peridotdeck_core::dispatch::registry::{Area, Report};
+use peridotdeck_core::dispatch::registry::{Area, Position, Report};
 
 /// Receiver of a publisher's reports, which the node implements.
 pub trait Sink: Send + Sync + 'static {
@@ -20,8 +20,8 @@
     /// Otherwise it fetches changes from its peers.
     fn should_watch(&self) -> bool;
 
-    /// Returns the newest revision of an area that the node has, from the publisher or from a peer.
-    fn revision(&self, area: Area) -> u64;
+    /// Returns the newest position of an area that the node has, from the publisher or from a peer.
+    fn position(&self, area: Area) -> Position;
 }
 
 /// Source of a site's configuration and endpoint list.
--- a/crates/peridotdeck-relay/src/shared.rs
+++ b/crates/peridotdeck-relay/src/shared.rs
@@ -10,10 +10,10 @@
 
 use peridotdeck_core::dispatch::{
     Dispatcher, Key,
-    registry::{Area, Change, Endpoint, Report},
+    registry::{Area, Change, Endpoint, Position, Report},
 };
 
-use crate::{Ingress, clock, metrics::Metrics, pool::Pool, publisher::Sink};
+use crate::{Ingress, clock, ingress::Notice, metrics::Metrics, pool::Pool, publisher::Sink};
 
 /// Dispatcher, connections and metrics of one node.
 #[derive(Debug)]
@@ -58,6 +58,23 @@
         self.dispatcher().suspect(key, clock::now());
     }
 
+    /// Records what an answer's head says of its endpoint.
+    ///
+    /// `id` is the id of the answered request.
+    pub fn note_endpoint(&self, key: Key, id: &str, notice: Notice) {
+        let now = clock::now();
+        if notice.leaving && self.dispatcher().record_departure(key, now) {
+            log::info!("event=endpoint_departing endpoint_key={key:08x} id={id}");
+        }
+        if let Some(time) = notice.pause {
+            log::info!(
+                "event=endpoint_paused endpoint_key={key:08x} id={id} pause_ms={}",
+                time.as_millis()
+            );
+            self.dispatcher().pause_endpoint(key, time, now);
+        }
+    }
+
     /// Logs a change and closes the connections to removed endpoints.
     ///
     /// `source` is logged as the origin of the change.
@@ -76,16 +93,11 @@
             log_endpoint("endpoint_updated", endpoint, source);
         }
         for endpoint in &change.removed {
-            self.handle_removal(endpoint, source);
+            log_endpoint("endpoint_removed", endpoint, source);
+            self.pool.close(endpoint.key());
         }
     }
 
-    /// Logs that an endpoint was removed from the endpoint list, and closes its connections.
-    pub fn handle_removal(&self, endpoint: &Endpoint, source: &str) {
-        log_endpoint("endpoint_removed", endpoint, source);
-        self.pool.close(endpoint.key());
-    }
-
     fn failure_count(&self, area: Area) -> &AtomicU32 {
         match area {
             Area::Policy => &self.failure_counts[0],
@@ -140,7 +152,7 @@
         self.dispatcher().is_watcher(clock::now())
     }
 
-    fn revision(&self, area: Area) -> u64 {
+    fn position(&self, area: Area) -> Position {
         self.dispatcher().registry().revision(area).read
     }
 }
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -27,8 +27,8 @@
     pool::Connection,
 };
 
-/// Size of an incomplete event in bytes above which its data is forwarded as it arrives.
-const MAX_PENDING_BYTES: usize = 1 << 20;
+/// Largest event in bytes; an endpoint that sends more without an event's end has failed.
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 quick_error! {
     /// Reason why the caller's connection is aborted in the middle of a stream.
@@ -107,7 +107,11 @@
                 Err(Failure::new(End::TimedOut, "deadline passed"))
             };
             match future::or(read, expired).await {
-                Ok(Some(bytes)) => self.events.push(&bytes),
+                Ok(Some(bytes)) => {
+                    if let Err(failure) = self.events.push(&bytes) {
+                        self.recover(&failure).await?;
+                    }
+                }
                 Ok(None) => self.body = None,
                 Err(failure) => self.recover(&failure).await?,
             }
@@ -211,17 +215,20 @@
 
 impl Events {
     /// Appends bytes as they were received.
-    pub fn push(&mut self, bytes: &[u8]) {
+    ///
+    /// # Errors
+    /// If an event exceeds its largest size.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), Failure> {
         self.pending.extend_from_slice(bytes);
+        if self.pending.len() > MAX_EVENT_BYTES && !self.has_complete() {
+            return Err(Failure::new(End::Garbled, "event is too large"));
+        }
+        Ok(())
     }
 
-    /// Takes all complete events, or everything if an incomplete event exceeds the limit.
+    /// Takes all complete events.
     pub fn take_complete(&mut self) -> Option<Bytes> {
-        let end = match end_of_events(&self.pending) {
-            Some(end) => end,
-            None if self.pending.len() > MAX_PENDING_BYTES => self.pending.len(),
-            None => return None,
-        };
+        let end = end_of_events(&self.pending)?;
         let rest = self.pending.split_off(end);
         let events = std::mem::replace(&mut self.pending, rest);
         if let Some(id) = find_last_id(&events) {
@@ -239,7 +246,7 @@
     /// Returns whether [`Self::take_complete`] would return something.
     #[must_use]
     pub fn has_complete(&self) -> bool {
-        end_of_events(&self.pending).is_some() || self.pending.len() > MAX_PENDING_BYTES
+        end_of_events(&self.pending).is_some()
     }
 
     /// Returns the last event id among the events taken so far.
--- a/crates/peridotdeck-wire/src/beat.rs
+++ b/crates/peridotdeck-wire/src/beat.rs
@@ -53,6 +53,7 @@
 ///  "description": "Periodic heartbeat datagram between nodes that schedule their own callers' requests without pool owners.",
 ///  "type": "object",
 ///  "required": [
+///    "departures",
 ///    "first",
 ///    "health",
 ///    "holdings",
@@ -67,9 +68,19 @@
 ///    "policy",
 ///    "roster",
 ///    "sequence",
-///    "strikes"
+///    "strikes",
+///    "version"
 ///  ],
 ///  "properties": {
+///    "departures": {
+///      "description": "Digests of endpoints that have recently announced their departure in an answer.",
+///      "type": "array",
+///      "items": {
+///        "type": "integer",
+///        "format": "uint32",
+///        "minimum": 0.0
+///      }
+///    },
 ///    "first": {
 ///      "description": "Smallest endpoint digest in the range whose loads this heartbeat reports.",
 ///      "type": "integer",
@@ -137,16 +148,12 @@
 ///      "minimum": 0.0
 ///    },
 ///    "policy": {
-///      "description": "Revision of the configuration that the sender has.",
-///      "type": "integer",
-///      "format": "uint64",
-///      "minimum": 0.0
+///      "description": "Position of the sender's configuration and closed data centres.",
+///      "$ref": "#/definitions/Position"
 ///    },
 ///    "roster": {
-///      "description": "Revision of the endpoint list that the sender has.",
-///      "type": "integer",
-///      "format": "uint64",
-///      "minimum": 0.0
+///      "description": "Position of the sender's endpoint list.",
+///      "$ref": "#/definitions/Position"
 ///    },
 ///    "sequence": {
 ///      "description": "Counter of the sender's heartbeats.",
@@ -160,6 +167,12 @@
 ///      "items": {
 ///        "$ref": "#/definitions/Strike"
 ///      }
+///    },
+///    "version": {
+///      "description": "Version of the sender's configuration; 0 without one.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
 ///    }
 ///  },
 ///  "additionalProperties": false
@@ -169,6 +182,8 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Beat {
+    ///Digests of endpoints that have recently announced their departure in an answer.
+    pub departures: ::std::vec::Vec<u32>,
     ///Smallest endpoint digest in the range whose loads this heartbeat reports.
     pub first: u32,
     ///Outcomes of recent attempts that the sender has seen, by endpoint.
@@ -191,14 +206,16 @@
     pub node: u32,
     ///Digest of the sender's data centre.
     pub place: u32,
-    ///Revision of the configuration that the sender has.
-    pub policy: u64,
-    ///Revision of the endpoint list that the sender has.
-    pub roster: u64,
+    ///Position of the sender's configuration and closed data centres.
+    pub policy: Position,
+    ///Position of the sender's endpoint list.
+    pub roster: Position,
     ///Counter of the sender's heartbeats.
     pub sequence: u64,
     ///Crashes of endpoints that are attributed to requests.
     pub strikes: ::std::vec::Vec<Strike>,
+    ///Version of the sender's configuration; 0 without one.
+    pub version: u64,
 }
 impl ::std::convert::From<&Beat> for Beat {
     fn from(value: &Beat) -> Self {
@@ -400,6 +417,49 @@
         value.clone()
     }
 }
+///Revision within an era of the publisher, which rises each time the publisher is restored from a copy.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Revision within an era of the publisher, which rises each time the publisher is restored from a copy.",
+///  "type": "object",
+///  "required": [
+///    "era",
+///    "revision"
+///  ],
+///  "properties": {
+///    "era": {
+///      "description": "Number of the era.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "revision": {
+///      "description": "Revision within the era.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Position {
+    ///Number of the era.
+    pub era: u64,
+    ///Revision within the era.
+    pub revision: u64,
+}
+impl ::std::convert::From<&Position> for Position {
+    fn from(value: &Position) -> Self {
+        value.clone()
+    }
+}
 ///A crash of an endpoint that is attributed to a request.
 ///
 /// <details><summary>JSON schema</summary>
