--- a/crates/peridotdeck-http/src/client.rs
+++ b/crates/peridotdeck-http/src/client.rs
@@ -6,7 +6,7 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use async_std::{future::timeout, net::TcpStream};
+use async_std::{future::timeout, io::ReadExt, net::TcpStream};
 use http_types::{Request, Response, Url};
 use quick_error::quick_error;
 
@@ -82,6 +82,25 @@
     send(stream, request, response_timeout).await
 }
 
+/// Reads a response's body, which may have at most `limit` bytes.
+///
+/// A failing peer may send bytes without end, so no more than the limit is ever held.
+///
+/// # Errors
+/// If the body is longer, or the connection breaks before its end.
+pub async fn read_body(response: &mut Response, limit: usize) -> io::Result<Vec<u8>> {
+    let mut body = Vec::new();
+    let mut bounded = response.take_body().take(limit as u64 + 1);
+    bounded.read_to_end(&mut body).await?;
+    if body.len() > limit {
+        return Err(io::Error::new(
+            io::ErrorKind::InvalidData,
+            format!("body is longer than {limit} bytes"),
+        ));
+    }
+    Ok(body)
+}
+
 /// Returns the URL of a path at an address.
 ///
 /// # Errors
--- a/crates/peridotdeck-router/src/attempt.rs
+++ b/crates/peridotdeck-router/src/attempt.rs
@@ -37,6 +37,9 @@
 /// Response header in which an endpoint confirms that it did not run the refused request.
 const VERDICT_HEADER: &str = "x-verdict";
 
+/// Longest answer in bytes that is forwarded as a whole; a longer one fails the attempt.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
 /// Parameters of one attempt.
 #[derive(Clone, Debug)]
 pub struct Parameters {
--- a/crates/peridotdeck-router/src/attempt/completion.rs
+++ b/crates/peridotdeck-router/src/attempt/completion.rs
@@ -4,20 +4,24 @@
 
 use async_sse::Event;
 use async_std::future::timeout;
-use futures_lite::StreamExt;
+use futures_lite::{AsyncReadExt, StreamExt};
 use http_types::{Method, Request, Response, mime};
 use peridotdeck_core::event::End;
 use peridotdeck_http::client;
 use peridotdeck_wire::Outcome;
 
 use super::{
-    Answer, FullResponse, Parameters, attempt_end, confirms_not_run, names_other_attempt, send,
+    Answer, FullResponse, MAX_ANSWER_BYTES, Parameters, attempt_end, confirms_not_run,
+    names_other_attempt, send,
 };
 use crate::{dial::Dial, prompt::Prompt};
 
 /// Longest error body in bytes that is forwarded to the caller; a longer one fails the attempt.
 const MAX_ERROR_BODY_BYTES: usize = 64 * 1_024;
 
+/// Longest stream in bytes; a longer one fails the attempt, even in the middle of an event.
+const MAX_STREAM_BYTES: u64 = 32 << 20;
+
 /// Longest prefill time per prompt token; even a slow engine needs only a part of it.
 const MAX_PREFILL_PER_TOKEN: Duration = Duration::from_millis(1);
 
@@ -118,7 +122,8 @@
         first_token: &mut Option<Instant>,
     ) -> Outcome {
         let id = params.id();
-        let mut events = async_sse::decode(response.take_body());
+        let body = response.take_body().take(MAX_STREAM_BYTES);
+        let mut events = async_sse::decode(body);
         loop {
             let idle_timeout = if first_token.is_some() {
                 params.idle_timeout
@@ -150,15 +155,18 @@
         limit: Duration,
         answer: &mut Answer,
     ) -> Outcome {
-        let body = match timeout(limit, response.body_bytes()).await {
+        let status = u16::from(response.status());
+        let most = if status == 200 {
+            MAX_ANSWER_BYTES
+        } else {
+            MAX_ERROR_BODY_BYTES
+        };
+        let read = client::read_body(&mut response, most);
+        let body = match timeout(limit, read).await {
             Err(_) => return Outcome::Silent,
             Ok(Err(_)) => return Outcome::Broken,
             Ok(Ok(body)) => body,
         };
-        let status = u16::from(response.status());
-        if status != 200 && body.len() > MAX_ERROR_BODY_BYTES {
-            return Outcome::Broken;
-        }
         let content_type = "application/json".to_owned();
         match answer
             .send_full(FullResponse {
--- a/crates/peridotdeck-router/src/attempt/plain.rs
+++ b/crates/peridotdeck-router/src/attempt/plain.rs
@@ -9,16 +9,14 @@
 use peridotdeck_wire::Outcome;
 
 use super::{
-    Answer, FullResponse, Parameters, attempt_end, confirms_not_run, names_other_attempt, send,
+    Answer, FullResponse, MAX_ANSWER_BYTES, Parameters, attempt_end, confirms_not_run,
+    names_other_attempt, send,
 };
 use crate::dial::Dial;
 
 /// Longest answer in bytes that witnesses store for a caller that repeats the request.
 const MAX_STORED_ANSWER_BYTES: usize = 4 * 1_024;
 
-/// Longest answer in bytes that is forwarded; a longer one fails the attempt.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
-
 /// A request to a plain service.
 #[derive(Clone, Debug)]
 pub struct PlainRequest {
@@ -80,10 +78,11 @@
         if response.status().is_server_error() || u16::from(response.status()) == 429 {
             return Err(self.classify_error(&response));
         }
-        match timeout(params.response_timeout, response.body_bytes()).await {
+        let read = client::read_body(&mut response, MAX_ANSWER_BYTES);
+        match timeout(params.response_timeout, read).await {
             Err(_) => Err(Outcome::Silent),
-            Ok(Ok(body)) if body.len() <= MAX_ANSWER_BYTES => Ok(full_response(&response, body)),
-            Ok(_) => Err(Outcome::Broken),
+            Ok(Ok(body)) => Ok(full_response(&response, body)),
+            Ok(Err(_)) => Err(Outcome::Broken),
         }
     }
 
