--- a/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
@@ -94,7 +94,7 @@
         ];
         for (area, position, version) in reported {
             let position = Position::new(position.era, position.revision);
-            let known = self.registry.revision(area).changed;
+            let known = self.registry.progress(area).changed;
             if position == known {
                 self.registry.confirm(area, now);
             }
@@ -122,7 +122,7 @@
 
     /// Returns whether this node lacks the state that a peer has announced.
     fn is_newer(&self, announced: &NewerState) -> bool {
-        let known = self.registry.revision(announced.request.area).changed;
+        let known = self.registry.progress(announced.request.area).changed;
         announced.position > known || announced.version > self.registry.version()
     }
 
@@ -154,8 +154,8 @@
         health.truncate(MAX_HEALTH_ENTRIES);
         let crashes = self.crashes.recent(now).take(MAX_CRASHES);
         Status {
-            policy: self.registry.revision(Area::Policy).changed,
-            roster: self.registry.revision(Area::Roster).changed,
+            policy: self.registry.progress(Area::Policy).changed,
+            roster: self.registry.progress(Area::Roster).changed,
             version: self.registry.version(),
             departures: self.departures.recent(now).take(MAX_DEPARTURES).collect(),
             loads: busy.map(|state| (state.key, state.own_load)).collect(),
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -368,7 +368,7 @@
         let source = estimate.source.and_then(|source| self.state(source));
         let source = source.map(|state| state.info.address);
         let hedge_after = hedge_after(flight, &estimate);
-        let roster = self.registry.revision(Area::Roster).changed;
+        let roster = self.registry.progress(Area::Roster).changed;
         let roster_age = self.registry.age(Area::Roster, now);
         let load = Load {
             running: 1,
--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -6,9 +6,11 @@
 //! regions, each expressed as time. A cached prefix is used at the endpoint that holds it if that
 //! one is near and free. Otherwise a near and free endpoint can fetch it from there.
 
-use std::{cmp::Reverse, time::Duration};
+mod cached_tokens;
+mod estimate;
+mod exclusion;
 
-use strum::{Display, IntoStaticStr};
+use std::{cmp::Reverse, time::Duration};
 
 use super::{
     Key,
@@ -18,6 +20,12 @@
 };
 use crate::id::Time;
 
+use cached_tokens::MIN_FETCH_TOKENS;
+
+pub use cached_tokens::CachedTokens;
+pub use estimate::Estimate;
+pub use exclusion::Exclusion;
+
 /// Prefill rate of an engine in prompt tokens per millisecond, before its slowdown is applied.
 const PREFILL_TOKENS_PER_MS: f64 = 80.0;
 
@@ -48,9 +56,6 @@
 /// Time to set up a fetch between engines, in milliseconds.
 const FETCH_SETUP_MS: f64 = 8.0;
 
-/// Fewest missing tokens that are worth the setup of a fetch.
-const MIN_FETCH_TOKENS: u32 = 100;
-
 /// Score of the expected time to the first answer, for each target of the route.
 const WAIT_SCORE_MS: f64 = 200.0;
 
@@ -105,75 +110,6 @@
 /// Score of an endpoint whose connection has just broken without an answer.
 const SUSPECTED_SCORE_MS: f64 = 80.0;
 
-/// Reason why an endpoint cannot take a request now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, IntoStaticStr)]
-#[strum(serialize_all = "kebab-case")]
-pub enum Exclusion {
-    /// The endpoint belongs to another service.
-    Service,
-    /// The endpoint's region may not serve the request.
-    Region,
-    /// The endpoint's data centre is closed for new requests.
-    Closed,
-    /// The endpoint is draining.
-    Draining,
-    /// The endpoint has announced in an answer that it is leaving.
-    Departing,
-    /// The endpoint has asked this node to send nothing for a while.
-    RetryAfter,
-    /// The request has already been sent to the endpoint.
-    Tried,
-    /// The endpoint is in backoff because it could not be reached.
-    Resting,
-    /// The endpoint is cold, and other nodes share its limited rate.
-    ColdElsewhere,
-    /// The endpoint is cold, and this node's share of its rate is used up.
-    Cold,
-}
-
-/// Estimate of how one endpoint would serve a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Estimate {
-    /// Score in milliseconds; lower is better.
-    pub score: f64,
-    /// Expected time to the answer, or to the first event of a stream.
-    pub time_to_first: Duration,
-    /// Prompt tokens in the endpoint's own prefix cache.
-    pub cached: u32,
-    /// Prompt tokens that need prefill at the endpoint.
-    pub unread: u32,
-    /// Most prompt tokens in the prefix cache of any endpoint.
-    pub cached_anywhere: u32,
-    /// Endpoint to fetch the beginning of the prompt from, if that is better.
-    pub source: Option<Key>,
-}
-
-/// Number of tokens of a prompt's beginning that an endpoint caches.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct CachedTokens {
-    /// Tokens that were sent to the endpoint, which reads them before a later request.
-    pub sent: u32,
-    /// Tokens that it has certainly read, so that another endpoint can fetch them.
-    pub read: u32,
-}
-
-impl CachedTokens {
-    /// Returns whether another endpoint may fetch the tokens.
-    #[must_use]
-    pub fn is_source(self) -> bool {
-        self.read >= MIN_FETCH_TOKENS
-    }
-
-    /// Returns the larger of both counts.
-    #[must_use]
-    pub fn max(self, other: Self) -> Self {
-        Self {
-            sent: self.sent.max(other.sent),
-            read: self.read.max(other.read),
-        }
-    }
-}
-
 /// Inputs of a placement other than the request.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
--- /dev/null
+++ b/crates/peridotdeck-core/src/dispatch/placement/exclusion.rs
@@ -0,0 +1,29 @@
+//! Reasons for which an endpoint is not considered for a request.
+
+use strum::{Display, IntoStaticStr};
+
+/// Reason why an endpoint cannot take a request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Exclusion {
+    /// The endpoint belongs to another service.
+    Service,
+    /// The endpoint's region may not serve the request.
+    Region,
+    /// The endpoint's data centre is closed for new requests.
+    Closed,
+    /// The endpoint is draining.
+    Draining,
+    /// The endpoint has announced in an answer that it is leaving.
+    Departing,
+    /// The endpoint has asked this node to send nothing for a while.
+    RetryAfter,
+    /// The request has already been sent to the endpoint.
+    Tried,
+    /// The endpoint is in backoff because it could not be reached.
+    Resting,
+    /// The endpoint is cold, and other nodes share its limited rate.
+    ColdElsewhere,
+    /// The endpoint is cold, and this node's share of its rate is used up.
+    Cold,
+}
--- a/crates/peridotdeck-core/src/dispatch/registry.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry.rs
@@ -9,12 +9,14 @@
 //! compare with each other.
 //!
 //! A publisher that is restored from a copy has forgotten its latest changes. What this node knew
-//! of them stays in force for a while ([`restoration`]), since it is published again soon.
+//! of them stays in force for a while (`restoration`), since it is published again soon.
 
 mod endpoint;
+mod policy;
 mod position;
 mod report;
 mod restoration;
+mod roster;
 mod snapshot;
 
 use std::{sync::Arc, time::Duration};
@@ -26,7 +28,7 @@
 
 pub use endpoint::Endpoint;
 pub use position::Position;
-pub use report::{Area, Change, Fact, Report, Revision};
+pub use report::{Area, Change, Fact, Progress, Report};
 pub use snapshot::Snapshot;
 
 /// Time after the publisher's last failure until which a missing endpoint is still used.
@@ -41,8 +43,8 @@
 /// Configuration, closed data centres and endpoints in force at this node.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
-    policy: Revision,
-    roster: Revision,
+    policy: Progress,
+    roster: Progress,
     config: Option<Arc<Config>>,
     closed: Vec<String>,
     endpoints: Vec<Endpoint>,
@@ -77,7 +79,7 @@
 
     /// Returns the positions of an area.
     #[must_use]
-    pub fn revision(&self, area: Area) -> Revision {
+    pub fn progress(&self, area: Area) -> Progress {
         match area {
             Area::Policy => self.policy,
             Area::Roster => self.roster,
@@ -111,7 +113,7 @@
     pub fn snapshot(&self, area: Area, known: Position, now: Time) -> Snapshot {
         match area {
             Area::Policy => Snapshot::Policy {
-                revision: self.policy,
+                progress: self.policy,
                 config: self.config.clone(),
                 closed: self.closed.clone(),
             },
@@ -132,7 +134,7 @@
         };
         let missing = self.missing.iter();
         Snapshot::Roster {
-            revision: self.roster,
+            progress: self.roster,
             whole,
             endpoints,
             gone,
@@ -186,13 +188,13 @@
     /// A configuration of a higher version is adopted from any peer. A node that started after the
     /// publisher was restored has read only the copy, which may lack the last version.
     pub fn adopt(&mut self, snapshot: Snapshot, now: Time) -> Change {
-        let (area, revision, whole, facts, lapsing) = snapshot.into_facts();
-        let known = self.revision(area);
-        if revision.changed <= known.changed {
+        let (area, progress, whole, facts, lapsing) = snapshot.into_facts();
+        let known = self.progress(area);
+        if progress.changed <= known.changed {
             return self.adopt_version(facts);
         }
         self.confirm(area, now);
-        self.enter_era(area, revision.changed.era, now);
+        self.enter_era(area, progress.changed.era, now);
         // The peer has read a later revision: its missing entries count, not this node's outage.
         let change = self.apply_facts(area, facts, whole, None, now);
         for (id, left) in lapsing {
@@ -202,8 +204,8 @@
                 self.missing.push((id, now + left));
             }
         }
-        let read = revision.read.max(known.read);
-        self.set_revision(area, Revision { read, ..revision }, &change);
+        let read = progress.read.max(known.read);
+        self.set_progress(area, Progress { read, ..progress }, &change);
         change
     }
 
@@ -229,7 +231,7 @@
             whole,
             facts,
         } = report;
-        let known = self.revision(area);
+        let known = self.progress(area);
         if position >= known.read {
             self.confirm(area, now);
         }
@@ -249,11 +251,11 @@
         } else {
             Position::new(position.era, newest)
         };
-        let revision = Revision {
+        let progress = Progress {
             changed: changed.max(known.changed),
             read: position,
         };
-        self.set_revision(area, revision, &change);
+        self.set_progress(area, progress, &change);
         change
     }
 
@@ -261,7 +263,7 @@
     ///
     /// Entries that the copy lacks are expected back, as after an outage.
     fn enter_era(&mut self, area: Area, era: u64, now: Time) {
-        let known = self.revision(area).read;
+        let known = self.progress(area).read;
         if known == Position::default() || era <= known.era {
             return;
         }
@@ -270,12 +272,12 @@
     }
 
     /// Sets the positions of an area that a change has led to.
-    fn set_revision(&mut self, area: Area, revision: Revision, change: &Change) {
+    fn set_progress(&mut self, area: Area, progress: Progress, change: &Change) {
         match area {
-            Area::Policy => self.policy = revision,
+            Area::Policy => self.policy = progress,
             Area::Roster => {
                 let first = self.roster.changed == Position::default();
-                self.roster = revision;
+                self.roster = progress;
                 self.record_change(change, first);
             }
         }
@@ -307,158 +309,6 @@
         change
     }
 
-    fn apply_policy(&mut self, facts: Vec<Fact>, whole: bool, now: Time, change: &mut Change) {
-        if whole {
-            self.open_unlisted(&facts, now, change);
-        }
-        for fact in facts {
-            match fact {
-                Fact::Config(config) => self.apply_config(config, change),
-                Fact::Closed(data_centre) => {
-                    self.restoration.confirm_closure(&data_centre);
-                    if let Err(index) = self.closed.binary_search(&data_centre) {
-                        self.closed.insert(index, data_centre.clone());
-                        change.closed.push(data_centre);
-                    }
-                }
-                Fact::Opened(data_centre) => {
-                    self.restoration.confirm_closure(&data_centre);
-                    self.open(&data_centre, change);
-                }
-                Fact::Endpoint(_) | Fact::Gone(_) => {}
-            }
-        }
-    }
-
-    /// Opens the data centres that a whole report does not close.
-    ///
-    /// The copy from which a publisher was restored may lack a closure, so it stays for a while.
-    fn open_unlisted(&mut self, facts: &[Fact], now: Time, change: &mut Change) {
-        let is_listed = |data_centre: &String| facts.contains(&Fact::Closed(data_centre.clone()));
-        let unlisted: Vec<String> = self
-            .closed
-            .iter()
-            .filter(|data_centre| !is_listed(data_centre))
-            .cloned()
-            .collect();
-        for data_centre in unlisted {
-            if !self.restoration.keep_closed(&data_centre, now) {
-                self.open(&data_centre, change);
-            }
-        }
-    }
-
-    fn open(&mut self, data_centre: &String, change: &mut Change) {
-        if let Ok(index) = self.closed.binary_search(data_centre) {
-            change.opened.push(self.closed.remove(index));
-        }
-    }
-
-    /// Returns the facts of a whole report without those that a restored copy has outdated.
-    ///
-    /// While the publisher counts as restored, its copy may show an endpoint as usable that this
-    /// node knows to be draining, to be gone, or to have restarted since.
-    fn without_contradictions(&mut self, facts: Vec<Fact>, now: Time) -> Vec<Fact> {
-        if !self.restoration.is_recent(Area::Roster, now) {
-            return facts;
-        }
-        let mut kept = Vec::with_capacity(facts.len());
-        for fact in facts {
-            let Fact::Endpoint(copied) = &fact else {
-                kept.push(fact);
-                continue;
-            };
-            match self.find(&copied.id) {
-                Ok(index) if self.endpoints[index].is_later_than(copied) => {
-                    let known = self.endpoints[index].clone();
-                    self.restoration.withhold(copied.clone());
-                    kept.push(Fact::Endpoint(known));
-                }
-                Err(_) if self.restoration.is_removed(copied.key(), now) => {
-                    self.restoration.withhold(copied.clone());
-                }
-                _ => kept.push(fact),
-            }
-        }
-        kept
-    }
-
-    fn apply_config(&mut self, config: Config, change: &mut Change) {
-        let version = self.config.as_ref().map(|config| config.version);
-        if version.is_none_or(|version| version < config.version) {
-            change.version = Some(config.version);
-            self.config = Some(Arc::new(config.indexed()));
-        }
-    }
-
-    fn apply_roster(
-        &mut self,
-        facts: Vec<Fact>,
-        whole: bool,
-        grace_until: Option<Time>,
-        change: &mut Change,
-    ) {
-        let mut gone: Vec<String> = Vec::new();
-        if whole {
-            let mut listed: Vec<&str> = facts.iter().filter_map(Fact::listed).collect();
-            listed.sort_unstable();
-            let stays = |endpoint: &Endpoint| listed.binary_search(&endpoint.id.as_str()).is_ok();
-            let missing = self.endpoints.iter().filter(|endpoint| !stays(endpoint));
-            gone.extend(missing.map(|endpoint| endpoint.id.clone()));
-        }
-        for fact in latest_by_endpoint(facts) {
-            match fact {
-                Fact::Endpoint(endpoint) => self.update(endpoint, change),
-                Fact::Gone(id) => gone.push(id),
-                Fact::Config(_) | Fact::Closed(_) | Fact::Opened(_) => {}
-            }
-        }
-        for id in gone {
-            self.remove(&id, grace_until, change);
-        }
-    }
-
-    fn update(&mut self, endpoint: Endpoint, change: &mut Change) {
-        let known = self.missing.len();
-        self.missing.retain(|(id, _)| *id != endpoint.id);
-        let is_back = self.missing.len() < known;
-        match self.find(&endpoint.id) {
-            // Peers need to know that an entry is back, even if nothing else has changed.
-            Ok(index) if self.endpoints[index] == endpoint && !is_back => {}
-            Ok(index) => {
-                let old = std::mem::replace(&mut self.endpoints[index], endpoint.clone());
-                if old.born != endpoint.born {
-                    change.removed.push(old);
-                }
-                change.updated.push(endpoint);
-            }
-            Err(index) => {
-                self.endpoints.insert(index, endpoint.clone());
-                change.updated.push(endpoint);
-            }
-        }
-    }
-
-    /// Removes an endpoint, or keeps it as missing until `grace_until`, if that is given.
-    ///
-    /// A missing entry normally means that the endpoint has left. Around an outage of the
-    /// publisher, the entry may have expired because no heartbeat reached the publisher. A draining
-    /// endpoint is always removed.
-    fn remove(&mut self, id: &str, grace_until: Option<Time>, change: &mut Change) {
-        let Ok(index) = self.find(id) else { return };
-        match grace_until {
-            Some(until) if !self.endpoints[index].draining => {
-                if !self.missing.iter().any(|(missing, _)| missing == id) {
-                    self.missing.push((id.to_owned(), until));
-                }
-            }
-            _ => {
-                change.removed.push(self.endpoints.remove(index));
-                self.missing.retain(|(missing, _)| missing != id);
-            }
-        }
-    }
-
     /// Applies what was postponed until now, and returns the changes.
     ///
     /// Missing endpoints whose grace time is over are removed. Some time after a restoration the
@@ -490,22 +340,3 @@
             .binary_search_by(|endpoint| endpoint.id.as_str().cmp(id))
     }
 }
-
-/// Keeps only the last fact about each endpoint.
-///
-/// A watch that resumes late reports first that an entry was added and then that it was removed.
-fn latest_by_endpoint(facts: Vec<Fact>) -> Vec<Fact> {
-    let mut last: Vec<Fact> = Vec::with_capacity(facts.len());
-    let mut seen: Vec<String> = Vec::new();
-    for fact in facts.into_iter().rev() {
-        let Some(id) = fact.endpoint().map(str::to_owned) else {
-            continue;
-        };
-        if let Err(index) = seen.binary_search(&id) {
-            seen.insert(index, id);
-            last.push(fact);
-        }
-    }
-    last.reverse();
-    last
-}
--- a/crates/peridotdeck-core/src/dispatch/registry/position.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry/position.rs
@@ -13,7 +13,7 @@
 pub struct Position {
     /// Number of the era, which rises each time the publisher is restored.
     pub era: u64,
-    /// Revision within the era.
+    /// Progress within the era.
     pub revision: u64,
 }
 
--- a/crates/peridotdeck-core/src/dispatch/registry/report.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry/report.rs
@@ -52,7 +52,7 @@
 
 /// Positions of an area at a node.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Revision {
+pub struct Progress {
     /// Position of the last change.
     pub changed: Position,
     /// Position as of which the publisher was last read.
@@ -66,7 +66,7 @@
     pub area: Area,
     /// Position as of which the facts hold.
     pub position: Position,
-    /// Revision of the newest fact, in the same era.
+    /// Progress of the newest fact, in the same era.
     pub newest: u64,
     /// Whether the facts are the complete state of the area, or only changes.
     pub whole: bool,
--- a/crates/peridotdeck-core/src/dispatch/registry/snapshot.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry/snapshot.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Area, Endpoint, Fact, Revision};
+use super::{Area, Endpoint, Fact, Progress};
 use crate::dispatch::config::Config;
 
 /// State of one area, or the changes that a peer lacks.
@@ -12,8 +12,8 @@
 pub enum Snapshot {
     /// Configuration and closed data centres.
     Policy {
-        /// Revisions of the area.
-        revision: Revision,
+        /// Positions of the area.
+        progress: Progress,
         /// Configuration in force, if any.
         config: Option<Arc<Config>>,
         /// Names of the closed data centres.
@@ -21,8 +21,8 @@
     },
     /// All endpoints, or the changes since the revision that the peer knows.
     Roster {
-        /// Revisions of the area.
-        revision: Revision,
+        /// Positions of the area.
+        progress: Progress,
         /// Whether the endpoints are the complete list.
         whole: bool,
         /// All endpoints, or those that were added or changed.
@@ -35,22 +35,22 @@
 }
 
 impl Snapshot {
-    /// Returns the area, its revisions, whether the facts are complete, the facts, and the missing
+    /// Returns the area, its positions, whether the facts are complete, the facts, and the missing
     /// endpoints with the time left until they are removed.
-    pub(super) fn into_facts(self) -> (Area, Revision, bool, Vec<Fact>, Vec<(String, Duration)>) {
+    pub(super) fn into_facts(self) -> (Area, Progress, bool, Vec<Fact>, Vec<(String, Duration)>) {
         match self {
             Self::Policy {
-                revision,
+                progress,
                 config,
                 closed,
             } => {
                 let config = config.map(|config| Fact::Config(Arc::unwrap_or_clone(config)));
                 let closed = closed.into_iter().map(Fact::Closed);
                 let facts = config.into_iter().chain(closed).collect();
-                (Area::Policy, revision, true, facts, Vec::new())
+                (Area::Policy, progress, true, facts, Vec::new())
             }
             Self::Roster {
-                revision,
+                progress,
                 whole,
                 endpoints,
                 gone,
@@ -59,7 +59,7 @@
                 let listed = endpoints.into_iter().map(Fact::Endpoint);
                 let gone = gone.into_iter().map(Fact::Gone);
                 let facts = listed.chain(gone).collect();
-                (Area::Roster, revision, whole, facts, lapsing)
+                (Area::Roster, progress, whole, facts, lapsing)
             }
         }
     }
--- a/crates/peridotdeck-core/tests/testsuite/restored_publisher.rs
+++ b/crates/peridotdeck-core/tests/testsuite/restored_publisher.rs
@@ -49,7 +49,7 @@
     let late = report(Area::Roster, 90, true, vec![listed(&first)]);
     registry.apply(late, ms(1_100));
     assert_eq!(ids(&registry), ["a", "b"], "an older era never wins");
-    let position = registry.revision(Area::Roster).read;
+    let position = registry.progress(Area::Roster).read;
     assert_eq!(position, Position::new(1, 12));
 }
 
@@ -190,8 +190,8 @@
         restored(Area::Roster, 1, 55, vec![listed(&first)]),
         ms(1_000),
     );
-    let known = behind.revision(Area::Roster).changed;
+    let known = behind.progress(Area::Roster).changed;
     behind.adopt(ahead.snapshot(Area::Roster, known, ms(1_100)), ms(1_100));
     assert_eq!(ids(&behind), ["a"]);
-    assert_eq!(behind.revision(Area::Roster).changed.era, 1);
+    assert_eq!(behind.progress(Area::Roster).changed.era, 1);
 }
--- a/crates/peridotdeck-core/tests/testsuite/roster_lapse.rs
+++ b/crates/peridotdeck-core/tests/testsuite/roster_lapse.rs
@@ -155,10 +155,10 @@
     // The publisher's delayed report of the same revision must not undo it.
     let delayed = report(Area::Policy, 7, true, vec![Fact::Config(config(1))]);
     assert_eq!(behind.apply(delayed, ms(3)).opened.len(), 0);
-    let Snapshot::Policy { revision, .. } = behind.snapshot(Area::Policy, at(0), ms(2)) else {
+    let Snapshot::Policy { progress, .. } = behind.snapshot(Area::Policy, at(0), ms(2)) else {
         panic!("expected a snapshot of the policy");
     };
-    assert_eq!(revision.changed, at(8));
+    assert_eq!(progress.changed, at(8));
     let older = ahead.snapshot(Area::Policy, at(0), ms(2));
     behind.apply(
         report(Area::Policy, 9, false, vec![Fact::Opened("a".into())]),
@@ -179,8 +179,8 @@
     let mut quiet = report(Area::Roster, 40, false, Vec::new());
     quiet.newest = 0;
     registry.apply(quiet, ms(10));
-    let revision = registry.revision(Area::Roster);
-    assert_eq!((revision.changed, revision.read), (at(3), at(40)));
+    let progress = registry.progress(Area::Roster);
+    assert_eq!((progress.changed, progress.read), (at(3), at(40)));
 }
 
 /// Returns the ids of a registry's endpoints in its order.
@@ -239,7 +239,7 @@
         replace_endpoints(&mut watcher, 2, Vec::new(), ms(5_500));
         if comes_back {
             follower.adopt(watcher.snapshot(Area::Roster, at(1), ms(5_600)), ms(5_600));
-            let known = follower.revision(Area::Roster).changed;
+            let known = follower.progress(Area::Roster).changed;
             watcher.apply(report(Area::Roster, 4, false, listed), ms(6_000));
             follower.adopt(watcher.snapshot(Area::Roster, known, ms(6_100)), ms(6_100));
             follower.expire(ms(9_000));
@@ -272,7 +272,7 @@
     follower.adopt(keeping.snapshot(Area::Roster, at(3), ms(5_050)), ms(5_050));
     let other = vec![Fact::Endpoint(endpoint("f", "text", "muenchen"))];
     removing.apply(report(Area::Roster, 6, false, other), ms(5_100));
-    let known = follower.revision(Area::Roster).changed;
+    let known = follower.progress(Area::Roster).changed;
     follower.adopt(removing.snapshot(Area::Roster, known, ms(5_150)), ms(5_150));
     follower.expire(ms(7_500));
     assert_eq!(
--- a/crates/peridotdeck-relay/src/control.rs
+++ b/crates/peridotdeck-relay/src/control.rs
@@ -157,8 +157,8 @@
     let mut lines = format!(
         "version={} policy={} roster={} ready={} closed={}\n",
         registry.config().map_or(0, |config| config.version),
-        registry.revision(Area::Policy).changed,
-        registry.revision(Area::Roster).changed,
+        registry.progress(Area::Policy).changed,
+        registry.progress(Area::Roster).changed,
         dispatcher.is_ready(),
         registry.closed().join(","),
     );
--- a/crates/peridotdeck-relay/src/forwarding/logging.rs
+++ b/crates/peridotdeck-relay/src/forwarding/logging.rs
@@ -123,9 +123,9 @@
             self.flight.id,
             self.flight.service,
             counts.join(","),
-            registry.revision(Area::Roster).changed,
+            registry.progress(Area::Roster).changed,
             registry.age(Area::Roster, now).as_millis(),
-            registry.revision(Area::Policy).changed,
+            registry.progress(Area::Policy).changed,
             registry.age(Area::Policy, now).as_millis(),
         );
     }
--- a/crates/peridotdeck-relay/src/shared.rs
+++ b/crates/peridotdeck-relay/src/shared.rs
@@ -154,6 +154,6 @@
     }
 
     fn position(&self, area: Area) -> Position {
-        self.dispatcher().registry().revision(area).read
+        self.dispatcher().registry().progress(area).read
     }
 }
