--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -311,9 +311,9 @@
     ///
     /// A cold endpoint accepts requests from a few nodes of its data centre, at a fraction of its
     /// rate. They are the same for all processes under its id, as nodes learn of a restart at
-    /// different times. Each node may accumulate an allowance of one request. If the data centre is split into
-    /// two sets of nodes that cannot reach each other, each set may choose its own senders.
-    /// Together they send at most five requests plus one and a half times the rate.
+    /// different times. Each node may accumulate an allowance of one request. If the data centre is
+    /// split into two sets of nodes that cannot reach each other, each set may choose its own
+    /// senders. Together they send at most five requests plus one and a half times the rate.
     ///
     /// # Errors
     /// Returns the reason if the endpoint is cold and this node may not send to it now.
--- a/crates/peridotdeck-core/src/dispatch/fleet/send.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/send.rs
@@ -16,9 +16,10 @@
 /// Shortest time between two heartbeats to a peer of the same data centre.
 const MIN_LOCAL_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Share of [`MIN_LOCAL_INTERVAL`] for each node of the data centre, if that is longer.
+/// Time between two heartbeats to a peer, for each node of the data centre.
 ///
-/// So a node in a large data centre sends no more datagrams a second than in a small one.
+/// It counts if it is longer than [`MIN_LOCAL_INTERVAL`], so that the number of datagrams that a
+/// node sends in a second does not grow with its data centre.
 const LOCAL_INTERVAL_PER_NODE: Duration = Duration::from_millis(4);
 
 /// Time between two rounds of heartbeats to other data centres.
--- a/crates/peridotdeck-core/src/dispatch/registry/restoration.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry/restoration.rs
@@ -64,7 +64,7 @@
         self.withheld.push(endpoint);
     }
 
-    /// Drops what is withheld of the endpoints that facts concern, since these were published later.
+    /// Drops what is withheld of the endpoints that later facts concern.
     pub(super) fn release(&mut self, facts: &[Fact]) {
         for fact in facts {
             if let Some(id) = fact.endpoint() {
--- a/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
+++ b/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
@@ -4,7 +4,7 @@
 
 use peridotdeck_core::dispatch::{
     Dispatcher, Node,
-    attempt::Placement,
+    attempt::{End, Placement},
     data_centre,
     dispatcher::Options,
     registry::{Area, Endpoint, Fact, Position},
@@ -208,6 +208,40 @@
     assert!(matches!(node.place(&mut flight, now), Placement::Send(_)));
 }
 
+/// Whatever a heartbeat reports, it fits a datagram; [`Fleet::deliver`] checks each.
+#[test]
+fn fullest_heartbeats_fit_datagrams() {
+    let ids: Vec<String> = (0..120).map(|number| format!("e{number}")).collect();
+    let endpoints: Vec<Endpoint> = ids
+        .iter()
+        .map(|id| endpoint(id, "text", REGIONS[0].0))
+        .collect();
+    let nodes = (1..=30).map(|number| dispatcher(number, REGIONS[0].0, &endpoints));
+    let mut fleet = Fleet::new(nodes.collect());
+    fleet.run(0, 500);
+    let node = &mut fleet.nodes[0].1;
+    for subject in 1..=300_u64 {
+        let digest = subject.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let mut request = decoded_request("bulk");
+        request.prompt = prompt(digest, 3_000, 500_000);
+        let mut flight = admit(node, request, ms(500));
+        let Placement::Send(assignment) = node.place(&mut flight, ms(500)) else {
+            panic!("all endpoints are eligible");
+        };
+        if subject % 4 == 0 {
+            node.finish(&assignment.attempt, End::Failed, &flight, ms(500));
+        }
+    }
+    for endpoint in &endpoints[..20] {
+        node.record_departure(endpoint.key(), ms(500));
+    }
+    fleet.run(500, 4_500);
+    let other = fleet.nodes[29].1.states();
+    let known: u32 = other.iter().map(|state| state.load().running).sum();
+    assert_eq!(known, 225);
+    assert!(other.iter().filter(|state| state.is_departing()).count() >= 8);
+}
+
 #[test]
 fn load_of_every_endpoint_is_announced_however_many() {
     const ENDPOINTS: usize = 120;
