Log how an answer was framed, and what a crash is blamed on

What callers saw: streams that were cut short and looked complete; endpoints that crashed one after the other under requests that were never refused.

Cause: not known yet; the logs could not tell the hypotheses apart. They said that a request was answered, but not by an answer of which framing, and they said nothing of crashes that are attributed to requests.

Change: `request_ended` has `framing=length|chunks|connection|none`, the framing of the last answer. No decision changes.

--- a/crates/peridotdeck-core/src/dispatch/crashes.rs
+++ b/crates/peridotdeck-core/src/dispatch/crashes.rs
@@ -28,15 +28,28 @@
     pub learnt_at: Time,
 }
 
+/// A crash that has just been attributed to a request, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Attribution {
+    /// The crash.
+    pub crash: Crash,
+    /// Number of endpoints that the request has crashed, this one included.
+    pub count: usize,
+    /// Whether a peer reported the crash.
+    pub from_peer: bool,
+}
+
 /// All remembered crashes, the newest last.
 #[derive(Clone, Debug, Default)]
 pub struct List {
     crashes: Vec<Crash>,
+    /// Attributions that have not been logged yet, at most [`MAX_CRASHES`].
+    unlogged: Vec<Attribution>,
 }
 
 impl List {
     /// Adds a crash unless it is already known; the oldest one makes room if the list is full.
-    pub fn record(&mut self, fingerprint: Fingerprint, endpoint: Key, now: Time) {
+    pub fn record(&mut self, fingerprint: Fingerprint, endpoint: Key, from_peer: bool, now: Time) {
         let known = |crash: &Crash| (crash.fingerprint, crash.endpoint) == (fingerprint, endpoint);
         if self.crashes.iter().any(known) {
             return;
@@ -44,11 +57,24 @@
         if self.crashes.len() == MAX_CRASHES {
             self.crashes.remove(0);
         }
-        self.crashes.push(Crash {
+        let crash = Crash {
             fingerprint,
             endpoint,
             learnt_at: now,
-        });
+        };
+        self.crashes.push(crash);
+        if self.unlogged.len() < MAX_CRASHES {
+            self.unlogged.push(Attribution {
+                crash,
+                count: self.count(fingerprint),
+                from_peer,
+            });
+        }
+    }
+
+    /// Takes the attributions that have not been logged yet.
+    pub fn take_unlogged(&mut self) -> Vec<Attribution> {
+        std::mem::take(&mut self.unlogged)
     }
 
     /// Returns the number of endpoints that a request has crashed.
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -43,6 +43,7 @@
         due.probes = self.probes(now);
         due.cache_queries = self.cache_queries();
         due.snapshot_requests = self.snapshot_requests(now);
+        due.crashes = self.crashes.take_unlogged();
         if now >= self.clean_up_due {
             self.clean_up_due = now + CLEAN_UP_INTERVAL;
             self.prefixes.expire(now);
@@ -123,7 +124,7 @@
         let suspects: Vec<Suspect> = self.suspects.extract_if(.., crashed).collect();
         for suspect in suspects {
             if now.saturating_sub(suspect.broken_at) < CRASH_WINDOW {
-                self.crashes.record(suspect.fingerprint, key, now);
+                self.crashes.record(suspect.fingerprint, key, false, now);
                 self.fleet.mark_changed();
             }
         }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
@@ -54,7 +54,7 @@
         }
         for strike in &beat.strikes {
             self.crashes
-                .record(strike.fingerprint, strike.endpoint, now);
+                .record(strike.fingerprint, strike.endpoint, true, now);
         }
         for key in &beat.departures {
             self.record_departure(*key, now);
--- a/crates/peridotdeck-core/src/dispatch/due.rs
+++ b/crates/peridotdeck-core/src/dispatch/due.rs
@@ -4,6 +4,7 @@
 
 use super::{
     Key, Node,
+    crashes::Attribution,
     fleet::Broadcast,
     registry::{Area, Change, Position},
 };
@@ -36,6 +37,8 @@
 pub struct Due {
     /// Endpoints whose cached prompt prefixes should be listed.
     pub cache_queries: Vec<CacheQuery>,
+    /// Crashes that have been attributed to requests since the last tick.
+    pub crashes: Vec<Attribution>,
     /// Heartbeats to send, each with the peers that receive it.
     pub heartbeats: Vec<Broadcast>,
     /// Endpoints to probe.
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -20,8 +20,9 @@
 use crate::{
     Ingress, Shared, clock,
     fetch::Client,
+    framing::Framing,
     ingress::Reply,
-    pool::{self, Connection},
+    pool::{self, Connection, Pool},
 };
 
 /// Longest idle time of a connection that is reused for a request which must not run twice.
@@ -37,17 +38,33 @@
 /// The pool's own limits are shorter.
 const MAX_IDLE_REPEATABLE: Duration = Duration::from_secs(60);
 
-/// The head of an answer, and the connection on which its body arrives.
+/// The head of an answer, and the channel of its body.
 #[derive(Debug)]
 pub struct Answer {
     /// Meaning of the head for the request.
     pub reply: Reply,
     /// Head, and the body that is still to be read.
     pub response: Response<Incoming>,
+    /// The connection on which the body arrives.
+    pub channel: Channel,
+}
+
+/// The connection on which an answer arrives, and what the answer's head says of it.
+#[derive(Debug)]
+pub struct Channel {
     /// The connection, which may be kept after a complete body.
     pub connection: Connection,
     /// Idle timeout of the connection that the endpoint announced.
     pub keep_alive: Option<Duration>,
+    /// How the body shows where it ends.
+    pub framing: Framing,
+}
+
+impl Channel {
+    /// Keeps the connection for later requests, after a complete answer.
+    pub fn keep(self, pool: &Pool, key: Key) {
+        pool.keep(key, self.connection, self.keep_alive);
+    }
 }
 
 /// Failure of an attempt.
@@ -128,12 +145,15 @@
         let notice = shared.ingress.notice(&head);
         shared.note_endpoint(assignment.attempt.key(), &flight.id, notice);
     }
-    let keep_alive = shared.ingress.keep_alive(&head);
+    let channel = Channel {
+        connection,
+        keep_alive: shared.ingress.keep_alive(&head),
+        framing: Framing::of(&head, &body),
+    };
     Ok(Answer {
         reply,
         response: Response::from_parts(head, body),
-        connection,
-        keep_alive,
+        channel,
     })
 }
 
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -29,9 +29,9 @@
 
 use crate::{
     Ingress, Shared, clock,
-    exchange::{self, Failure, Message},
+    exchange::{self, Channel, Failure, Message},
+    framing::Framing,
     ingress::Reply,
-    pool::Connection,
     stream::{self, Events, Relay},
 };
 
@@ -64,16 +64,15 @@
     pub(crate) events: Events,
     /// Rest of the stream; none if it has ended.
     pub(crate) body: Option<Incoming>,
-    pub(crate) connection: Connection,
-    pub(crate) keep_alive: Option<Duration>,
+    pub(crate) channel: Channel,
 }
 
 /// An answer that an attempt received.
 enum Received {
-    /// A complete answer, its connection, and the idle timeout that the endpoint announced.
-    Complete(Response<Bytes>, Connection, Option<Duration>),
-    /// A complete error response of the endpoint, with the same details.
-    Failed(Response<Bytes>, Connection, Option<Duration>),
+    /// A complete answer, and the channel on which it arrived.
+    Complete(Response<Bytes>, Channel),
+    /// A complete error response of the endpoint, and the channel on which it arrived.
+    Failed(Response<Bytes>, Channel),
     /// A stream that has begun.
     Stream(Box<StartedStream>),
 }
@@ -94,6 +93,8 @@
     /// Whether a pause between two events was longer than usual.
     had_long_pause: bool,
     attempts: u32,
+    /// Framing of the last answer.
+    pub(crate) framing: Option<Framing>,
     /// Logged reason why the request waits for an endpoint.
     wait_cause: Option<WaitCause>,
     ended: bool,
@@ -114,6 +115,7 @@
             longest_pause: Duration::ZERO,
             had_long_pause: false,
             attempts: 0,
+            framing: None,
             wait_cause: None,
             ended: false,
         }
@@ -155,14 +157,16 @@
     ) -> Result<Box<Outcome<I>>, Box<Self>> {
         let key = assignment.attempt.key();
         match received {
-            Received::Complete(response, connection, keep_alive) => {
-                self.shared.pool.keep(key, connection, keep_alive);
+            Received::Complete(response, channel) => {
+                self.framing = Some(channel.framing);
+                channel.keep(&self.shared.pool, key);
                 self.finish_attempt(End::Finished, "");
                 self.record_end("answered", response.status().as_u16(), "");
                 Ok(Box::new(Outcome::Complete(response)))
             }
-            Received::Failed(response, connection, keep_alive) => {
-                self.shared.pool.keep(key, connection, keep_alive);
+            Received::Failed(response, channel) => {
+                self.framing = Some(channel.framing);
+                channel.keep(&self.shared.pool, key);
                 self.finish_attempt(End::Failed, "");
                 if self.next_step(End::Failed) == Next::Retry {
                     return Err(Box::new(self));
@@ -211,7 +215,7 @@
     ) -> Result<Received, Failure> {
         let answer = exchange::send(shared, message, flight, assignment, resume).await?;
         let (head, mut body) = answer.response.into_parts();
-        let (connection, keep_alive) = (answer.connection, answer.keep_alive);
+        let channel = answer.channel;
         let end = match answer.reply {
             Reply::Answer if flight.route.kind == Kind::Stream => {
                 // Until the first event is forwarded, another endpoint may still answer instead.
@@ -221,17 +225,16 @@
                     head,
                     events,
                     body: continues.then_some(body),
-                    connection,
-                    keep_alive,
+                    channel,
                 })));
             }
             Reply::Answer | Reply::Failure => {
                 let body = read_body(body, flight).await?;
                 let response = Response::from_parts(head, body);
                 return Ok(if answer.reply == Reply::Answer {
-                    Received::Complete(response, connection, keep_alive)
+                    Received::Complete(response, channel)
                 } else {
-                    Received::Failed(response, connection, keep_alive)
+                    Received::Failed(response, channel)
                 });
             }
             Reply::Unclear => End::Failed,
@@ -243,9 +246,7 @@
             let body = Limited::new(body, MAX_REJECTION_BYTES);
             let rest = timeout(DRAIN_TIMEOUT, body.collect()).await;
             if matches!(rest, Ok(Ok(_))) {
-                shared
-                    .pool
-                    .keep(assignment.attempt.key(), connection, keep_alive);
+                channel.keep(&shared.pool, assignment.attempt.key());
             }
         }
         Err(Failure { end, cause })
--- a/crates/peridotdeck-relay/src/forwarding/logging.rs
+++ b/crates/peridotdeck-relay/src/forwarding/logging.rs
@@ -40,7 +40,7 @@
         log::info!(
             "event=request_ended id={} route={} organisation={} version={} outcome={outcome} \
              status={status} ms={} first_ms={} pause_ms={} attempts={} runs={} rejections={} \
-             cause={cause}",
+             framing={} cause={cause}",
             flight.id,
             flight.route.name,
             flight.organisation_name(),
@@ -51,6 +51,7 @@
             self.attempts,
             flight.runs,
             flight.rejections,
+            self.framing.map_or("none", Into::into),
         );
     }
 
--- a/crates/peridotdeck-relay/src/lib.rs
+++ b/crates/peridotdeck-relay/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod exchange;
 pub mod fetch;
 pub mod forwarding;
+pub mod framing;
 pub mod front;
 pub mod ingress;
 pub mod logging;
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -5,8 +5,6 @@
 //! the caller receives one answer with the head of the first endpoint. Otherwise the caller's
 //! connection is aborted, so that a broken stream cannot be mistaken for a complete one.
 
-use std::time::Duration;
-
 use async_io::Timer;
 use futures_lite::{future, stream};
 use http_body_util::{BodyExt, StreamBody};
@@ -22,9 +20,8 @@
 
 use crate::{
     Ingress, clock,
-    exchange::Failure,
+    exchange::{Channel, Failure},
     forwarding::{Forwarding, StartedStream},
-    pool::Connection,
 };
 
 /// Largest event in bytes; an endpoint that sends more without an event's end has failed.
@@ -46,8 +43,7 @@
 pub struct Relay<I: Ingress> {
     forwarding: Forwarding<I>,
     key: Key,
-    connection: Option<Connection>,
-    keep_alive: Option<Duration>,
+    channel: Option<Channel>,
     body: Option<Incoming>,
     events: Events,
     first_sent: bool,
@@ -58,12 +54,12 @@
 impl<I: Ingress> Relay<I> {
     pub(crate) fn new(mut forwarding: Forwarding<I>, key: Key, started: StartedStream) -> Self {
         forwarding.record_answer_start();
+        forwarding.framing = Some(started.channel.framing);
         let left = forwarding.flight.time_left(clock::now());
         Self {
             forwarding,
             key,
-            connection: Some(started.connection),
-            keep_alive: started.keep_alive,
+            channel: Some(started.channel),
             body: started.body,
             events: started.events,
             first_sent: false,
@@ -139,9 +135,8 @@
     ///
     /// The endpoint ended the stream regularly, so bytes without an event's end belong to it too.
     fn finish(&mut self) -> Option<Bytes> {
-        if let Some(connection) = self.connection.take() {
-            let pool = &self.forwarding.shared.pool;
-            pool.keep(self.key, connection, self.keep_alive);
+        if let Some(channel) = self.channel.take() {
+            channel.keep(&self.forwarding.shared.pool, self.key);
             self.forwarding.finish_attempt(End::Finished, "");
             self.forwarding.record_stream_end();
             self.forwarding.record_end("answered", 200, "");
@@ -155,7 +150,7 @@
     /// If the stream cannot be resumed, so that the caller's connection must be aborted.
     async fn recover(&mut self, failure: &Failure) -> Result<(), Error> {
         // Closing the connection stops the generation at this endpoint before another one resumes.
-        self.connection = None;
+        self.channel = None;
         self.body = None;
         self.forwarding.finish_attempt(failure.end, &failure.cause);
         let flight = &self.forwarding.flight;
@@ -181,9 +176,9 @@
     /// Switches to the stream of another endpoint, which follows the last complete event.
     fn continue_with(&mut self, key: Key, started: StartedStream) {
         self.forwarding.record_answer_start();
+        self.forwarding.framing = Some(started.channel.framing);
         self.key = key;
-        self.connection = Some(started.connection);
-        self.keep_alive = started.keep_alive;
+        self.channel = Some(started.channel);
         self.body = started.body;
         let last_id = self.events.last_id.take();
         self.events = started.events;
