--- /dev/null
+++ b/crates/peridotdeck-router/tests/testsuite/cut_answers.rs
@@ -0,0 +1,86 @@
+//! An endpoint's answer that is broken off is no complete answer, in whichever framing and at
+//! whichever byte it ends.
+
+use std::{
+    io::{BufRead, BufReader, Write},
+    net::{SocketAddr, TcpListener},
+    thread,
+    time::Duration,
+};
+
+use async_std::task::block_on;
+use http_types::{Method, Request};
+use peridotdeck_http::client;
+
+const BODY: &str = "a whole answer";
+
+/// Answers by length, by chunks, and by the end of the connection.
+fn answers() -> [(String, String); 3] {
+    let head = |header: &str| format!("HTTP/1.1 200 OK\r\n{header}\r\n");
+    let chunks = format!("7\r\n{}\r\n7\r\n{}\r\n0\r\n\r\n", &BODY[..7], &BODY[7..]);
+    [
+        (
+            head(&format!("content-length: {}\r\n", BODY.len())),
+            BODY.to_owned(),
+        ),
+        (head("transfer-encoding: chunked\r\n"), chunks),
+        (head(""), BODY.to_owned()),
+    ]
+}
+
+/// Starts an endpoint that sends a text in answer to one request, and closes.
+fn endpoint(text: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a caller");
+        let mut lines = BufReader::new(stream.try_clone().expect("a copy")).lines();
+        while lines
+            .next()
+            .is_some_and(|line| line.is_ok_and(|line| !line.is_empty()))
+        {}
+        stream.write_all(text.as_bytes()).expect("a small answer");
+    });
+    address
+}
+
+/// Returns the body that the client takes for complete, or nothing.
+fn read(text: String) -> Option<String> {
+    let address = endpoint(text);
+    block_on(async {
+        let url = client::url(address, "/").expect("a valid path");
+        let request = Request::new(Method::Get, url);
+        let sent = client::request(address, request, Duration::from_secs(2)).await;
+        let mut response = sent.ok()?;
+        let body = client::read_body(&mut response, 1 << 10).await.ok()?;
+        String::from_utf8(body).ok()
+    })
+}
+
+/// Guards against a part of an answer, or nothing at all, that counts as a complete answer.
+#[test]
+fn cut_answer_is_not_complete() {
+    for (head, body) in answers() {
+        for bytes in 0..body.len() {
+            let answer = read(format!("{head}{}", &body[..bytes]));
+            assert_eq!(answer, None, "{head} cut after {bytes} bytes");
+        }
+    }
+}
+
+/// Guards against the loss of complete answers.
+#[test]
+fn framed_answer_is_complete() {
+    for (head, body) in &answers()[..2] {
+        assert_eq!(read(format!("{head}{body}")).as_deref(), Some(BODY));
+    }
+}
+
+/// Guards against an empty answer in place of one that ends with its connection.
+///
+/// The HTTP library hides the body of such an answer, so it cannot be delivered.
+#[test]
+fn answer_without_framing_is_not_complete() {
+    let (head, body) = &answers()[2];
+    assert_eq!(read(format!("{head}{body}")), None);
+}
--- a/crates/peridotdeck-router/tests/testsuite/main.rs
+++ b/crates/peridotdeck-router/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod cluster;
+mod cut_answers;
 mod endless_answers;
 mod fleet;
 mod http_limits;
