Claim no more of an answer than its endpoint showed

Cause: an answer without a length and without chunks ends with its connection, whether it is complete or was broken off. The relay took this end for the regular one, passed on what was left, also a part of an event, and ended its own chunks with the last one; plain answers got a length. It also took any framed end for a regular one, even inside an event, and an end before the first event for an empty stream.

Change: the framing of an answer is known (`framing::Framing`) and goes with it. An answer without framing is passed on without framing, and ends with the caller's connection (an HTTP/1.0 answer with `Connection: close`, as hyper has it). If the node sees such a stream break, it resets the caller's connection, because an orderly close would look like the end. An end inside an event is a break in any framing. A stream that began framed does not end by the end of a continuation's connection: the attempt ends as `unconfirmed` and is resumed once more or cut.

--- a/crates/peridotdeck-core/src/dispatch/attempt.rs
+++ b/crates/peridotdeck-core/src/dispatch/attempt.rs
@@ -130,6 +130,8 @@
     Unreachable,
     /// The connection closed before the answer was complete.
     Broken,
+    /// The connection closed where the answer may or may not have been complete.
+    Unconfirmed,
     /// The response was not a valid answer, or belonged to another request.
     Garbled,
     /// The endpoint took too long, and another one was tried.
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -49,8 +49,8 @@
 /// Outcome of a request for the caller.
 #[derive(Debug)]
 pub enum Outcome<I: Ingress> {
-    /// A complete answer of an endpoint.
-    Complete(Response<Bytes>),
+    /// An answer of an endpoint, and whether its framing showed that it is complete.
+    Whole(Response<Bytes>, Framing),
     /// The head of a stream, and the relay of its events.
     Stream(response::Parts, Box<Relay<I>>),
     /// No answer, for the reason that the refusal states.
@@ -69,9 +69,9 @@
 
 /// An answer that an attempt received.
 enum Received {
-    /// A complete answer, and the channel on which it arrived.
+    /// An answer up to its end, and the channel on which it arrived.
     Complete(Response<Bytes>, Channel),
-    /// A complete error response of the endpoint, and the channel on which it arrived.
+    /// An error response of the endpoint up to its end, and the channel on which it arrived.
     Failed(Response<Bytes>, Channel),
     /// A stream that has begun.
     Stream(Box<StartedStream>),
@@ -158,14 +158,16 @@
         let key = assignment.attempt.key();
         match received {
             Received::Complete(response, channel) => {
-                self.framing = Some(channel.framing);
+                let framing = channel.framing;
+                self.framing = Some(framing);
                 channel.keep(&self.shared.pool, key);
                 self.finish_attempt(End::Finished, "");
                 self.record_end("answered", response.status().as_u16(), "");
-                Ok(Box::new(Outcome::Complete(response)))
+                Ok(Box::new(Outcome::Whole(response, framing)))
             }
             Received::Failed(response, channel) => {
-                self.framing = Some(channel.framing);
+                let framing = channel.framing;
+                self.framing = Some(framing);
                 channel.keep(&self.shared.pool, key);
                 self.finish_attempt(End::Failed, "");
                 if self.next_step(End::Failed) == Next::Retry {
@@ -176,7 +178,7 @@
                     response.status().as_u16(),
                     "endpoint answered with an error",
                 );
-                Ok(Box::new(Outcome::Complete(response)))
+                Ok(Box::new(Outcome::Whole(response, framing)))
             }
             Received::Stream(started) => {
                 let head = started.head.clone();
@@ -220,7 +222,8 @@
             Reply::Answer if flight.route.kind == Kind::Stream => {
                 // Until the first event is forwarded, another endpoint may still answer instead.
                 let mut events = Events::default();
-                let continues = read_first_event(&mut body, &mut events, flight).await?;
+                let continues =
+                    read_first_event(&mut body, channel.framing, &mut events, flight).await?;
                 return Ok(Received::Stream(Box::new(StartedStream {
                     head,
                     events,
@@ -412,15 +415,26 @@
 }
 
 /// Reads up to the first complete event, and returns whether more may follow.
+///
+/// # Errors
+/// If the stream ends inside the first event, or before it without a framing that shows the end.
 async fn read_first_event(
     body: &mut Incoming,
+    framing: Framing,
     events: &mut Events,
     flight: &Flight,
 ) -> Result<bool, Failure> {
     let read = async {
         loop {
             match stream::read_data(body).await? {
-                None => return Ok(false),
+                None if framing.shows_end() => {
+                    events.check_end()?;
+                    return Ok(false);
+                }
+                None => {
+                    let cause = "connection ended before the first event";
+                    return Err(Failure::new(End::Broken, cause));
+                }
                 Some(bytes) => events.push(&bytes)?,
             }
             if events.has_complete() {
--- a/crates/peridotdeck-relay/src/framing.rs
+++ b/crates/peridotdeck-relay/src/framing.rs
@@ -16,6 +16,12 @@
 }
 
 impl Framing {
+    /// Returns whether the end of the body shows that it is complete.
+    #[must_use]
+    pub fn shows_end(self) -> bool {
+        self != Self::Connection
+    }
+
     /// Returns the framing of an answer whose body has not been read yet.
     #[must_use]
     pub fn of(head: &response::Parts, body: &impl Body) -> Self {
--- a/crates/peridotdeck-relay/src/front.rs
+++ b/crates/peridotdeck-relay/src/front.rs
@@ -3,12 +3,13 @@
 use std::{error::Error, sync::Arc};
 
 use async_std::future::timeout;
-use http_body_util::{BodyExt, Either, Full};
+use futures_lite::stream::{Once, once};
+use http_body_util::{BodyExt, Either, Full, StreamBody};
 use hyper::{
     HeaderMap, Request, Response,
-    body::{Body, Bytes, Incoming},
+    body::{Body, Bytes, Frame, Incoming},
     header::{self, HeaderValue},
-    http::request,
+    http::{request, response},
 };
 use peridotdeck_core::{
     dispatch::{
@@ -25,12 +26,19 @@
     Ingress, Shared, clock,
     exchange::Message,
     forwarding::{Forwarding, Outcome},
-    stream,
+    framing::Framing,
+    server, stream,
 };
 
 /// Error of a response body; [`Either`] boxes the errors of the two bodies that it joins.
 type BodyError = Box<dyn Error + Send + Sync>;
 
+/// Body of a response: held in memory, or held without a known end, or relayed.
+type ResponseBody<B> = Either<Full<Bytes>, Either<StreamBody<Once<FrameResult>>, B>>;
+
+/// The only frame of a body that is held in memory.
+type FrameResult = Result<Frame<Bytes>, stream::Error>;
+
 /// Names of headers that apply to one connection only and are not forwarded.
 const HOP_BY_HOP_HEADERS: [&str; 8] = [
     "connection",
@@ -73,10 +81,11 @@
             let message = Message { head, body };
             let forwarding = Forwarding::new(Arc::clone(&shared), message, flight);
             match Box::pin(forwarding.run()).await {
-                Outcome::Complete(response) => complete_response(response),
-                Outcome::Stream(mut head, relay) => {
-                    remove_connection_headers(&mut head.headers);
-                    Response::from_parts(head, Either::Right(relay.into_body()))
+                Outcome::Whole(response, framing) => whole_response(response, framing),
+                Outcome::Stream(head, relay) => {
+                    let framed = relay.is_framed();
+                    let body = Either::Right(Either::Right(relay.into_body()));
+                    forwarded_response(head, body, framed)
                 }
                 Outcome::Refused(refusal) => refusal_response(&shared, id.as_deref(), &refusal),
             }
@@ -153,14 +162,31 @@
     }
 }
 
-/// Turns a complete answer of an endpoint into the response for the caller.
-fn complete_response<B>(response: Response<Bytes>) -> Response<Either<Full<Bytes>, B>>
+/// Returns an endpoint's answer as the response for the caller.
+///
+/// A length is sent only if the endpoint's framing showed that the body is complete.
+fn whole_response<B>(response: Response<Bytes>, framing: Framing) -> Response<ResponseBody<B>>
 where
     B: Body<Data = Bytes, Error = stream::Error>,
 {
-    let (mut head, body) = response.into_parts();
+    let (head, bytes) = response.into_parts();
+    let framed = framing.shows_end();
+    let body = if framed {
+        Either::Left(Full::new(bytes))
+    } else {
+        Either::Right(Either::Left(StreamBody::new(once(Ok(Frame::data(bytes))))))
+    };
+    forwarded_response(head, body, framed)
+}
+
+/// Returns a response with an endpoint's head, and with framing only if its end is known.
+fn forwarded_response<B>(mut head: response::Parts, body: B, framed: bool) -> Response<B> {
     remove_connection_headers(&mut head.headers);
-    Response::from_parts(head, Either::Left(Full::new(body)))
+    let mut response = Response::from_parts(head, body);
+    if !framed {
+        server::end_with_connection(&mut response);
+    }
+    response
 }
 
 /// Returns the response that announces a refusal to the caller.
@@ -168,7 +194,7 @@
     shared: &Shared<I>,
     id: Option<&str>,
     refusal: &Refusal,
-) -> Response<Either<Full<Bytes>, B>>
+) -> Response<ResponseBody<B>>
 where
     B: Body<Data = Bytes, Error = stream::Error>,
 {
--- a/crates/peridotdeck-relay/src/server.rs
+++ b/crates/peridotdeck-relay/src/server.rs
@@ -1,13 +1,16 @@
 //! An HTTP/1 server with limits for each connection and a graceful shutdown.
+//!
+//! A response whose end is not known may end with its connection, see [`end_with_connection`]. If
+//! its body fails, the connection is reset, because an orderly close would look like its end.
 
 use std::{
     error::Error,
-    io,
+    io::{self, IoSlice},
     net::{SocketAddr, TcpListener, TcpStream},
     pin::{Pin, pin},
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll},
     time::Duration,
@@ -15,15 +18,16 @@
 
 use async_channel::Receiver;
 use async_io::{Async, Timer};
-use futures_lite::future;
+use futures_lite::{AsyncRead, AsyncWrite, future};
 use hyper::{
-    Request, Response,
+    Request, Response, Version,
     body::{Body, Bytes, Frame, Incoming, SizeHint},
+    header::{CONNECTION, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
 use smol_hyper::rt::FuturesIo;
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Type};
 
 use crate::{clock, pool};
 
@@ -52,6 +56,8 @@
     requests: AtomicU64,
     /// Time at which the last request ended, in milliseconds of the node's clock.
     last_ms: AtomicU64,
+    /// Whether the connection's end is the end of the response in progress.
+    ends_response: AtomicBool,
 }
 
 impl Activity {
@@ -59,6 +65,7 @@
         Self {
             requests: AtomicU64::new(0),
             last_ms: AtomicU64::new(millis()),
+            ends_response: AtomicBool::new(false),
         }
     }
 
@@ -121,12 +128,68 @@
     }
 }
 
+/// Sends a response without framing, so that it ends with its connection.
+///
+/// hyper frames a body of unknown length in chunks for any version but HTTP/1.0.
+pub fn end_with_connection<B>(response: &mut Response<B>) {
+    *response.version_mut() = Version::HTTP_10;
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+}
+
+/// A socket that stays accessible while hyper reads and writes it.
+#[derive(Clone, Debug)]
+struct Socket(Arc<Async<TcpStream>>);
+
+impl Socket {
+    /// Makes the close of the connection a reset.
+    fn reset_on_close(&self) -> io::Result<()> {
+        SockRef::from(self.0.get_ref()).set_linger(Some(Duration::ZERO))
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_write(context, buffer)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_write_vectored(context, buffers)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.0).poll_flush(context)
+    }
+
+    fn poll_close(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.0).poll_close(context)
+    }
+}
+
 /// Opens a listening socket at an address.
 ///
 /// # Errors
 /// If the address does not belong to this VM or is in use.
 pub fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    let socket = socket2::Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
     socket.bind(&address.into())?;
     socket.listen(ACCEPT_BACKLOG)?;
@@ -196,12 +259,15 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     pool::set_options(stream.get_ref())?;
+    let socket = Socket(Arc::new(stream));
     let activity = Arc::new(Activity::new());
     let service = service_fn(|request| {
         let busy = Busy::new(&activity);
         let response = respond(request);
         async move {
             let response = response.await;
+            let ends_response = response.version() == Version::HTTP_10;
+            busy.0.ends_response.store(ends_response, Ordering::Relaxed);
             Ok::<_, std::convert::Infallible>(response.map(|body| Tracked {
                 body: Box::pin(body),
                 _busy: busy,
@@ -210,7 +276,7 @@
     });
     let connection = http1::Builder::new()
         .max_buf_size(limits().head_bytes.max(MIN_HEAD_BUFFER_BYTES))
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(socket.clone()), service);
     let mut connection = pin!(connection);
     let ended = async { Stop::Ended(connection.as_mut().await) };
     let closed = async {
@@ -223,15 +289,22 @@
         Stop::Idle
     };
     let stop = future::or(ended, future::or(closed, idle)).await;
-    match stop {
-        Stop::Ended(result) => return Ok(result?),
-        Stop::Closing | Stop::Idle => connection.as_mut().graceful_shutdown(),
-    }
-    let idle = async {
-        wait_idle(&activity, &limits).await;
-        Ok(())
+    let rest = async {
+        match stop {
+            Stop::Ended(result) => return result,
+            Stop::Closing | Stop::Idle => connection.as_mut().graceful_shutdown(),
+        }
+        let idle = async {
+            wait_idle(&activity, &limits).await;
+            Ok(())
+        };
+        future::or(connection.as_mut(), idle).await
     };
-    Ok(future::or(connection, idle).await?)
+    let result = rest.await;
+    if result.is_err() && activity.ends_response.load(Ordering::Relaxed) {
+        socket.reset_on_close()?;
+    }
+    Ok(result?)
 }
 
 /// Waits until a connection has been idle for the configured time.
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -4,6 +4,10 @@
 //! route allows it, a broken stream is resumed at another endpoint after the last complete event;
 //! the caller receives one answer with the head of the first endpoint. Otherwise the caller's
 //! connection is aborted, so that a broken stream cannot be mistaken for a complete one.
+//!
+//! A stream that ends with its connection may be complete or not. It is forwarded in the same
+//! framing, so that the caller is not told more than the endpoint said; and it does not end a
+//! stream that began with a framing which promises completeness.
 
 use async_io::Timer;
 use futures_lite::{future, stream};
@@ -46,6 +50,8 @@
     channel: Option<Channel>,
     body: Option<Incoming>,
     events: Events,
+    /// Whether the caller's answer has a framing that shows whether it is complete.
+    framed: bool,
     first_sent: bool,
     last_sent: Time,
     deadline: Timer,
@@ -59,6 +65,7 @@
         Self {
             forwarding,
             key,
+            framed: started.channel.framing.shows_end(),
             channel: Some(started.channel),
             body: started.body,
             events: started.events,
@@ -68,6 +75,12 @@
         }
     }
 
+    /// Returns whether the caller's answer needs a framing that shows whether it is complete.
+    #[must_use]
+    pub fn is_framed(&self) -> bool {
+        self.framed
+    }
+
     /// Returns the events as a response body.
     #[must_use]
     pub fn into_body(self) -> impl Body<Data = Bytes, Error = Error> + Send + 'static {
@@ -95,7 +108,11 @@
                 return Ok(Some(bytes));
             }
             let Some(body) = &mut self.body else {
-                return Ok(self.finish());
+                match self.check_end() {
+                    Ok(()) => return Ok(self.finish()),
+                    Err(failure) => self.recover(&failure).await?,
+                }
+                continue;
             };
             let read = async { read_data(body).await };
             let expired = async {
@@ -131,9 +148,22 @@
         self.last_sent = now;
     }
 
-    /// Records the complete stream, keeps its connection, and returns the remaining bytes.
+    /// Checks that the endpoint's stream ended where the caller's may end.
     ///
-    /// The endpoint ended the stream regularly, so bytes without an event's end belong to it too.
+    /// # Errors
+    /// If the stream ended inside an event, or its end proves less than the caller's framing would.
+    fn check_end(&self) -> Result<(), Failure> {
+        self.events.check_end()?;
+        // The channel is gone after the end has been recorded.
+        let channel = self.channel.as_ref();
+        if self.framed && channel.is_some_and(|channel| !channel.framing.shows_end()) {
+            let cause = "connection ended where the stream may be complete";
+            return Err(Failure::new(End::Unconfirmed, cause));
+        }
+        Ok(())
+    }
+
+    /// Records the complete stream, keeps its connection, and returns the remaining bytes.
     fn finish(&mut self) -> Option<Bytes> {
         if let Some(channel) = self.channel.take() {
             channel.keep(&self.forwarding.shared.pool, self.key);
@@ -232,6 +262,20 @@
         Some(Bytes::from(events))
     }
 
+    /// Checks that a stream which ends here does not end inside an event.
+    ///
+    /// Comments and line breaks after the last event belong to none.
+    ///
+    /// # Errors
+    /// If the last event is incomplete.
+    pub fn check_end(&self) -> Result<(), Failure> {
+        let mut lines = self.pending.split(|&byte| matches!(byte, b'\n' | b'\r'));
+        if lines.any(|line| !line.is_empty() && !line.starts_with(b":")) {
+            return Err(Failure::new(End::Broken, "stream ended inside an event"));
+        }
+        Ok(())
+    }
+
     /// Takes the remaining bytes at the end of the stream.
     pub fn take_rest(&mut self) -> Option<Bytes> {
         let rest = std::mem::take(&mut self.pending);
