Take a body for complete only if it shows that it is

An endpoint's answer that was shorter than its content-length was passed on as a complete one, and one that ends with its connection as an empty one.

Cause: `async-h1` ends a body early without an error, and hides the body of an answer that has neither a length nor chunks.

Change: `client::read_body` compares the length, and refuses a body without framing; the attempt ends as broken, so a call that may run once is answered as possibly run. Such an answer is therefore not served on this interface, where it was passed on empty before. An answer whose last chunk's line has come counts as complete.

--- a/crates/peridotdeck-http/src/client.rs
+++ b/crates/peridotdeck-http/src/client.rs
@@ -7,7 +7,10 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use async_std::{future::timeout, io::ReadExt, net::TcpStream};
-use http_types::{Request, Response, Url};
+use http_types::{
+    Request, Response, StatusCode, Url,
+    headers::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
 use quick_error::quick_error;
 
 /// Timeout for opening a connection.
@@ -82,13 +85,18 @@
     send(stream, request, response_timeout).await
 }
 
-/// Reads a response's body, which may have at most `limit` bytes.
+/// Reads a response's complete body, which may have at most `limit` bytes.
 ///
 /// A failing peer may send bytes without end, so no more than the limit is ever held.
 ///
 /// # Errors
-/// If the body is longer, or the connection breaks before its end.
+/// If the body is longer, if the connection breaks before its end, or if the response has neither
+/// a length nor chunks: its connection's end would not show that the body is complete, and
+/// `async-h1` hides such a body.
 pub async fn read_body(response: &mut Response, limit: usize) -> io::Result<Vec<u8>> {
+    check_framing(response)?;
+    // `async-h1` does not check that as many bytes arrive as the length states.
+    let length = response.len();
     let mut body = Vec::new();
     let mut bounded = response.take_body().take(limit as u64 + 1);
     bounded.read_to_end(&mut body).await?;
@@ -98,9 +106,29 @@
             format!("body is longer than {limit} bytes"),
         ));
     }
+    if length.is_some_and(|length| length != body.len()) {
+        return Err(io::Error::new(
+            io::ErrorKind::UnexpectedEof,
+            "connection closed before the end of the body",
+        ));
+    }
     Ok(body)
 }
 
+/// Checks that a response shows where its body ends.
+fn check_framing(response: &Response) -> io::Result<()> {
+    let is_framed = [CONTENT_LENGTH, TRANSFER_ENCODING]
+        .into_iter()
+        .any(|name| response.header(name).is_some());
+    if is_framed || response.status() == StatusCode::NoContent {
+        return Ok(());
+    }
+    Err(io::Error::new(
+        io::ErrorKind::InvalidData,
+        "response has neither a length nor chunks",
+    ))
+}
+
 /// Returns the URL of a path at an address.
 ///
 /// # Errors
