--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod attempt_ends;
 mod claims;
 mod config;
+mod crashing_parts;
 mod departures;
 mod dispatch;
 mod fairness;
