Quarantine the part of a prompt that crashes endpoints

Cause: a crash was attributed to a digest of the whole request. Requests that share only a part of their prompt differ in that digest, so no count reached its limit. Besides, crashes were announced for three seconds only, the oldest four first, so a node that started later never heard of them; and a request whose endpoint had just crashed was sent to the next one at once.

Change: a crash is attributed to each part of the prompts that had not begun to be answered, besides the whole requests. An answer on a part clears it; common parts are cleared within a heartbeat, and what several endpoints had in flight when they crash together was proven just before. Two crashes end retries, one ends hedges, three quarantine the part at all nodes; heartbeats carry what counts for as long as it counts, with ages. One node sends a trial now and then, ever more rarely, and a proof ends the quarantine.

--- a/crates/peridotdeck-core/src/dispatch/attempt.rs
+++ b/crates/peridotdeck-core/src/dispatch/attempt.rs
@@ -98,6 +98,8 @@
     pub(super) load: Load,
     pub(super) expected: Duration,
     pub(super) sent: Time,
+    /// Time of the answer's first event.
+    pub(super) answered: Option<Time>,
 }
 
 impl Attempt {
--- a/crates/peridotdeck-core/src/dispatch/crashes.rs
+++ b/crates/peridotdeck-core/src/dispatch/crashes.rs
@@ -1,105 +1,305 @@
-//! Endpoint crashes that are attributed to requests, as reported by all nodes.
+//! Endpoint crashes, the subjects that they are attributed to, and the quarantine of subjects.
+//!
+//! A subject is a whole request, or a part that prompts share. Requests of an endpoint that had not
+//! begun to be answered when it crashed are suspects, with each part of their prompts. An endpoint
+//! that answers on a part and stays up clears the part, since a part that crashes endpoints crashes
+//! each. A subject that has crashed [`LIMIT`] endpoints and was not cleared is quarantined.
+//!
+//! Crashes and proofs are announced with their ages, so that all nodes count the same ones, and so
+//! that none becomes younger on its way from node to node. `docs/design/CRASHES.md` derives how many
+//! endpoints a subject may crash.
+
+mod notice;
+mod proofs;
+mod suspect;
 
 use std::time::Duration;
 
-use super::Key;
-use crate::id::{Fingerprint, Time};
+pub use notice::Notice;
+use proofs::Proofs;
+pub use suspect::{Crash, Quarantine, Subject};
+use suspect::{MAX_CRASHES_PER_SUSPECT, Suspect};
+
+use super::{Key, Prefix};
+use crate::id::Time;
 
-/// Number of crashed endpoints after which a request is quarantined.
+/// Number of crashed endpoints after which a subject is quarantined.
 pub const LIMIT: usize = 3;
 
-/// Time for which a crash is remembered.
-const RETENTION: Duration = Duration::from_secs(120);
+/// Number of crashed endpoints after which a request with the subject is not sent again.
+pub const RETRY_LIMIT: usize = 2;
+
+/// Time since the last crash or request for which a subject is remembered.
+const RETENTION: Duration = Duration::from_secs(600);
+
+/// Time for which a new crash is announced before others.
+const NEWS_PERIOD: Duration = Duration::from_secs(3);
 
-/// Time for which a crash is announced to peers.
-const ANNOUNCEMENT_PERIOD: Duration = Duration::from_secs(3);
+/// Time for which crashes that do not count are kept, so that proofs against them are announced.
+const CLEARED_RETENTION: Duration = Duration::from_secs(5);
 
-/// Largest number of crashes that are remembered.
-const MAX_CRASHES: usize = 1_024;
+/// Most subjects that are remembered.
+const MAX_SUSPECTS: usize = 1_024;
 
-/// Crash of one endpoint while it ran a request.
+/// Most notices that wait for the next tick.
+const MAX_NOTICES: usize = 256;
+
+/// Crash that a node announces, with the ages of what it knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Crash {
-    /// Digest of the request.
-    pub fingerprint: Fingerprint,
+pub struct Report {
+    /// Subject of the crash.
+    pub subject: Subject,
     /// Endpoint that crashed.
     pub endpoint: Key,
-    /// Time at which this node learnt of the crash.
-    pub learnt_at: Time,
-}
-
-/// A crash that has just been attributed to a request, for the log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Attribution {
-    /// The crash.
-    pub crash: Crash,
-    /// Number of endpoints that the request has crashed, this one included.
-    pub count: usize,
-    /// Whether a peer reported the crash.
-    pub from_peer: bool,
+    /// Time since the crash.
+    pub age: Duration,
+    /// Time since the last crash of the subject, or the last request with it.
+    pub idle: Duration,
 }
 
-/// All remembered crashes, the newest last.
+/// Subjects that crashes are attributed to, and proofs that clear parts.
 #[derive(Clone, Debug, Default)]
 pub struct List {
-    crashes: Vec<Crash>,
-    /// Attributions that have not been logged yet, at most [`MAX_CRASHES`].
-    unlogged: Vec<Attribution>,
+    /// Suspects, sorted by subject.
+    suspects: Vec<Suspect>,
+    proofs: Proofs,
+    notices: Vec<Notice>,
 }
 
 impl List {
-    /// Adds a crash unless it is already known; the oldest one makes room if the list is full.
-    pub fn record(&mut self, fingerprint: Fingerprint, endpoint: Key, from_peer: bool, now: Time) {
-        let known = |crash: &Crash| (crash.fingerprint, crash.endpoint) == (fingerprint, endpoint);
-        if self.crashes.iter().any(known) {
-            return;
-        }
-        if self.crashes.len() == MAX_CRASHES {
-            self.crashes.remove(0);
-        }
+    /// Attributes a crash that this node has found to a subject.
+    pub fn record(&mut self, subject: Subject, endpoint: Key, now: Time) {
         let crash = Crash {
-            fingerprint,
             endpoint,
+            at: now,
+            learnt_at: now,
+        };
+        self.add(subject, crash, now, false, now);
+    }
+
+    /// Adds a crash that a peer has reported.
+    pub fn receive(&mut self, report: Report, now: Time) {
+        let crash = Crash {
+            endpoint: report.endpoint,
+            at: now.saturating_sub(report.age),
             learnt_at: now,
         };
-        self.crashes.push(crash);
-        if self.unlogged.len() < MAX_CRASHES {
-            self.unlogged.push(Attribution {
-                crash,
-                count: self.count(fingerprint),
-                from_peer,
+        let used = now.saturating_sub(report.idle);
+        self.add(report.subject, crash, used, true, now);
+    }
+
+    fn add(&mut self, subject: Subject, crash: Crash, used: Time, from_peer: bool, now: Time) {
+        let index = match self.find(subject) {
+            Ok(index) => index,
+            Err(index) => {
+                self.suspects.insert(index, Suspect::new(subject, used));
+                index
+            }
+        };
+        let proven = self.proofs.last(subject.id());
+        let suspect = &mut self.suspects[index];
+        let before = suspect.count(proven);
+        suspect.note_use(used);
+        if !suspect.add(crash) {
+            return;
+        }
+        let count = suspect.count(proven);
+        self.notify(Notice::Attributed {
+            subject,
+            endpoint: crash.endpoint,
+            count,
+            from_peer,
+        });
+        if before < LIMIT && count >= LIMIT {
+            self.notify(Notice::Quarantined { subject, count });
+        }
+        self.evict(now);
+    }
+
+    /// Forgets the least suspect subject, and of those the one that was used longest ago.
+    fn evict(&mut self, now: Time) {
+        if self.suspects.len() <= MAX_SUSPECTS {
+            return;
+        }
+        let proofs = &self.proofs;
+        let rank = |suspect: &Suspect| {
+            let count = suspect.count(proofs.last(suspect.subject.id()));
+            (count, std::cmp::Reverse(suspect.idle(now)))
+        };
+        let least = (0..self.suspects.len()).min_by_key(|&index| rank(&self.suspects[index]));
+        if let Some(index) = least {
+            self.suspects.remove(index);
+        }
+    }
+
+    /// Records that an endpoint has answered on a part and is still up at a time.
+    pub fn clear_part(&mut self, part: Prefix, at: Time) {
+        let before = self.count(Subject::Part(part));
+        self.proofs.record(part, at);
+        let count = self.count(Subject::Part(part));
+        if before >= LIMIT && count < LIMIT {
+            self.notify(Notice::Released {
+                subject: Subject::Part(part),
+            });
+        }
+    }
+
+    /// Forgets a request, because an endpoint has run it to its end.
+    pub fn clear_request(&mut self, subject: Subject) {
+        if let Ok(index) = self.find(subject) {
+            self.suspects.remove(index);
+        }
+    }
+
+    /// Records that a request with a quarantined subject has come.
+    pub fn note_use(&mut self, subject: Subject, now: Time) {
+        if let Ok(index) = self.find(subject) {
+            self.suspects[index].note_use(now);
+        }
+    }
+
+    /// Returns the number of endpoints that a subject has crashed since it was last cleared.
+    #[must_use]
+    pub fn count(&self, subject: Subject) -> usize {
+        let proven = self.proofs.last(subject.id());
+        self.find(subject)
+            .map_or(0, |index| self.suspects[index].count(proven))
+    }
+
+    /// Returns whether a crash of a subject at a time would count.
+    #[must_use]
+    pub fn would_count(&self, subject: Subject, at: Time) -> bool {
+        suspect::counts(at, self.proofs.last(subject.id()))
+    }
+
+    /// Returns the quarantine of a subject, if it is in quarantine.
+    #[must_use]
+    pub fn quarantine(&self, subject: Subject, now: Time) -> Option<Quarantine> {
+        let index = self.find(subject).ok()?;
+        let proven = self.proofs.last(subject.id());
+        self.suspects[index].quarantine(proven, now)
+    }
+
+    /// Returns all quarantines.
+    pub fn quarantines(&self, now: Time) -> impl Iterator<Item = Quarantine> {
+        self.suspects.iter().filter_map(move |suspect| {
+            suspect.quarantine(self.proofs.last(suspect.subject.id()), now)
+        })
+    }
+
+    /// Records that a request with a quarantined subject is sent, to learn whether it still crashes
+    /// endpoints.
+    ///
+    /// `id` is the id of the request.
+    pub fn start_trial(&mut self, subject: Subject, id: &str, now: Time) {
+        if let Ok(index) = self.find(subject) {
+            self.suspects[index].start_trial(now);
+            self.notify(Notice::Tried {
+                subject,
+                id: id.to_owned(),
             });
         }
     }
 
-    /// Takes the attributions that have not been logged yet.
-    pub fn take_unlogged(&mut self) -> Vec<Attribution> {
-        std::mem::take(&mut self.unlogged)
+    /// Returns up to `most` crashes to announce.
+    ///
+    /// Half of the places are for those of quarantined subjects, which a node that has just started
+    /// needs first; the rest is for new ones and then for all others. `turn` selects a part of those
+    /// that are too many for one heartbeat.
+    #[must_use]
+    pub fn reports(&self, most: usize, turn: usize, now: Time) -> Vec<Report> {
+        let (mut held, mut news, mut others) = (Vec::new(), Vec::new(), Vec::new());
+        for suspect in &self.suspects {
+            let counted: Vec<&Crash> = suspect
+                .counted(self.proofs.last(suspect.subject.id()))
+                .collect();
+            let quarantined = counted.len() >= LIMIT;
+            for crash in counted {
+                let report = Report {
+                    subject: suspect.subject,
+                    endpoint: crash.endpoint,
+                    age: now.saturating_sub(crash.at),
+                    idle: suspect.idle(now),
+                };
+                if quarantined {
+                    held.push(report);
+                } else if now.saturating_sub(crash.learnt_at) < NEWS_PERIOD {
+                    news.push(report);
+                } else {
+                    others.push(report);
+                }
+            }
+        }
+        let mut reports = select(held, most / 2, turn);
+        for group in [news, others] {
+            let rest = most - reports.len();
+            reports.extend(select(group, rest, turn));
+        }
+        reports
     }
 
-    /// Returns the number of endpoints that a request has crashed.
+    /// Returns up to `most` proofs against crashes that peers may still count, with their ages.
     #[must_use]
-    pub fn count(&self, fingerprint: Fingerprint) -> usize {
-        let same = |crash: &&Crash| crash.fingerprint == fingerprint;
-        self.crashes.iter().filter(same).count()
+    pub fn proofs(&self, most: usize, now: Time) -> Vec<(Prefix, Duration)> {
+        let parts = self.suspects.iter().filter_map(|suspect| {
+            let Subject::Part(part) = suspect.subject else {
+                return None;
+            };
+            let age = now.saturating_sub(self.proofs.last(part)?);
+            (age < CLEARED_RETENTION).then_some((part, age))
+        });
+        let mut proofs: Vec<(Prefix, Duration)> = parts.collect();
+        proofs.sort_unstable_by_key(|(_, age)| *age);
+        proofs.truncate(most);
+        proofs
     }
 
-    /// Removes the crashes of a request, because an endpoint has run it to its end.
-    pub fn clear(&mut self, fingerprint: Fingerprint) {
-        self.crashes
-            .retain(|crash| crash.fingerprint != fingerprint);
+    /// Takes the notices that have not been logged yet.
+    pub fn take_notices(&mut self) -> Vec<Notice> {
+        std::mem::take(&mut self.notices)
     }
 
-    /// Returns the crashes that some peers may not know yet.
-    pub fn recent(&self, now: Time) -> impl Iterator<Item = &Crash> {
-        self.crashes
-            .iter()
-            .filter(move |crash| now.saturating_sub(crash.learnt_at) < ANNOUNCEMENT_PERIOD)
+    /// Adds a notice for the log; more than [`MAX_NOTICES`] in one tick are dropped.
+    pub fn notify(&mut self, notice: Notice) {
+        if self.notices.len() < MAX_NOTICES {
+            self.notices.push(notice);
+        }
     }
 
-    /// Removes the crashes that are older than the retention time.
+    /// Forgets subjects that were not used for long, cleared crashes and old proofs.
     pub fn expire(&mut self, now: Time) {
-        self.crashes
-            .retain(|crash| now.saturating_sub(crash.learnt_at) < RETENTION);
+        self.proofs.expire(now);
+        let proofs = &self.proofs;
+        let expired: Vec<Suspect> = self
+            .suspects
+            .extract_if(.., |suspect| {
+                suspect.expire(proofs.last(suspect.subject.id()), CLEARED_RETENTION, now);
+                suspect.is_empty() || suspect.idle(now) >= RETENTION
+            })
+            .collect();
+        for suspect in expired {
+            if suspect.count(self.proofs.last(suspect.subject.id())) >= LIMIT {
+                self.notify(Notice::Expired {
+                    subject: suspect.subject,
+                });
+            }
+        }
+    }
+
+    fn find(&self, subject: Subject) -> Result<usize, usize> {
+        self.suspects
+            .binary_search_by_key(&subject, |suspect| suspect.subject)
     }
 }
+
+/// Returns up to `most` reports, another part of them at each turn.
+fn select(mut reports: Vec<Report>, most: usize, turn: usize) -> Vec<Report> {
+    if reports.len() > most {
+        let start = turn * most % reports.len();
+        reports.rotate_left(start);
+        reports.truncate(most);
+    }
+    reports
+}
+
+const _: () = assert!(MAX_CRASHES_PER_SUSPECT > LIMIT);
--- /dev/null
+++ b/crates/peridotdeck-core/src/dispatch/crashes/proofs.rs
@@ -0,0 +1,52 @@
+//! Times at which endpoints have answered on a part of a prompt and stayed up.
+
+use std::time::Duration;
+
+use crate::{dispatch::Prefix, id::Time};
+
+/// Time for which a proof is remembered: longer than any that peers announce.
+const RETENTION: Duration = Duration::from_secs(10);
+
+/// Most parts whose proofs are remembered; beyond it the oldest is forgotten.
+const MAX_PROOFS: usize = 4_096;
+
+/// The last proof of each part, sorted by part.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Proofs {
+    proofs: Vec<(Prefix, Time)>,
+}
+
+impl Proofs {
+    pub(super) fn record(&mut self, part: Prefix, at: Time) {
+        match self.find(part) {
+            Ok(index) => self.proofs[index].1 = self.proofs[index].1.max(at),
+            Err(index) => {
+                self.proofs.insert(index, (part, at));
+                self.evict();
+            }
+        }
+    }
+
+    fn evict(&mut self) {
+        if self.proofs.len() > MAX_PROOFS
+            && let Some(oldest) = (0..self.proofs.len()).min_by_key(|&index| self.proofs[index].1)
+        {
+            self.proofs.remove(oldest);
+        }
+    }
+
+    /// Returns the time of a part's last proof, if it is remembered.
+    pub(super) fn last(&self, part: Prefix) -> Option<Time> {
+        let index = self.find(part).ok()?;
+        Some(self.proofs[index].1)
+    }
+
+    pub(super) fn expire(&mut self, now: Time) {
+        self.proofs
+            .retain(|(_, at)| now.saturating_sub(*at) < RETENTION);
+    }
+
+    fn find(&self, part: Prefix) -> Result<usize, usize> {
+        self.proofs.binary_search_by_key(&part, |(part, _)| *part)
+    }
+}
--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -7,6 +7,7 @@
 //! - `waiting`: a request waits or is refused, and its caller may return later;
 //! - `outcomes`: an attempt ends;
 //! - `pauses`: a stream pauses between events;
+//! - `quarantine`: an endpoint has crashed, or has answered on a prompt;
 //! - `peers`: a heartbeat from a peer arrives, or one to a peer is composed;
 //! - `maintenance`: time passes, or the result of a probe or of a cache query arrives.
 
@@ -15,10 +16,12 @@
 mod pauses;
 mod peers;
 mod placing;
+mod quarantine;
 mod waiting;
 
 use std::time::Duration;
 
+use quarantine::{Begun, Suspicion};
 use rand::{SeedableRng, rngs::SmallRng};
 
 use super::{
@@ -32,7 +35,7 @@
     prefix::Index,
     registry::{self, Change, Position, Registry, Report},
 };
-use crate::id::{Fingerprint, Time};
+use crate::id::Time;
 
 /// Expected time of a plain service's answer before the first sample, in milliseconds.
 const INITIAL_PLAIN_ANSWER_MS: f64 = 40.0;
@@ -86,14 +89,6 @@
     is_local: bool,
 }
 
-/// A request that may have crashed an endpoint, because its attempt broke.
-#[derive(Clone, Copy, Debug)]
-struct Suspect {
-    key: Key,
-    fingerprint: Fingerprint,
-    broken_at: Time,
-}
-
 /// State of a node that places its own callers' requests.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -106,7 +101,8 @@
     budget: Budget,
     crashes: crashes::List,
     departures: departures::List,
-    suspects: Vec<Suspect>,
+    suspicions: Vec<Suspicion>,
+    begun: Vec<Begun>,
     plain_answer_ms: mean::Table,
     whole_answer_ms: mean::Table,
     failure_rate: mean::Table,
@@ -140,7 +136,8 @@
             budget: Budget::new(options.retry_bound),
             crashes: crashes::List::default(),
             departures: departures::List::default(),
-            suspects: Vec::new(),
+            suspicions: Vec::new(),
+            begun: Vec::new(),
             plain_answer_ms: mean::Table::new(INITIAL_PLAIN_ANSWER_MS),
             whole_answer_ms: mean::Table::new(INITIAL_WHOLE_ANSWER_MS),
             failure_rate: mean::Table::new(0.0),
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Dispatcher, Suspect};
+use super::Dispatcher;
 use crate::{
     dispatch::{
         Key, Prefix,
@@ -18,9 +18,6 @@
 /// Number of endpoints whose cached prefixes a node queries after its start.
 const MAX_CACHE_QUERIES: usize = 16;
 
-/// Time after a broken attempt during which a failed probe counts as a crash of the endpoint.
-const CRASH_WINDOW: Duration = Duration::from_secs(2);
-
 impl Dispatcher {
     /// Performs the periodic work and returns the actions that are due.
     pub fn tick(&mut self, now: Time) -> Due {
@@ -36,6 +33,7 @@
             ..Changes::default()
         };
         self.apply_peer_loads(&changes);
+        self.clear_begun(now);
         if self.fleet.is_due(now) {
             let status = self.status(now);
             due.heartbeats = self.fleet.beats(&status, now);
@@ -43,14 +41,13 @@
         due.probes = self.probes(now);
         due.cache_queries = self.cache_queries();
         due.snapshot_requests = self.snapshot_requests(now);
-        due.crashes = self.crashes.take_unlogged();
+        due.crashes = self.crashes.take_notices();
         if now >= self.clean_up_due {
             self.clean_up_due = now + CLEAN_UP_INTERVAL;
             self.prefixes.expire(now);
             self.crashes.expire(now);
             self.departures.expire(now);
-            self.suspects
-                .retain(|suspect| now.saturating_sub(suspect.broken_at) < CRASH_WINDOW);
+            self.expire_suspicions(now);
         }
         due
     }
@@ -115,19 +112,12 @@
             if state.record_reachable() {
                 self.treat_as_cold(key, now);
             }
-            self.suspects.retain(|suspect| suspect.key != key);
+            self.acquit(key);
             return;
         }
         state.record_unreachable(now);
         self.prefixes.remove_endpoint(key);
-        let crashed = |suspect: &mut Suspect| suspect.key == key;
-        let suspects: Vec<Suspect> = self.suspects.extract_if(.., crashed).collect();
-        for suspect in suspects {
-            if now.saturating_sub(suspect.broken_at) < CRASH_WINDOW {
-                self.crashes.record(suspect.fingerprint, key, false, now);
-                self.fleet.mark_changed();
-            }
-        }
+        self.blame(key, now);
     }
 
     /// Treats an endpoint as cold that is reachable again.
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Dispatcher, Suspect, waiting::give_up};
+use super::{Dispatcher, waiting::give_up};
 use crate::{
     Verdict,
     dispatch::{
@@ -52,6 +52,9 @@
             let observed = observed.as_secs_f64() * 1e3;
             self.plain_answer_ms.add_sample(&flight.service, observed);
         }
+        if !is_plain {
+            self.note_begun(attempt, flight, now);
+        }
         self.fleet.mark_changed();
     }
 
@@ -113,12 +116,8 @@
             _ => {}
         }
         match end {
-            End::Broken => self.suspects.push(Suspect {
-                key,
-                fingerprint: flight.fingerprint,
-                broken_at: now,
-            }),
-            End::Finished => self.crashes.clear(flight.fingerprint),
+            End::Broken => self.suspect_request(attempt, flight, now),
+            End::Finished => self.clear_finished(flight, now),
             _ => {}
         }
     }
@@ -140,6 +139,7 @@
     pub fn try_hedge(&mut self, flight: &Flight, now: Time) -> bool {
         let nodes = self.fleet.recent_size(self.options.regions.len(), now);
         flight.may_run_after(flight.runs + 1)
+            && self.suspicion(flight) == 0
             && flight.time_left(now) > MIN_ATTEMPT_TIME
             && self
                 .states
@@ -168,10 +168,10 @@
             }
             Verdict::MayHaveRun | Verdict::Ran => {
                 flight.runs += 1;
-                let quarantined = self.crashes.count(flight.fingerprint) >= crashes::LIMIT;
+                let suspected = self.suspicion(flight) >= crashes::RETRY_LIMIT;
                 if flight.may_run_after(flight.runs)
                     && flight.time_left(now) > MIN_ATTEMPT_TIME
-                    && !quarantined
+                    && !suspected
                     && self.budget.take_retry(&flight.service, nodes, now)
                 {
                     return Next::Retry;
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
@@ -7,7 +7,9 @@
 use super::{Dispatcher, NewerState};
 use crate::{
     dispatch::{
-        Node, data_centre,
+        Node,
+        crashes::{self, Subject},
+        data_centre,
         due::SnapshotRequest,
         endpoint::Load,
         fleet::{Changes, Status},
@@ -28,6 +30,35 @@
 /// revision from a peer.
 const FOLLOWER_FETCH_DELAY: Duration = Duration::from_millis(20);
 
+/// Returns a time in milliseconds, at most the largest number of the message.
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn strike(report: &crashes::Report) -> beat::Strike {
+    beat::Strike {
+        is_part: matches!(report.subject, Subject::Part(_)),
+        subject: report.subject.id(),
+        endpoint: report.endpoint,
+        age_ms: millis(report.age),
+        idle_ms: millis(report.idle),
+    }
+}
+
+fn report(strike: &beat::Strike) -> crashes::Report {
+    let subject = if strike.is_part {
+        Subject::Part(strike.subject)
+    } else {
+        Subject::Request(strike.subject)
+    };
+    crashes::Report {
+        subject,
+        endpoint: strike.endpoint,
+        age: Duration::from_millis(strike.age_ms.into()),
+        idle: Duration::from_millis(strike.idle_ms.into()),
+    }
+}
+
 impl Dispatcher {
     /// Handles a peer's heartbeat.
     ///
@@ -52,9 +83,12 @@
                 state.peer_health.set(good, bad, now);
             }
         }
+        for proof in &beat.proofs {
+            let age = Duration::from_millis(proof.age_ms.into());
+            self.crashes.clear_part(proof.part, now.saturating_sub(age));
+        }
         for strike in &beat.strikes {
-            self.crashes
-                .record(strike.fingerprint, strike.endpoint, true, now);
+            self.crashes.receive(report(strike), now);
         }
         for key in &beat.departures {
             self.record_departure(*key, now);
@@ -131,7 +165,11 @@
         /// Number of endpoints whose health is sent: those with the most failures.
         const MAX_HEALTH_ENTRIES: usize = 8;
         /// Number of crashes that are sent.
-        const MAX_CRASHES: usize = 4;
+        const MAX_CRASHES: usize = 8;
+        /// Number of proofs that are sent.
+        const MAX_PROOFS: usize = 6;
+        /// Time after which other crashes are sent, if there are too many for one heartbeat.
+        const CRASH_TURN: Duration = Duration::from_millis(400);
         /// Number of departures that are sent.
         const MAX_DEPARTURES: usize = 8;
         let busy = self
@@ -152,7 +190,11 @@
             .collect();
         health.sort_unstable_by_key(|health| std::cmp::Reverse(health.bad));
         health.truncate(MAX_HEALTH_ENTRIES);
-        let crashes = self.crashes.recent(now).take(MAX_CRASHES);
+        // Nodes start with different parts of a long list.
+        let turn =
+            now.as_millis() / CRASH_TURN.as_millis() + u128::from(u32::from(self.options.node));
+        let crashes = self.crashes.reports(MAX_CRASHES, turn as usize, now);
+        let proofs = self.crashes.proofs(MAX_PROOFS, now).into_iter();
         Status {
             policy: self.registry.progress(Area::Policy).changed,
             roster: self.registry.progress(Area::Roster).changed,
@@ -160,10 +202,11 @@
             departures: self.departures.recent(now).take(MAX_DEPARTURES).collect(),
             loads: busy.map(|state| (state.key, state.own_load)).collect(),
             health,
-            strikes: crashes
-                .map(|crash| beat::Strike {
-                    endpoint: crash.endpoint,
-                    fingerprint: crash.fingerprint,
+            strikes: crashes.iter().map(strike).collect(),
+            proofs: proofs
+                .map(|(part, age)| beat::Proof {
+                    part,
+                    age_ms: millis(age),
                 })
                 .collect(),
         }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -13,7 +13,7 @@
         Key,
         attempt::{Assignment, Attempt, Delay, Placement, WaitCause},
         config::{Service, Share},
-        crashes, data_centre,
+        data_centre,
         endpoint::{Load, State},
         flight::{DecodedRequest, Flight},
         key as endpoint_key,
@@ -74,9 +74,7 @@
         } else {
             key_owner.cloned()
         };
-        if self.crashes.count(fingerprint) >= crashes::LIMIT {
-            return refuse(Cause::Quarantined);
-        }
+        let trial = self.check_quarantine(&request, fingerprint, now)?;
         let max_wait = request.max_wait.unwrap_or(route.timeout).min(route.timeout);
         let service = self.choose_service(&route.split);
         self.budget.count_request(&service, now);
@@ -89,6 +87,7 @@
             organisation,
             prompt: request.prompt,
             fingerprint,
+            trial,
             deadline: now + max_wait,
             service,
             ..Flight::new(route.clone(), config.version, now)
@@ -120,6 +119,9 @@
         if flight.time_left(now).is_zero() {
             return Placement::Refuse(give_up(flight, Cause::TimedOut, None), Vec::new());
         }
+        if let Err(refusal) = self.recheck_quarantine(flight, now) {
+            return Placement::Refuse(refusal, Vec::new());
+        }
         let Some(config) = self.registry.config().cloned() else {
             return Placement::Wait(Delay::poll(WaitCause::Unconfigured));
         };
@@ -386,6 +388,7 @@
                 load,
                 expected: estimate.time_to_first,
                 sent: now,
+                answered: None,
             },
             address: state.info.address,
             instance: state.info.id.clone(),
--- a/crates/peridotdeck-core/src/dispatch/due.rs
+++ b/crates/peridotdeck-core/src/dispatch/due.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Key, Node,
-    crashes::Attribution,
+    crashes::Notice,
     fleet::Broadcast,
     registry::{Area, Change, Position},
 };
@@ -37,8 +37,8 @@
 pub struct Due {
     /// Endpoints whose cached prompt prefixes should be listed.
     pub cache_queries: Vec<CacheQuery>,
-    /// Crashes that have been attributed to requests since the last tick.
-    pub crashes: Vec<Attribution>,
+    /// Changes since the last tick of what is blamed for crashes.
+    pub crashes: Vec<Notice>,
     /// Heartbeats to send, each with the peers that receive it.
     pub heartbeats: Vec<Broadcast>,
     /// Endpoints to probe.
--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -108,8 +108,10 @@
     pub loads: Vec<(Key, Load)>,
     /// Health of endpoints as this node has observed it.
     pub health: Vec<beat::Health>,
-    /// Crashes attributed to requests that peers may not know of yet.
+    /// Crashes attributed to requests or parts of prompts.
     pub strikes: Vec<beat::Strike>,
+    /// Proofs that clear parts of prompts.
+    pub proofs: Vec<beat::Proof>,
     /// Endpoints whose departure has become known recently.
     pub departures: Vec<Key>,
 }
@@ -225,6 +227,12 @@
         self.dirty = true;
     }
 
+    /// Makes heartbeats due to all data centres, because of news that bears no delay.
+    pub fn mark_urgent(&mut self) {
+        self.dirty = true;
+        self.hasten_remote();
+    }
+
     /// Queues the announcement of a cached prefix of an endpoint.
     ///
     /// `own` is false if another data centre has announced it; it is then passed on to local peers
--- a/crates/peridotdeck-core/src/dispatch/fleet/send.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/send.rs
@@ -272,6 +272,7 @@
         first.holdings = holdings;
         first.health.clone_from(&status.health);
         first.strikes.clone_from(&status.strikes);
+        first.proofs.clone_from(&status.proofs);
         first.departures.clone_from(&status.departures);
         beats
     }
@@ -295,6 +296,7 @@
             holdings: Vec::new(),
             health: Vec::new(),
             strikes: Vec::new(),
+            proofs: Vec::new(),
             departures: Vec::new(),
         }
     }
--- a/crates/peridotdeck-core/src/dispatch/flight.rs
+++ b/crates/peridotdeck-core/src/dispatch/flight.rs
@@ -64,6 +64,8 @@
     pub prompt: Prompt,
     /// Digest of the organisation and the complete request.
     pub fingerprint: Fingerprint,
+    /// Whether it is sent although it is in quarantine, to learn whether it still crashes endpoints.
+    pub trial: bool,
     /// Time at which the request arrived.
     pub arrived: Time,
     /// Time at which the caller or the route gives up.
@@ -92,6 +94,7 @@
             version,
             prompt: Prompt::default(),
             fingerprint: 0,
+            trial: false,
             arrived: now,
             deadline: now + route.timeout,
             service: String::new(),
@@ -124,7 +127,7 @@
     /// Returns whether the request may run again after `runs` runs.
     #[must_use]
     pub fn may_run_after(&self, runs: u32) -> bool {
-        self.route.is_repeatable() && runs < self.route.attempts
+        self.route.is_repeatable() && runs < self.route.attempts && !self.trial
     }
 
     /// Returns the time until the deadline; zero if it has passed.
--- a/crates/peridotdeck-core/tests/testsuite/crashing_parts.rs
+++ b/crates/peridotdeck-core/tests/testsuite/crashing_parts.rs
@@ -373,6 +373,7 @@
         let mut world = World::new(7, 12, seed as u64);
         world.run(ms(12_000), 0.1, parts);
         world.assert_stopped(&format!("{parts:?}"));
+        assert!(world.crashes.len() <= CRASHES + MAX_LATE, "{parts:?}");
         world.sound = Sound::default();
         world.run(ms(20_000), 0.1, parts);
         world.assert_stopped(&format!("{parts:?}"));
--- a/crates/peridotdeck-relay/src/control.rs
+++ b/crates/peridotdeck-relay/src/control.rs
@@ -83,6 +83,8 @@
     metrics.set_state("endpoints", dispatcher.states().len() as u64);
     metrics.set_state("peers", dispatcher.fleet().members(now).len() as u64);
     metrics.set_state("prefixes", dispatcher.prefix_count() as u64);
+    let quarantines = dispatcher.quarantines(now).count();
+    metrics.set_state("quarantines", quarantines as u64);
     metrics.set_state("kept_connections", shared.pool.len() as u64);
 }
 
@@ -150,7 +152,8 @@
 
 /// Describes the node's state in lines of key=value pairs.
 ///
-/// The first line is about the node itself. One line for each peer and each endpoint follows.
+/// The first line is about the node itself. One line for each peer, each quarantine and each endpoint
+/// follows.
 fn status(dispatcher: &Dispatcher) -> String {
     let now = clock::now();
     let registry = dispatcher.registry();
@@ -168,6 +171,19 @@
             format_args!("peer={node} place={data_centre:08x}"),
         );
     }
+    for quarantine in dispatcher.quarantines(now) {
+        push_line(
+            &mut lines,
+            format_args!(
+                "quarantine={:016x} kind={} crashes={} idle_ms={} trial_in_ms={}",
+                quarantine.subject.id(),
+                quarantine.subject,
+                quarantine.crashes,
+                quarantine.idle.as_millis(),
+                quarantine.trial_in.as_millis(),
+            ),
+        );
+    }
     for state in dispatcher.states() {
         let load = state.load();
         push_line(
--- a/crates/peridotdeck-relay/src/lib.rs
+++ b/crates/peridotdeck-relay/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod node;
+pub mod notice;
 pub mod peers;
 pub mod pool;
 pub mod publisher;
--- a/crates/peridotdeck-relay/src/node.rs
+++ b/crates/peridotdeck-relay/src/node.rs
@@ -6,12 +6,12 @@
 use async_io::Timer;
 use async_std::task;
 use futures_lite::{StreamExt, future};
-use peridotdeck_core::dispatch::{Dispatcher, Node, crashes::Attribution, dispatcher};
+use peridotdeck_core::dispatch::{Dispatcher, Node, dispatcher};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_async_std::Signals;
 
 use crate::{
-    Ingress, Publisher, Shared, clock, control, exchange, front,
+    Ingress, Publisher, Shared, clock, control, exchange, front, notice,
     peers::Peers,
     server::{self, Limits},
     shutdown,
@@ -139,8 +139,8 @@
         for node in &due.silent {
             log::info!("event=peer_silent node={node}");
         }
-        for attribution in &due.crashes {
-            log_crash(attribution);
+        for notice in &due.crashes {
+            notice::log(notice);
         }
         for heartbeat in &due.heartbeats {
             peers
@@ -166,22 +166,6 @@
     }
 }
 
-/// Logs that a crash was attributed to a request.
-fn log_crash(attribution: &Attribution) {
-    let crash = attribution.crash;
-    log::info!(
-        "event=crash_attributed endpoint_key={:08x} fingerprint={:016x} count={} source={}",
-        crash.endpoint,
-        crash.fingerprint,
-        attribution.count,
-        if attribution.from_peer {
-            "peer"
-        } else {
-            "probe"
-        },
-    );
-}
-
 /// Waits for a termination signal; until then, applies changes of the seeds.
 async fn wait_for_signal<I: Ingress, R>(mut signals: Signals, shared: &Shared<I>, reload: R)
 where
--- a/crates/peridotdeck-wire/src/beat.rs
+++ b/crates/peridotdeck-wire/src/beat.rs
@@ -66,6 +66,7 @@
 ///    "node",
 ///    "place",
 ///    "policy",
+///    "proofs",
 ///    "roster",
 ///    "sequence",
 ///    "strikes",
@@ -151,6 +152,13 @@
 ///      "description": "Position of the sender's configuration and closed data centres.",
 ///      "$ref": "#/definitions/Position"
 ///    },
+///    "proofs": {
+///      "description": "Parts of prompts that endpoints have answered on without a crash, among those that crashes are attributed to.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/Proof"
+///      }
+///    },
 ///    "roster": {
 ///      "description": "Position of the sender's endpoint list.",
 ///      "$ref": "#/definitions/Position"
@@ -162,7 +170,7 @@
 ///      "minimum": 0.0
 ///    },
 ///    "strikes": {
-///      "description": "Crashes of endpoints that are attributed to requests.",
+///      "description": "Crashes of endpoints that are attributed to requests, or to parts of their prompts.",
 ///      "type": "array",
 ///      "items": {
 ///        "$ref": "#/definitions/Strike"
@@ -208,11 +216,13 @@
     pub place: u32,
     ///Position of the sender's configuration and closed data centres.
     pub policy: Position,
+    ///Parts of prompts that endpoints have answered on without a crash, among those that crashes are attributed to.
+    pub proofs: ::std::vec::Vec<Proof>,
     ///Position of the sender's endpoint list.
     pub roster: Position,
     ///Counter of the sender's heartbeats.
     pub sequence: u64,
-    ///Crashes of endpoints that are attributed to requests.
+    ///Crashes of endpoints that are attributed to requests, or to parts of their prompts.
     pub strikes: ::std::vec::Vec<Strike>,
     ///Version of the sender's configuration; 0 without one.
     pub version: u64,
@@ -460,27 +470,89 @@
         value.clone()
     }
 }
-///A crash of an endpoint that is attributed to a request.
+///An endpoint has answered on a part of a prompt and stayed up.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "An endpoint has answered on a part of a prompt and stayed up.",
+///  "type": "object",
+///  "required": [
+///    "age_ms",
+///    "part"
+///  ],
+///  "properties": {
+///    "age_ms": {
+///      "description": "Milliseconds since the answer.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "part": {
+///      "description": "Digest of the part.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Proof {
+    ///Milliseconds since the answer.
+    pub age_ms: u32,
+    ///Digest of the part.
+    pub part: u64,
+}
+impl ::std::convert::From<&Proof> for Proof {
+    fn from(value: &Proof) -> Self {
+        value.clone()
+    }
+}
+///A crash of an endpoint that is attributed to a request, or to a part of its prompt.
 ///
 /// <details><summary>JSON schema</summary>
 ///
 /// ```json
 ///{
-///  "description": "A crash of an endpoint that is attributed to a request.",
+///  "description": "A crash of an endpoint that is attributed to a request, or to a part of its prompt.",
 ///  "type": "object",
 ///  "required": [
+///    "age_ms",
 ///    "endpoint",
-///    "fingerprint"
+///    "idle_ms",
+///    "is_part",
+///    "subject"
 ///  ],
 ///  "properties": {
+///    "age_ms": {
+///      "description": "Milliseconds since the crash.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
 ///    "endpoint": {
 ///      "description": "Digest of the endpoint's id and start time.",
 ///      "type": "integer",
 ///      "format": "uint32",
 ///      "minimum": 0.0
 ///    },
-///    "fingerprint": {
-///      "description": "Digest of the organisation and the whole request.",
+///    "idle_ms": {
+///      "description": "Milliseconds since the last crash of the subject, or the last request with it.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "is_part": {
+///      "description": "Whether the subject is a part of prompts, and not a whole request.",
+///      "type": "boolean"
+///    },
+///    "subject": {
+///      "description": "Digest of the part, or of the organisation and the whole request.",
 ///      "type": "integer",
 ///      "format": "uint64",
 ///      "minimum": 0.0
@@ -493,10 +565,16 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Strike {
+    ///Milliseconds since the crash.
+    pub age_ms: u32,
     ///Digest of the endpoint's id and start time.
     pub endpoint: u32,
-    ///Digest of the organisation and the whole request.
-    pub fingerprint: u64,
+    ///Milliseconds since the last crash of the subject, or the last request with it.
+    pub idle_ms: u32,
+    ///Whether the subject is a part of prompts, and not a whole request.
+    pub is_part: bool,
+    ///Digest of the part, or of the organisation and the whole request.
+    pub subject: u64,
 }
 impl ::std::convert::From<&Strike> for Strike {
     fn from(value: &Strike) -> Self {
