Show that the own interface keeps blame for whole requests only

Behind the product's own interface, requests that share only the beginning of their prompts crash one endpoint after the other.

Cause: `quarantine::List` counts crashes by the digest of the whole request, as the platform's path did.

Not mended here: a broken connection counts as a crash there without a probe, so blame for a prefix that many prompts share needs the proofs that clear it, and heartbeats that carry both. `dispatch::crashes` has both parts and can serve there.

--- a/crates/peridotdeck-core/tests/testsuite/poison.rs
+++ b/crates/peridotdeck-core/tests/testsuite/poison.rs
@@ -3,7 +3,7 @@
 use peridotdeck_core::{
     Verdict,
     quarantine::{CRASH_LIMIT, List},
-    request::Cause,
+    request::{Call, Cause},
 };
 
 use crate::simulation::{Ending, Simulation, call};
@@ -77,3 +77,35 @@
         1
     );
 }
+
+/// Guards against endpoints that crash one after the other under requests that share only the
+/// beginning of their prompts.
+#[test]
+fn requests_with_a_deadly_prefix_are_stopped() {
+    /// Endpoints that may crash before the prefix is stopped, and requests that may still follow.
+    const MAX_CRASHES: usize = 5 + 3;
+    let mut sim = Simulation::settled(&[("a", 2), ("b", 2), ("c", 2)], 1);
+    let mut crashes = 0;
+    for round in 0..24 {
+        let deadly = Call {
+            prefix: 666,
+            ..call("draft", "matrah", 1_000 + round)
+        };
+        sim.send(round as usize % 6, deadly);
+        for _ in 0..60 {
+            sim.advance_ms(25);
+            let running_at: Vec<u32> = (0..6)
+                .flat_map(|vm| sim.node(vm).request_table().flights())
+                .filter_map(|flight| match &flight.stage {
+                    peridotdeck_core::flight::Stage::Running(running) => Some(running.endpoint),
+                    _ => None,
+                })
+                .collect();
+            for endpoint in running_at {
+                crashes += 1;
+                sim.crash_endpoint(endpoint);
+            }
+        }
+    }
+    assert!(crashes <= MAX_CRASHES, "{crashes} crashes");
+}
