Announce crashes of parts before those of whole requests

Cause: one crash is attributed to each request that was at the endpoint, tens of them, and to few parts. Heartbeats carry eight crashes, in turn, so those of parts could wait for seconds behind the requests'; the log had a line for each request at each node.

Change: new crashes of parts go first, then those of requests; a request's first crash is not logged. Proofs are looked up by subject, so a request's digest cannot meet a part's.

--- a/crates/peridotdeck-core/src/dispatch/crashes.rs
+++ b/crates/peridotdeck-core/src/dispatch/crashes.rs
@@ -96,7 +96,7 @@
                 index
             }
         };
-        let proven = self.proofs.last(subject.id());
+        let proven = self.proofs.last(subject);
         let suspect = &mut self.suspects[index];
         let before = suspect.count(proven);
         suspect.note_use(used);
@@ -104,12 +104,15 @@
             return;
         }
         let count = suspect.count(proven);
-        self.notify(Notice::Attributed {
-            subject,
-            endpoint: crash.endpoint,
-            count,
-            from_peer,
-        });
+        // One crash is attributed to every request that was at the endpoint.
+        if count > 1 || matches!(subject, Subject::Part(_)) {
+            self.notify(Notice::Attributed {
+                subject,
+                endpoint: crash.endpoint,
+                count,
+                from_peer,
+            });
+        }
         if before < LIMIT && count >= LIMIT {
             self.notify(Notice::Quarantined { subject, count });
         }
@@ -123,7 +126,7 @@
         }
         let proofs = &self.proofs;
         let rank = |suspect: &Suspect| {
-            let count = suspect.count(proofs.last(suspect.subject.id()));
+            let count = suspect.count(proofs.last(suspect.subject));
             (count, std::cmp::Reverse(suspect.idle(now)))
         };
         let least = (0..self.suspects.len()).min_by_key(|&index| rank(&self.suspects[index]));
@@ -161,7 +164,7 @@
     /// Returns the number of endpoints that a subject has crashed since it was last cleared.
     #[must_use]
     pub fn count(&self, subject: Subject) -> usize {
-        let proven = self.proofs.last(subject.id());
+        let proven = self.proofs.last(subject);
         self.find(subject)
             .map_or(0, |index| self.suspects[index].count(proven))
     }
@@ -169,22 +172,22 @@
     /// Returns whether a crash of a subject at a time would count.
     #[must_use]
     pub fn would_count(&self, subject: Subject, at: Time) -> bool {
-        suspect::counts(at, self.proofs.last(subject.id()))
+        suspect::counts(at, self.proofs.last(subject))
     }
 
     /// Returns the quarantine of a subject, if it is in quarantine.
     #[must_use]
     pub fn quarantine(&self, subject: Subject, now: Time) -> Option<Quarantine> {
         let index = self.find(subject).ok()?;
-        let proven = self.proofs.last(subject.id());
+        let proven = self.proofs.last(subject);
         self.suspects[index].quarantine(proven, now)
     }
 
     /// Returns all quarantines.
     pub fn quarantines(&self, now: Time) -> impl Iterator<Item = Quarantine> {
-        self.suspects.iter().filter_map(move |suspect| {
-            suspect.quarantine(self.proofs.last(suspect.subject.id()), now)
-        })
+        self.suspects
+            .iter()
+            .filter_map(move |suspect| suspect.quarantine(self.proofs.last(suspect.subject), now))
     }
 
     /// Records that a request with a quarantined subject is sent, to learn whether it still crashes
@@ -203,37 +206,36 @@
 
     /// Returns up to `most` crashes to announce.
     ///
-    /// Half of the places are for those of quarantined subjects, which a node that has just started
-    /// needs first; the rest is for new ones and then for all others. `turn` selects a part of those
-    /// that are too many for one heartbeat.
+    /// At most half of the places are for those of quarantined subjects, which a node that has just
+    /// started needs first. New ones follow, those of parts first, since a crash is attributed to many
+    /// requests and few parts. `turn` selects some of those that are too many for one heartbeat.
     #[must_use]
     pub fn reports(&self, most: usize, turn: usize, now: Time) -> Vec<Report> {
-        let (mut held, mut news, mut others) = (Vec::new(), Vec::new(), Vec::new());
+        let mut groups: [Vec<Report>; 4] = Default::default();
         for suspect in &self.suspects {
-            let counted: Vec<&Crash> = suspect
-                .counted(self.proofs.last(suspect.subject.id()))
-                .collect();
-            let quarantined = counted.len() >= LIMIT;
-            for crash in counted {
-                let report = Report {
+            let proven = self.proofs.last(suspect.subject);
+            let quarantined = suspect.count(proven) >= LIMIT;
+            for crash in suspect.counted(proven) {
+                let is_new = now.saturating_sub(crash.learnt_at) < NEWS_PERIOD;
+                let group = match suspect.subject {
+                    _ if quarantined => 0,
+                    Subject::Part(_) if is_new => 1,
+                    Subject::Request(_) if is_new => 2,
+                    _ => 3,
+                };
+                groups[group].push(Report {
                     subject: suspect.subject,
                     endpoint: crash.endpoint,
                     age: now.saturating_sub(crash.at),
                     idle: suspect.idle(now),
-                };
-                if quarantined {
-                    held.push(report);
-                } else if now.saturating_sub(crash.learnt_at) < NEWS_PERIOD {
-                    news.push(report);
-                } else {
-                    others.push(report);
-                }
+                });
             }
         }
-        let mut reports = select(held, most / 2, turn);
-        for group in [news, others] {
-            let rest = most - reports.len();
-            reports.extend(select(group, rest, turn));
+        let [quarantined, rest @ ..] = groups;
+        let mut reports = select(quarantined, most / 2, turn);
+        for group in rest {
+            let places = most - reports.len();
+            reports.extend(select(group, places, turn));
         }
         reports
     }
@@ -245,7 +247,7 @@
             let Subject::Part(part) = suspect.subject else {
                 return None;
             };
-            let age = now.saturating_sub(self.proofs.last(part)?);
+            let age = now.saturating_sub(self.proofs.last(suspect.subject)?);
             (age < CLEARED_RETENTION).then_some((part, age))
         });
         let mut proofs: Vec<(Prefix, Duration)> = parts.collect();
@@ -273,12 +275,12 @@
         let expired: Vec<Suspect> = self
             .suspects
             .extract_if(.., |suspect| {
-                suspect.expire(proofs.last(suspect.subject.id()), CLEARED_RETENTION, now);
+                suspect.expire(proofs.last(suspect.subject), CLEARED_RETENTION, now);
                 suspect.is_empty() || suspect.idle(now) >= RETENTION
             })
             .collect();
         for suspect in expired {
-            if suspect.count(self.proofs.last(suspect.subject.id())) >= LIMIT {
+            if suspect.count(self.proofs.last(suspect.subject)) >= LIMIT {
                 self.notify(Notice::Expired {
                     subject: suspect.subject,
                 });
--- a/crates/peridotdeck-core/src/dispatch/crashes/notice.rs
+++ b/crates/peridotdeck-core/src/dispatch/crashes/notice.rs
@@ -6,7 +6,7 @@
 /// A change of belief about a subject, or a decision that follows from it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Notice {
-    /// A crash was attributed to a subject.
+    /// A crash was attributed to a part, or a second one to a request.
     Attributed {
         /// The subject.
         subject: Subject,
--- a/crates/peridotdeck-core/src/dispatch/crashes/proofs.rs
+++ b/crates/peridotdeck-core/src/dispatch/crashes/proofs.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::Subject;
 use crate::{dispatch::Prefix, id::Time};
 
 /// Time for which a proof is remembered: longer than any that peers announce.
@@ -35,8 +36,11 @@
         }
     }
 
-    /// Returns the time of a part's last proof, if it is remembered.
-    pub(super) fn last(&self, part: Prefix) -> Option<Time> {
+    /// Returns the time of a subject's last proof, if it is a part and the proof is remembered.
+    pub(super) fn last(&self, subject: Subject) -> Option<Time> {
+        let Subject::Part(part) = subject else {
+            return None;
+        };
         let index = self.find(part).ok()?;
         Some(self.proofs[index].1)
     }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -112,12 +112,12 @@
             if state.record_reachable() {
                 self.treat_as_cold(key, now);
             }
-            self.acquit(key);
+            self.drop_suspicions(key);
             return;
         }
         state.record_unreachable(now);
         self.prefixes.remove_endpoint(key);
-        self.blame(key, now);
+        self.attribute_crash(key, now);
     }
 
     /// Treats an endpoint as cold that is reachable again.
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/quarantine.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/quarantine.rs
@@ -1,4 +1,4 @@
-//! Blame for crashed endpoints, and the quarantine of what is to blame.
+//! Attribution of endpoint crashes to requests and parts of prompts, and their quarantine.
 //!
 //! See [`crate::dispatch::crashes`] for what is counted.
 
@@ -193,7 +193,7 @@
     }
 
     /// Attributes the crash of an endpoint to the subjects that may have caused it.
-    pub(super) fn blame(&mut self, key: Key, now: Time) {
+    pub(super) fn attribute_crash(&mut self, key: Key, now: Time) {
         let of_endpoint = |suspicion: &mut Suspicion| suspicion.key == key;
         let suspicions: Vec<Suspicion> = self.suspicions.extract_if(.., of_endpoint).collect();
         let recent = suspicions
@@ -206,7 +206,7 @@
     }
 
     /// Drops the suspicions against requests of an endpoint that is up.
-    pub(super) fn acquit(&mut self, key: Key) {
+    pub(super) fn drop_suspicions(&mut self, key: Key) {
         self.suspicions.retain(|suspicion| suspicion.key != key);
     }
 
--- a/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
+++ b/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
@@ -209,6 +209,30 @@
 }
 
 /// Whatever a heartbeat reports, it fits a datagram; [`Fleet::deliver`] checks each.
+/// Crashes an endpoint under each of some prompts; half of them are answered elsewhere.
+fn crash_endpoints(node: &mut Dispatcher, count: u64, now: Duration) {
+    let send = |node: &mut Dispatcher, number: u64| {
+        let mut request = decoded_request("bulk");
+        let digest = number.wrapping_mul(0xd1b5_4a32_d192_ed03);
+        request.prompt = prompt(digest, 3_000, 500);
+        let mut flight = admit(node, request, now);
+        match node.place(&mut flight, now) {
+            Placement::Send(assignment) => (flight, assignment.attempt),
+            other => panic!("endpoints are eligible, but {other:?}"),
+        }
+    };
+    for number in 1..=count {
+        let (flight, attempt) = send(node, number);
+        node.finish(&attempt, End::Broken, &flight, now);
+        node.record_probe(attempt.key(), false, now);
+        node.record_probe(attempt.key(), true, now);
+        if number % 2 == 0 {
+            let (flight, attempt) = send(node, number);
+            node.finish(&attempt, End::Finished, &flight, now);
+        }
+    }
+}
+
 #[test]
 fn fullest_heartbeats_fit_datagrams() {
     let ids: Vec<String> = (0..120).map(|number| format!("e{number}")).collect();
@@ -232,6 +256,7 @@
             node.finish(&assignment.attempt, End::Failed, &flight, ms(500));
         }
     }
+    crash_endpoints(node, 20, ms(500));
     for endpoint in &endpoints[..20] {
         node.record_departure(endpoint.key(), ms(500));
     }
--- a/crates/peridotdeck-core/tests/testsuite/poison.rs
+++ b/crates/peridotdeck-core/tests/testsuite/poison.rs
@@ -2,12 +2,24 @@
 
 use peridotdeck_core::{
     Verdict,
+    flight::Stage,
     quarantine::{CRASH_LIMIT, List},
     request::{Call, Cause},
 };
 
 use crate::simulation::{Ending, Simulation, call};
 
+/// Returns the endpoint of each request that is running, on all six nodes.
+fn busy_endpoints(sim: &Simulation) -> Vec<u32> {
+    let flights = (0..6).flat_map(|vm| sim.node(vm).request_table().flights());
+    flights
+        .filter_map(|flight| match &flight.stage {
+            Stage::Running(running) => Some(running.endpoint),
+            _ => None,
+        })
+        .collect()
+}
+
 #[test]
 fn quarantined_after_two_crashes() {
     let mut list = List::default();
@@ -41,14 +53,7 @@
         sim.send(round % 6, crashing.clone());
         for _ in 0..40 {
             sim.advance_ms(25);
-            let running_at: Vec<u32> = (0..6)
-                .flat_map(|vm| sim.node(vm).request_table().flights())
-                .filter_map(|flight| match &flight.stage {
-                    peridotdeck_core::flight::Stage::Running(running) => Some(running.endpoint),
-                    _ => None,
-                })
-                .collect();
-            for endpoint in running_at {
+            for endpoint in busy_endpoints(&sim) {
                 crashed.push(endpoint);
                 sim.crash_endpoint(endpoint);
             }
@@ -94,14 +99,7 @@
         sim.send(round as usize % 6, deadly);
         for _ in 0..60 {
             sim.advance_ms(25);
-            let running_at: Vec<u32> = (0..6)
-                .flat_map(|vm| sim.node(vm).request_table().flights())
-                .filter_map(|flight| match &flight.stage {
-                    peridotdeck_core::flight::Stage::Running(running) => Some(running.endpoint),
-                    _ => None,
-                })
-                .collect();
-            for endpoint in running_at {
+            for endpoint in busy_endpoints(&sim) {
                 crashes += 1;
                 sim.crash_endpoint(endpoint);
             }
