Let stand-ins cut answers at any byte, and crash when they begin to answer

Change: the fake path ends answers after any number of bytes with an orderly close; a test plays an engine behind it on the own interface, with answers cut in the head, the body and a stream: the caller gets the whole answer or none that looks whole. The fake engine crashes under the deadly words when it begins to answer, after the prompt was read, as the users' engines do.

--- a/crates/peridotdeck-fake/src/engine/api.rs
+++ b/crates/peridotdeck-fake/src/engine/api.rs
@@ -109,11 +109,11 @@
     let Some(seat) = state.enter(priority, &class).await else {
         return Ok(broken());
     };
-    if prompt.contains(text::DEADLY) {
-        Arc::clone(&state).crash();
+    if !seat.prefill(&prompt, body.resume_from).await {
         return Ok(broken());
     }
-    if !seat.prefill(&prompt, body.resume_from).await {
+    if prompt.contains(text::DEADLY) {
+        Arc::clone(&state).crash();
         return Ok(broken());
     }
     let (id, prompt) = if state.take_cross() {
--- a/crates/peridotdeck-fake/src/relay.rs
+++ b/crates/peridotdeck-fake/src/relay.rs
@@ -1,4 +1,7 @@
-//! A TCP path that delays bytes and can lose track of its open connections.
+//! A TCP path that delays bytes, can lose track of its open connections, and can cut answers.
+//!
+//! After [`Relay::cut_answers`], the answers on each new connection end after some bytes with an
+//! orderly close, at whichever byte that is.
 //!
 //! After [`Relay::silence`], connections that were open stay open and carry nothing more, while new
 //! ones work: what a stateful device between two ends does when it forgets.
@@ -24,6 +27,7 @@
 pub struct Relay {
     address: SocketAddr,
     epoch: Arc<AtomicU64>,
+    answer_limit: Arc<AtomicU64>,
     accept: Option<JoinHandle<()>>,
 }
 
@@ -36,10 +40,18 @@
         let listener = TcpListener::bind(crate::ANY).await?;
         let address = listener.local_addr()?;
         let epoch = Arc::new(AtomicU64::new(0));
-        let accept = task::spawn(accept(listener, target, delay, Arc::clone(&epoch)));
+        let answer_limit = Arc::new(AtomicU64::new(u64::MAX));
+        let path = Path {
+            target,
+            delay,
+            epoch: Arc::clone(&epoch),
+            answer_limit: Arc::clone(&answer_limit),
+        };
+        let accept = task::spawn(accept(listener, path));
         Ok(Self {
             address,
             epoch,
+            answer_limit,
             accept: Some(accept),
         })
     }
@@ -50,6 +62,11 @@
         self.address
     }
 
+    /// Ends each connection that is opened from now on after so many bytes from the target.
+    pub fn cut_answers(&self, bytes: u64) {
+        self.answer_limit.store(bytes, Ordering::SeqCst);
+    }
+
     /// Forgets all connections that are open now.
     pub fn silence(&self) {
         self.epoch.fetch_add(1, Ordering::SeqCst);
@@ -64,46 +81,48 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, delay: Duration, epoch: Arc<AtomicU64>) {
+/// What the relay does to its connections.
+#[derive(Clone, Debug)]
+struct Path {
+    target: SocketAddr,
+    delay: Duration,
+    epoch: Arc<AtomicU64>,
+    answer_limit: Arc<AtomicU64>,
+}
+
+async fn accept(listener: TcpListener, path: Path) {
     while let Ok((near, _)) = listener.accept().await {
-        let epoch = Arc::clone(&epoch);
+        let path = path.clone();
         task::spawn(async move {
-            task::sleep(delay).await;
-            let Ok(far) = TcpStream::connect(target).await else {
+            task::sleep(path.delay).await;
+            let Ok(far) = TcpStream::connect(path.target).await else {
                 return;
             };
-            let born = epoch.load(Ordering::SeqCst);
-            task::spawn(forward(
-                near.clone(),
-                far.clone(),
-                delay,
-                born,
-                Arc::clone(&epoch),
-            ));
-            task::spawn(forward(far, near, delay, born, epoch));
+            let limit = path.answer_limit.load(Ordering::SeqCst);
+            task::spawn(forward(near.clone(), far.clone(), path.clone(), u64::MAX));
+            task::spawn(forward(far, near, path, limit));
         });
     }
 }
 
-async fn forward(
-    mut from: TcpStream,
-    mut to: TcpStream,
-    delay: Duration,
-    born: u64,
-    epoch: Arc<AtomicU64>,
-) {
+/// Forwards bytes in one direction, at most `left`.
+async fn forward(mut from: TcpStream, mut to: TcpStream, path: Path, mut left: u64) {
     /// Bytes forwarded at a time.
     const BUFFER: usize = 16 * 1_024;
+    let born = path.epoch.load(Ordering::SeqCst);
     let mut buffer = vec![0; BUFFER];
-    loop {
-        let read = from.read(&mut buffer).await;
-        if epoch.load(Ordering::SeqCst) != born {
+    while left > 0 {
+        let most = left.min(BUFFER as u64) as usize;
+        let read = from.read(&mut buffer[..most]).await;
+        if path.epoch.load(Ordering::SeqCst) != born {
             // Both ends keep their connection, and neither hears of the other again.
             std::future::pending::<()>().await;
         }
-        task::sleep(delay).await;
+        task::sleep(path.delay).await;
         match read {
-            Ok(count) if count > 0 && to.write_all(&buffer[..count]).await.is_ok() => {}
+            Ok(count) if count > 0 && to.write_all(&buffer[..count]).await.is_ok() => {
+                left -= count as u64;
+            }
             _ => break,
         }
     }
--- a/crates/peridotdeck-fake/src/text.rs
+++ b/crates/peridotdeck-fake/src/text.rs
@@ -11,7 +11,7 @@
 /// Bytes of text that count as one prompt token.
 pub const BYTES_PER_TOKEN: usize = 4;
 
-/// Words that force an engine to crash, for the request that kills engines.
+/// Words that crash each engine that begins to answer a prompt with them.
 pub const DEADLY: &str = "divide the stage by zero";
 
 const SYLLABLES: [&str; 16] = [
--- a/crates/peridotdeck-router/tests/testsuite/cut_answers.rs
+++ b/crates/peridotdeck-router/tests/testsuite/cut_answers.rs
@@ -10,7 +10,11 @@
 
 use async_std::{future::timeout, task::block_on};
 use http_types::{Method, Request};
+use peridotdeck_fake::{relay::Relay, text};
 use peridotdeck_http::client;
+use peridotdeck_policy::split;
+
+use crate::cluster::{Cluster, chat_request, fast_engine, read_json, read_stream, send};
 
 const BODY: &str = "a whole answer";
 
@@ -77,6 +81,46 @@
     }
 }
 
+/// Guards against a part of an engine's answer that the router passes on as complete.
+#[test]
+fn caller_gets_the_whole_answer_or_none() {
+    let prompt = "a short draft about 4 words";
+    block_on(async {
+        let mut cluster = Cluster::start(&[fast_engine()], 1).await;
+        let engine = cluster.engines[0].address();
+        let relay = Relay::start(engine, Duration::ZERO).await.expect("a port");
+        for service in &mut cluster.config.services {
+            for endpoint in &mut service.endpoints {
+                if endpoint.address == engine.to_string() {
+                    endpoint.address = relay.address().to_string();
+                }
+            }
+        }
+        cluster.platform.publish(&split(&cluster.config));
+        let address = cluster.address();
+        for bytes in [40, 300, 600] {
+            relay.cut_answers(bytes);
+            let streamed = send(address, chat_request(address, prompt, true)).await;
+            if streamed.status().is_success() {
+                let text = read_stream(streamed).await;
+                assert!(
+                    text.is_none_or(|text| text == text::answer(prompt, 0)),
+                    "{bytes}"
+                );
+            }
+            let whole = send(address, chat_request(address, prompt, false)).await;
+            if whole.status().is_success() {
+                let answer = read_json(whole).await;
+                let content = &answer["choices"][0]["message"]["content"];
+                assert_eq!(content, &text::answer(prompt, 0), "{bytes}");
+            }
+        }
+        relay.cut_answers(u64::MAX);
+        let streamed = send(address, chat_request(address, prompt, true)).await;
+        assert_eq!(read_stream(streamed).await, Some(text::answer(prompt, 0)));
+    });
+}
+
 /// Guards against the loss of complete answers.
 #[test]
 fn framed_answer_is_complete() {
