Take no answer that may be cut for a proof

Cause: the end of an unframed answer counted as finished. Under a deadly part an endpoint may end such an answer with its own last moment; that would have cleared the part, and the endpoint was not probed.

Evidence: `answer_that_may_be_cut_is_no_proof`, which is refused nothing without this change.

Change: an attempt whose answer ended with its connection ends as `unconfirmed`. The endpoint is probed, and a refused probe attributes the crash; the request and the parts that had not been answered before are suspects. Such an end alone bars no retry, since most of these answers are whole.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
@@ -105,7 +105,7 @@
                 _ => {}
             }
             match end {
-                End::Broken | End::Silent => state.suspect(now),
+                End::Broken | End::Unconfirmed | End::Silent => state.suspect(now),
                 End::Unreachable => state.record_unreachable(now),
                 _ => {}
             }
@@ -116,7 +116,7 @@
             _ => {}
         }
         match end {
-            End::Broken => self.suspect_request(attempt, flight, now),
+            End::Broken | End::Unconfirmed => self.suspect_request(attempt, end, flight, now),
             End::Finished => self.clear_finished(flight, now),
             _ => {}
         }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/quarantine.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/quarantine.rs
@@ -8,7 +8,7 @@
 use crate::{
     dispatch::{
         Key, Node, Prefix,
-        attempt::Attempt,
+        attempt::{Attempt, End},
         crashes::{Notice, Quarantine, Subject},
         flight::{DecodedRequest, Flight, Prompt},
         refusal::{Cause, Refusal},
@@ -35,6 +35,8 @@
     key: Key,
     subjects: Vec<Subject>,
     broken_at: Time,
+    /// Whether the answer broke for certain, or may have been complete.
+    certain: bool,
 }
 
 /// Parts of a prompt on which an endpoint has begun an answer.
@@ -128,7 +130,8 @@
     pub(super) fn suspicion(&self, flight: &Flight) -> usize {
         let suspicion = |subject| {
             let pending = self.suspicions.iter().filter(|suspicion| {
-                suspicion.subjects.contains(&subject)
+                suspicion.certain
+                    && suspicion.subjects.contains(&subject)
                     && self.crashes.would_count(subject, suspicion.broken_at)
             });
             let mut keys: Vec<Key> = pending.map(|suspicion| suspicion.key).collect();
@@ -177,8 +180,15 @@
         }
     }
 
-    /// Suspects a request whose attempt broke, and the parts of its prompt if it was not answered.
-    pub(super) fn suspect_request(&mut self, attempt: &Attempt, flight: &Flight, now: Time) {
+    /// Suspects a request whose attempt broke or may have, and the parts of its prompt unless an
+    /// endpoint had answered on them.
+    pub(super) fn suspect_request(
+        &mut self,
+        attempt: &Attempt,
+        end: End,
+        flight: &Flight,
+        now: Time,
+    ) {
         let key = attempt.key;
         self.begun.retain(|begun| begun.key != key);
         let is_cleared = |answered: Time| now.saturating_sub(answered) >= PROOF_DELAY;
@@ -189,6 +199,7 @@
             key,
             subjects: suspected.collect(),
             broken_at: now,
+            certain: end == End::Broken,
         });
     }
 
--- a/crates/peridotdeck-core/tests/testsuite/crashing_parts.rs
+++ b/crates/peridotdeck-core/tests/testsuite/crashing_parts.rs
@@ -433,6 +433,31 @@
     );
 }
 
+/// Guards against a proof by an answer that ended with the connection of its endpoint's last moment.
+#[test]
+fn answer_that_may_be_cut_is_no_proof() {
+    let infos: Vec<_> = (0..4)
+        .map(|index| endpoint(&format!("e{index}"), "text", data_centre(index)))
+        .collect();
+    let mut node = configure(Dispatcher::new(options(1, data_centre(0)), ms(0)), &infos);
+    let mut deadly = decoded_request("bulk");
+    deadly.prompt = prompt(&[COMMON, DEADLY]);
+    for round in 0..3 {
+        let now = ms(round * 1_000);
+        let mut flight = node.admit(deadly.clone(), round, now).expect("admitted");
+        let Placement::Send(assignment) = node.place(&mut flight, now) else {
+            panic!("an endpoint is left");
+        };
+        let mut attempt = assignment.attempt;
+        node.record_answer_start(&mut attempt, false, &flight, now);
+        node.finish(&attempt, End::Unconfirmed, &flight, now);
+        node.record_probe(attempt.key(), false, now + ms(30));
+        node.tick(now + ms(500));
+    }
+    let refusal = node.admit(deadly, 9, ms(4_000)).expect_err("refused");
+    assert_eq!(refusal.cause, Cause::Quarantined);
+}
+
 /// Guards against a quarantine that outlives its reason.
 #[test]
 fn part_that_no_longer_crashes_endpoints_is_served_again() {
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -161,7 +161,7 @@
                 let framing = channel.framing;
                 self.framing = Some(framing);
                 channel.keep(&self.shared.pool, key);
-                self.finish_attempt(End::Finished, "");
+                self.finish_attempt(framing.end(), "");
                 self.record_end("answered", response.status().as_u16(), "");
                 Ok(Box::new(Outcome::Whole(response, framing)))
             }
--- a/crates/peridotdeck-relay/src/framing.rs
+++ b/crates/peridotdeck-relay/src/framing.rs
@@ -1,6 +1,7 @@
 //! How an answer shows where its body ends.
 
 use hyper::{Version, body::Body, header::TRANSFER_ENCODING, http::response};
+use peridotdeck_core::dispatch::attempt::End;
 use strum::{Display, IntoStaticStr};
 
 /// How an answer shows where its body ends.
@@ -22,6 +23,16 @@
         self != Self::Connection
     }
 
+    /// Returns the outcome of an attempt whose answer was read to its end.
+    #[must_use]
+    pub fn end(self) -> End {
+        if self.shows_end() {
+            End::Finished
+        } else {
+            End::Unconfirmed
+        }
+    }
+
     /// Returns the framing of an answer whose body has not been read yet.
     #[must_use]
     pub fn of(head: &response::Parts, body: &impl Body) -> Self {
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -166,8 +166,9 @@
     /// Records the complete stream, keeps its connection, and returns the remaining bytes.
     fn finish(&mut self) -> Option<Bytes> {
         if let Some(channel) = self.channel.take() {
+            let end = channel.framing.end();
             channel.keep(&self.forwarding.shared.pool, self.key);
-            self.forwarding.finish_attempt(End::Finished, "");
+            self.forwarding.finish_attempt(end, "");
             self.forwarding.record_stream_end();
             self.forwarding.record_end("answered", 200, "");
         }
