--- a/crates/peridotdeck-relay/src/server.rs
+++ b/crates/peridotdeck-relay/src/server.rs
@@ -3,33 +3,35 @@
 //! A response whose end is not known may end with its connection, see [`end_with_connection`]. If
 //! its body fails, the connection is reset, because an orderly close would look like its end.
 
+mod activity;
+mod socket;
+
 use std::{
     error::Error,
-    io::{self, IoSlice},
+    io,
     net::{SocketAddr, TcpListener, TcpStream},
-    pin::{Pin, pin},
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
-    task::{Context, Poll},
+    pin::pin,
+    sync::Arc,
     time::Duration,
 };
 
+use activity::Activity;
+pub use activity::Tracked;
 use async_channel::Receiver;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncRead, AsyncWrite, future};
+use futures_lite::future;
 use hyper::{
     Request, Response, Version,
-    body::{Body, Bytes, Frame, Incoming, SizeHint},
+    body::{Body, Bytes, Incoming},
     header::{CONNECTION, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
 use smol_hyper::rt::FuturesIo;
-use socket2::{Domain, SockRef, Type};
+use socket::Socket;
+use socket2::{Domain, Type};
 
-use crate::{clock, pool};
+use crate::pool;
 
 /// Largest number of connections that the kernel queues until they are accepted.
 const ACCEPT_BACKLOG: i32 = 1_024;
@@ -49,85 +51,6 @@
     pub idle_timeout: Duration,
 }
 
-/// Counter of a connection's requests in progress, and the end of the last one.
-#[derive(Debug)]
-struct Activity {
-    /// Number of requests in progress.
-    requests: AtomicU64,
-    /// Time at which the last request ended, in milliseconds of the node's clock.
-    last_ms: AtomicU64,
-    /// Whether the connection's end is the end of the response in progress.
-    ends_response: AtomicBool,
-}
-
-impl Activity {
-    fn new() -> Self {
-        Self {
-            requests: AtomicU64::new(0),
-            last_ms: AtomicU64::new(millis()),
-            ends_response: AtomicBool::new(false),
-        }
-    }
-
-    /// Returns the time since the last request ended, or none while one is in progress.
-    fn idle(&self) -> Option<Duration> {
-        if self.requests.load(Ordering::Relaxed) > 0 {
-            return None;
-        }
-        let last = self.last_ms.load(Ordering::Relaxed);
-        Some(Duration::from_millis(millis().saturating_sub(last)))
-    }
-}
-
-fn millis() -> u64 {
-    clock::now().as_millis() as u64
-}
-
-/// Guard that marks a connection as busy until it is dropped.
-#[derive(Debug)]
-struct Busy(Arc<Activity>);
-
-impl Busy {
-    fn new(activity: &Arc<Activity>) -> Self {
-        activity.requests.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(activity))
-    }
-}
-
-impl Drop for Busy {
-    fn drop(&mut self) {
-        self.0.last_ms.store(millis(), Ordering::Relaxed);
-        self.0.requests.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// A response body that marks its connection as busy until it is sent or dropped.
-#[derive(Debug)]
-pub struct Tracked<B> {
-    body: Pin<Box<B>>,
-    _busy: Busy,
-}
-
-impl<B: Body> Body for Tracked<B> {
-    type Data = B::Data;
-    type Error = B::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        self.body.as_mut().poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// Sends a response without framing, so that it ends with its connection.
 ///
 /// hyper frames a body of unknown length in chunks for any version but HTTP/1.0.
@@ -137,53 +60,6 @@
     response.headers_mut().insert(CONNECTION, close);
 }
 
-/// A socket that stays accessible while hyper reads and writes it.
-#[derive(Clone, Debug)]
-struct Socket(Arc<Async<TcpStream>>);
-
-impl Socket {
-    /// Makes the close of the connection a reset.
-    fn reset_on_close(&self) -> io::Result<()> {
-        SockRef::from(self.0.get_ref()).set_linger(Some(Duration::ZERO))
-    }
-}
-
-impl AsyncRead for Socket {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut &*self.0).poll_read(context, buffer)
-    }
-}
-
-impl AsyncWrite for Socket {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut &*self.0).poll_write(context, buffer)
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut &*self.0).poll_write_vectored(context, buffers)
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut &*self.0).poll_flush(context)
-    }
-
-    fn poll_close(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut &*self.0).poll_close(context)
-    }
-}
-
 /// Opens a listening socket at an address.
 ///
 /// # Errors
@@ -259,19 +135,16 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     pool::set_options(stream.get_ref())?;
-    let socket = Socket(Arc::new(stream));
+    let socket = Socket::new(stream);
     let activity = Arc::new(Activity::new());
     let service = service_fn(|request| {
-        let busy = Busy::new(&activity);
+        let busy = activity.begin();
         let response = respond(request);
         async move {
             let response = response.await;
             let ends_response = response.version() == Version::HTTP_10;
-            busy.0.ends_response.store(ends_response, Ordering::Relaxed);
-            Ok::<_, std::convert::Infallible>(response.map(|body| Tracked {
-                body: Box::pin(body),
-                _busy: busy,
-            }))
+            busy.set_ends_response(ends_response);
+            Ok::<_, std::convert::Infallible>(response.map(|body| Tracked::new(body, busy)))
         }
     });
     let connection = http1::Builder::new()
@@ -301,7 +174,7 @@
         future::or(connection.as_mut(), idle).await
     };
     let result = rest.await;
-    if result.is_err() && activity.ends_response.load(Ordering::Relaxed) {
+    if result.is_err() && activity.ends_response() {
         socket.reset_on_close()?;
     }
     Ok(result?)
--- /dev/null
+++ b/crates/peridotdeck-relay/src/server/activity.rs
@@ -0,0 +1,114 @@
+//! Requests in progress on a connection, and the time since the last one.
+
+use std::{
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use hyper::body::{Body, Frame, SizeHint};
+
+use crate::clock;
+
+/// Counter of a connection's requests in progress, and the end of the last one.
+#[derive(Debug)]
+pub(super) struct Activity {
+    /// Number of requests in progress.
+    requests: AtomicU64,
+    /// Time at which the last request ended, in milliseconds of the node's clock.
+    last_ms: AtomicU64,
+    /// Whether the connection's end is the end of the response in progress.
+    ends_response: AtomicBool,
+}
+
+impl Activity {
+    pub(super) fn new() -> Self {
+        Self {
+            requests: AtomicU64::new(0),
+            last_ms: AtomicU64::new(millis()),
+            ends_response: AtomicBool::new(false),
+        }
+    }
+
+    /// Marks the connection as busy until the guard is dropped.
+    pub(super) fn begin(self: &Arc<Self>) -> Busy {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        Busy(Arc::clone(self))
+    }
+
+    /// Returns whether the connection's end is the end of the response in progress.
+    pub(super) fn ends_response(&self) -> bool {
+        self.ends_response.load(Ordering::Relaxed)
+    }
+
+    /// Returns the time since the last request ended, or none while one is in progress.
+    pub(super) fn idle(&self) -> Option<Duration> {
+        if self.requests.load(Ordering::Relaxed) > 0 {
+            return None;
+        }
+        let last = self.last_ms.load(Ordering::Relaxed);
+        Some(Duration::from_millis(millis().saturating_sub(last)))
+    }
+}
+
+fn millis() -> u64 {
+    clock::now().as_millis() as u64
+}
+
+/// Guard that marks a connection as busy until it is dropped.
+#[derive(Debug)]
+pub(super) struct Busy(Arc<Activity>);
+
+impl Busy {
+    /// Sets whether the connection's end is the end of the response.
+    pub(super) fn set_ends_response(&self, ends_response: bool) {
+        self.0.ends_response.store(ends_response, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.last_ms.store(millis(), Ordering::Relaxed);
+        self.0.requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A response body that marks its connection as busy until it is sent or dropped.
+#[derive(Debug)]
+pub struct Tracked<B> {
+    body: Pin<Box<B>>,
+    _busy: Busy,
+}
+
+impl<B> Tracked<B> {
+    pub(super) fn new(body: B, busy: Busy) -> Self {
+        Self {
+            body: Box::pin(body),
+            _busy: busy,
+        }
+    }
+}
+
+impl<B: Body> Body for Tracked<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        self.body.as_mut().poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/peridotdeck-relay/src/server/socket.rs
@@ -0,0 +1,65 @@
+//! A connection's socket, shared by hyper and the server.
+
+use std::{
+    io::{self, IoSlice},
+    net::TcpStream,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use async_io::Async;
+use futures_lite::{AsyncRead, AsyncWrite};
+use socket2::SockRef;
+
+/// A socket that stays accessible while hyper reads and writes it.
+#[derive(Clone, Debug)]
+pub(super) struct Socket(Arc<Async<TcpStream>>);
+
+impl Socket {
+    pub(super) fn new(stream: Async<TcpStream>) -> Self {
+        Self(Arc::new(stream))
+    }
+
+    /// Makes the close of the connection a reset.
+    pub(super) fn reset_on_close(&self) -> io::Result<()> {
+        SockRef::from(self.0.get_ref()).set_linger(Some(Duration::ZERO))
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_write(context, buffer)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_write_vectored(context, buffers)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.0).poll_flush(context)
+    }
+
+    fn poll_close(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.0).poll_close(context)
+    }
+}
