--- a/crates/peridotdeck-core/src/dispatch/crashes.rs
+++ b/crates/peridotdeck-core/src/dispatch/crashes.rs
@@ -261,7 +261,7 @@
         std::mem::take(&mut self.notices)
     }
 
-    /// Adds a notice for the log; more than [`MAX_NOTICES`] in one tick are dropped.
+    /// Adds a notice for the log; those beyond a limit in one tick are dropped.
     pub fn notify(&mut self, notice: Notice) {
         if self.notices.len() < MAX_NOTICES {
             self.notices.push(notice);
