--- a/crates/peridotdeck-core/tests/testsuite/crashing_parts.rs
+++ b/crates/peridotdeck-core/tests/testsuite/crashing_parts.rs
@@ -8,6 +8,7 @@
 use peridotdeck_core::dispatch::{
     Dispatcher, Key, Node, Prefix,
     attempt::{Attempt, End, Next, Placement},
+    crashes::{List, Subject},
     flight::{Flight, Part, Prompt},
     refusal::Cause,
     registry::Fact,
@@ -470,3 +471,54 @@
     world.run(ms(10_000), 0.1, &parts);
     assert!(world.deadly_sends.len() - before >= 20);
 }
+
+/// Guards against trials of all nodes that together crash one endpoint after the other.
+#[test]
+fn trials_become_rare() {
+    let mut world = World::new(7, 12, 51);
+    world.run(ms(500_000), 0.02, &[COMMON, DEADLY]);
+    assert!(world.crashes.len() > 3, "a trial has been made");
+    world.assert_stopped("trials");
+}
+
+/// Guards against a quarantine of what no longer comes, and against state without end.
+#[test]
+fn state_is_bounded_and_ends_with_its_reason() {
+    let mut list = List::default();
+    for endpoint in 1..=3 {
+        list.record(Subject::Part(DEADLY), endpoint, ms(0));
+    }
+    for subject in 0..5_000 {
+        list.record(Subject::Request(subject), 9, ms(subject));
+        list.clear_part(subject + 1_000, ms(subject));
+    }
+    assert_eq!(list.quarantines(ms(5_000)).count(), 1, "the worst is kept");
+    assert!(list.reports(8, 0, ms(5_000)).len() <= 8);
+    assert!(list.proofs(6, ms(5_000)).len() <= 6);
+    list.note_use(Subject::Part(DEADLY), ms(300_000));
+    list.expire(ms(899_000));
+    assert_eq!(list.quarantines(ms(899_000)).count(), 1, "it still comes");
+    list.expire(ms(900_000));
+    assert_eq!(list.quarantines(ms(900_000)).count(), 0);
+    assert!(list.reports(8, 0, ms(900_000)).is_empty());
+}
+
+/// Guards against crashes that grow younger while nodes tell each other of them, and never end.
+#[test]
+fn reported_crashes_keep_their_age() {
+    let (mut one, mut other) = (List::default(), List::default());
+    one.record(Subject::Part(DEADLY), 1, ms(1_000));
+    for step in 1..=100 {
+        let now = ms(1_000 + step * 10_000);
+        for report in one.reports(8, 0, now) {
+            other.receive(report, now);
+        }
+        for report in other.reports(8, 0, now) {
+            one.receive(report, now);
+        }
+        one.expire(now);
+        other.expire(now);
+    }
+    assert_eq!(one.count(Subject::Part(DEADLY)), 0);
+    assert_eq!(other.count(Subject::Part(DEADLY)), 0);
+}
