Reset a broken stream of a caller that knows no chunks

A caller of HTTP/1.0 gets a stream that ends with its connection, and a broken one was closed in order, like a complete one.

Evidence: `broken_stream_of_an_old_caller_is_reset`, which fails without this change.

Change: the connection of such a caller is reset when the body fails, as it is for an answer that is passed on without framing.

Result: the platform's tests pass.

--- a/crates/peridotdeck-relay/src/server.rs
+++ b/crates/peridotdeck-relay/src/server.rs
@@ -137,12 +137,13 @@
     pool::set_options(stream.get_ref())?;
     let socket = Socket::new(stream);
     let activity = Arc::new(Activity::new());
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
         let busy = activity.begin();
+        let knows_chunks = request.version() != Version::HTTP_10;
         let response = respond(request);
         async move {
             let response = response.await;
-            let ends_response = response.version() == Version::HTTP_10;
+            let ends_response = !knows_chunks || response.version() == Version::HTTP_10;
             busy.set_ends_response(ends_response);
             Ok::<_, std::convert::Infallible>(response.map(|body| Tracked::new(body, busy)))
         }
