Bound the time after which a quarantined caller may return

What callers would see: a Retry-After of twenty seconds and more, which they ignore beyond a third of their time.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -74,8 +74,8 @@
         } else {
             key_owner.cloned()
         };
-        let trial = self.check_quarantine(&request, fingerprint, now)?;
         let max_wait = request.max_wait.unwrap_or(route.timeout).min(route.timeout);
+        let trial = self.check_quarantine(&request, fingerprint, max_wait, now)?;
         let service = self.choose_service(&route.split);
         self.budget.count_request(&service, now);
         let rank = config.rank(route, organisation.as_deref());
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/quarantine.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/quarantine.rs
@@ -4,7 +4,10 @@
 
 use std::time::Duration;
 
-use super::{Dispatcher, waiting::give_up};
+use super::{
+    Dispatcher,
+    waiting::{RETRY_AFTER_FRACTION, give_up},
+};
 use crate::{
     dispatch::{
         Key, Node, Prefix,
@@ -68,6 +71,7 @@
         &mut self,
         request: &DecodedRequest,
         fingerprint: Fingerprint,
+        max_wait: Duration,
         now: Time,
     ) -> Result<bool, Refusal> {
         let found: Vec<Quarantine> = subjects(fingerprint, &request.prompt)
@@ -86,17 +90,20 @@
             }
             return Ok(true);
         }
-        let wait = self.hold_back(longest, &request.id);
+        let wait = self.hold_back(longest, &request.id, max_wait);
         Err(Refusal::not_run(Cause::Quarantined, Some(wait)))
     }
 
     /// Notes that a request is not sent, and returns the time after which its caller may return.
-    fn hold_back(&mut self, quarantine: Quarantine, id: &str) -> Duration {
+    ///
+    /// `left` is the caller's time, of which the wait may take a fraction.
+    fn hold_back(&mut self, quarantine: Quarantine, id: &str, left: Duration) -> Duration {
         self.crashes.notify(Notice::Refused {
             subject: quarantine.subject,
             id: id.to_owned(),
         });
-        quarantine.trial_in.max(MIN_RETRY_AFTER)
+        let wait = quarantine.trial_in.max(MIN_RETRY_AFTER);
+        wait.min(left.mul_f64(RETRY_AFTER_FRACTION))
     }
 
     /// Returns whether this node makes the trials of a subject.
@@ -121,7 +128,7 @@
         let Some(quarantine) = found else {
             return Ok(());
         };
-        let wait = self.hold_back(quarantine, &flight.id);
+        let wait = self.hold_back(quarantine, &flight.id, flight.time_left(now));
         Err(give_up(flight, Cause::Quarantined, Some(wait)))
     }
 
