Give endpoints keys that do not collide

What callers would see: requests at an endpoint that was not chosen for them, or one whose data centre is closed.

Cause: the key was a digest of the id with the start time as its seed. Digests of short inputs with neighbouring seeds collide: of 2,450 keys of ids such as `i-7` 430 were equal. Two endpoints with one key share state, load and kept connections. Ids of twelve characters, as on the users' platform, did not collide in any play.

`endpoint_keys_differ` failed.

Change: the digest covers the id and the start time. The random test also ends attempts as unconfirmed.

--- a/crates/peridotdeck-core/src/dispatch.rs
+++ b/crates/peridotdeck-core/src/dispatch.rs
@@ -37,7 +37,7 @@
 
 use std::net::Ipv4Addr;
 
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 pub use dispatcher::Dispatcher;
 
@@ -53,7 +53,11 @@
 /// Returns the digest of an endpoint's id and its start time in Unix milliseconds.
 #[must_use]
 pub fn key(id: &str, born: u64) -> Key {
-    xxh3_64_with_seed(id.as_bytes(), born) as Key
+    // A seed would do for long ids only: digests of short inputs with neighbouring seeds collide.
+    let mut digest = Xxh3::new();
+    digest.update(id.as_bytes());
+    digest.update(&born.to_le_bytes());
+    digest.digest() as Key
 }
 
 /// Returns the digest of a data centre's name.
--- a/crates/peridotdeck-core/tests/testsuite/numbering.rs
+++ b/crates/peridotdeck-core/tests/testsuite/numbering.rs
@@ -1,6 +1,9 @@
 //! Ids of requests and attempts are unique over all nodes and restarts.
 
-use peridotdeck_core::id::Generator;
+use peridotdeck_core::{
+    dispatch::{Key, key},
+    id::Generator,
+};
 
 #[test]
 fn ids_differ() {
@@ -16,3 +19,18 @@
     ids.dedup();
     assert_eq!(ids.len(), count);
 }
+
+/// Guards against two endpoints that share a key, so that one gets the other's requests.
+///
+/// Their ids differ in one character, and their processes in their start times.
+#[test]
+fn endpoint_keys_differ() {
+    let ids = (0..50).map(|number| format!("i-{number}"));
+    let mut keys: Vec<Key> = ids
+        .flat_map(|id| (1..50).map(move |born| key(&id, born)))
+        .collect();
+    let count = keys.len();
+    keys.sort_unstable();
+    keys.dedup();
+    assert_eq!(keys.len(), count);
+}
--- a/crates/peridotdeck-core/tests/testsuite/random_dispatch.rs
+++ b/crates/peridotdeck-core/tests/testsuite/random_dispatch.rs
@@ -31,13 +31,14 @@
 
 const NODES: usize = 4;
 const ROUTES: [&str; 4] = ["urgent", "bulk", "lookup", "booking"];
-const ENDS: [End; 10] = [
+const ENDS: [End; 11] = [
     End::Finished,
     End::Failed,
     End::Rejected,
     End::Misdirected,
     End::Unreachable,
     End::Broken,
+    End::Unconfirmed,
     End::Garbled,
     End::Silent,
     End::TimedOut,
