Log the rates that endpoints name, and show them in the status

The logs could not tell whether nodes knew the rate of an endpoint that got too much (LIMIT). An answer's rate now makes a belief (`event=endpoint_rate`, `rate=` in `/status`). No decision uses it yet.

--- a/crates/peridotdeck-core/src/dispatch.rs
+++ b/crates/peridotdeck-core/src/dispatch.rs
@@ -32,6 +32,7 @@
 pub mod mean;
 pub mod placement;
 pub mod prefix;
+pub mod rate;
 pub mod refusal;
 pub mod registry;
 
--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -8,6 +8,7 @@
 //! - `outcomes`: an attempt ends;
 //! - `pauses`: a stream pauses between events;
 //! - `quarantine`: an endpoint has crashed, or has answered on a prompt;
+//! - `rates`: an endpoint names a rate, or a request needs a part of one;
 //! - `peers`: a heartbeat from a peer arrives, or one to a peer is composed;
 //! - `maintenance`: time passes, or the result of a probe or of a cache query arrives.
 
@@ -17,6 +18,7 @@
 mod peers;
 mod placing;
 mod quarantine;
+mod rates;
 mod waiting;
 
 use std::time::Duration;
@@ -33,6 +35,7 @@
     fleet::Fleet,
     mean,
     prefix::Index,
+    rate,
     registry::{self, Change, Position, Registry, Report},
 };
 use crate::id::Time;
@@ -101,6 +104,7 @@
     budget: Budget,
     crashes: crashes::List,
     departures: departures::List,
+    rates: rate::Table,
     suspicions: Vec<Suspicion>,
     begun: Vec<Begun>,
     plain_answer_ms: mean::Table,
@@ -136,6 +140,7 @@
             budget: Budget::new(options.retry_bound),
             crashes: crashes::List::default(),
             departures: departures::List::default(),
+            rates: rate::Table::default(),
             suspicions: Vec::new(),
             begun: Vec::new(),
             plain_answer_ms: mean::Table::new(INITIAL_PLAIN_ANSWER_MS),
@@ -261,6 +266,7 @@
         if let Ok(index) = self.find(key) {
             self.states.remove(index);
         }
+        self.rates.remove(key);
         self.prefixes.remove_endpoint(key);
     }
 
--- a/crates/peridotdeck-relay/src/control.rs
+++ b/crates/peridotdeck-relay/src/control.rs
@@ -10,6 +10,7 @@
 };
 use peridotdeck_core::dispatch::{
     Dispatcher,
+    rate::Limit,
     registry::{Area, Position},
 };
 
@@ -190,7 +191,8 @@
             &mut lines,
             format_args!(
                 "endpoint={} key={:08x} service={} place={} draining={} departing={} paused_ms={} \
-                 cold={} resting={} suspected={} own={} running={} unread={} pace={:.2} failure_rate={:.2}",
+                 cold={} resting={} suspected={} rate={} own={} running={} unread={} pace={:.2} \
+                 failure_rate={:.2}",
                 state.info.id,
                 state.key,
                 state.info.service,
@@ -201,6 +203,7 @@
                 state.is_cold(now),
                 state.is_in_backoff(),
                 state.is_suspected(),
+                rate_text(dispatcher.rate(state.key)),
                 state.own_load.running,
                 load.running,
                 load.unread,
@@ -212,6 +215,12 @@
     lines
 }
 
+/// Returns the rate that an endpoint names, in requests per second.
+fn rate_text(limit: Option<Limit>) -> String {
+    let rate = limit.and_then(|limit| limit.rate);
+    rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
+}
+
 fn push_line(lines: &mut String, line: std::fmt::Arguments<'_>) {
     // Writing to a `String` never fails.
     let _ = writeln!(lines, "{line}");
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -143,7 +143,7 @@
     }
     if reply != Reply::Misdirected {
         let notice = shared.ingress.notice(&head);
-        shared.note_endpoint(assignment.attempt.key(), &flight.id, notice);
+        shared.note_endpoint(&assignment.attempt, &flight.id, notice);
     }
     let channel = Channel {
         connection,
--- a/crates/peridotdeck-relay/src/ingress.rs
+++ b/crates/peridotdeck-relay/src/ingress.rs
@@ -32,12 +32,14 @@
 }
 
 /// What an answer's head says of the endpoint that sent it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
     /// Whether the endpoint is about to leave and wants no new requests.
     pub leaving: bool,
     /// Time for which the endpoint wants no requests from this node.
     pub pause: Option<Duration>,
+    /// Requests per second that the endpoint takes from all nodes together; none if it names no rate.
+    pub rate: Option<f64>,
 }
 
 /// Translation between the headers of one platform and the types of the dispatcher.
--- a/crates/peridotdeck-relay/src/shared.rs
+++ b/crates/peridotdeck-relay/src/shared.rs
@@ -11,6 +11,8 @@
 
 use peridotdeck_core::dispatch::{
     Dispatcher, Key,
+    attempt::Attempt,
+    rate::News,
     registry::{Area, Change, Endpoint, Position, Report},
 };
 
@@ -62,8 +64,12 @@
     /// Records what an answer's head says of its endpoint.
     ///
     /// `id` is the id of the answered request.
-    pub fn note_endpoint(&self, key: Key, id: &str, notice: Notice) {
-        let now = clock::now();
+    pub fn note_endpoint(&self, attempt: &Attempt, id: &str, notice: Notice) {
+        let (key, now) = (attempt.key(), clock::now());
+        let news = self.dispatcher().record_rate(attempt, notice.rate, now);
+        if let Some(news) = news {
+            log_rate(key, news, id);
+        }
         if notice.leaving && self.dispatcher().record_departure(key, now) {
             log::info!("event=endpoint_departing endpoint_key={key:08x} id={id}");
         }
@@ -107,6 +113,16 @@
     }
 }
 
+/// Logs a change of the rate that an endpoint is believed to take, and where it was learned.
+pub(crate) fn log_rate(key: Key, news: News, source: &str) {
+    let text = |rate: Option<f64>| rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+    log::info!(
+        "event=endpoint_rate endpoint_key={key:08x} rate={} before={} source={source}",
+        text(news.now),
+        text(news.before),
+    );
+}
+
 fn log_endpoint(event: &str, endpoint: &Endpoint, source: &str) {
     let Endpoint {
         id,
