--- a/crates/peridotdeck-core/tests/testsuite/dispatch.rs
+++ b/crates/peridotdeck-core/tests/testsuite/dispatch.rs
@@ -25,7 +25,7 @@
     ("nuernberg", "franken"),
 ];
 
-pub fn ms(value: u64) -> Duration {
+pub const fn ms(value: u64) -> Duration {
     Duration::from_millis(value)
 }
 
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod fleet_beats;
 mod handover;
 mod membership;
+mod named_rates;
 mod numbering;
 mod overload_waits;
 mod poison;
--- /dev/null
+++ b/crates/peridotdeck-core/tests/testsuite/named_rates/world.rs
@@ -0,0 +1,271 @@
+//! Nodes of three data centres, callers, and endpoints that name the rate that they take.
+
+use std::{net::Ipv4Addr, time::Duration};
+
+use peridotdeck_core::dispatch::{
+    Dispatcher, Key, Node,
+    attempt::{Attempt, End, Placement},
+    flight::Flight,
+    registry,
+};
+use peridotdeck_wire::beat::Beat;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::dispatch::{REGIONS, configure, copies, decoded_request, endpoint, ms, options};
+
+/// Span in which the requests at an endpoint are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Time after a rate was first named from which it must be kept.
+const IN_FORCE: Duration = Duration::from_secs(4);
+
+/// Time from the arrival of a request at an endpoint to the head of its answer, and to its end.
+const ANSWER: (Duration, Duration) = (ms(60), ms(500));
+
+const STEP: Duration = ms(25);
+
+pub struct Endpoint {
+    pub info: registry::Endpoint,
+    /// Requests per second that it names.
+    pub rate: Option<f64>,
+    /// Requests that it got: when, from which node, and their rank.
+    pub got: Vec<(Duration, usize, u8)>,
+}
+
+struct Open {
+    node: usize,
+    flight: Flight,
+    attempt: Attempt,
+    head_read: bool,
+}
+
+/// What became of the requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub sent: usize,
+    pub waited: usize,
+    pub refused: usize,
+}
+
+pub struct World {
+    pub now: Duration,
+    pub rng: SmallRng,
+    pub nodes: Vec<Option<Dispatcher>>,
+    /// Group of each node; only nodes of the same group exchange heartbeats.
+    pub groups: Vec<usize>,
+    pub endpoints: Vec<Endpoint>,
+    /// Nodes that callers reach, and requests per second at each.
+    pub callers: (Vec<usize>, f64),
+    /// Share of requests that belong to the most urgent route.
+    pub urgent_share: f64,
+    pub counts: Counts,
+    heartbeats: Vec<(Duration, usize, Beat)>,
+    waiting: Vec<(Duration, usize, Flight)>,
+    open: Vec<Open>,
+}
+
+fn address(index: usize) -> Node {
+    Ipv4Addr::from(0x0a00_0001 + index as u32)
+}
+
+fn data_centre(index: usize) -> &'static str {
+    REGIONS[index % REGIONS.len()].0
+}
+
+fn key(endpoint: &Endpoint) -> Key {
+    endpoint.info.key()
+}
+
+impl World {
+    /// Starts `nodes` nodes and `endpoints` endpoints, spread over the data centres.
+    pub fn new(nodes: usize, endpoints: usize, seed: u64) -> Self {
+        let endpoints = (0..endpoints).map(|index| Endpoint {
+            info: endpoint(&format!("e{index}"), "text", data_centre(index)),
+            rate: None,
+            got: Vec::new(),
+        });
+        let mut world = Self {
+            now: Duration::ZERO,
+            rng: SmallRng::seed_from_u64(seed),
+            nodes: Vec::new(),
+            groups: vec![0; nodes],
+            endpoints: endpoints.collect(),
+            callers: ((0..nodes).collect(), 4.0),
+            urgent_share: 0.5,
+            counts: Counts::default(),
+            heartbeats: Vec::new(),
+            waiting: Vec::new(),
+            open: Vec::new(),
+        };
+        world.nodes = (0..nodes).map(|index| Some(world.node(index))).collect();
+        world.run(ms(2_000));
+        world
+    }
+
+    fn node(&mut self, index: usize) -> Dispatcher {
+        let mut options = options(1, data_centre(index));
+        options.node = address(index);
+        options.seeds = vec![address(0), address(1), address(2)];
+        options.incarnation = self.rng.random();
+        let infos: Vec<_> = self.endpoints.iter().map(|one| one.info.clone()).collect();
+        configure(Dispatcher::new(options, self.now), &infos)
+    }
+
+    /// Ends a node without a word; its requests end with it.
+    pub fn kill(&mut self, index: usize) {
+        self.nodes[index] = None;
+        self.open.retain(|open| open.node != index);
+        self.waiting.retain(|(_, node, _)| *node != index);
+    }
+
+    /// Starts a node, which knows only what the publisher says.
+    pub fn start(&mut self, index: usize) {
+        self.nodes[index] = Some(self.node(index));
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.exchange();
+            self.answer();
+            self.retry_waiting();
+            self.arrive();
+        }
+    }
+
+    fn exchange(&mut self) {
+        for index in 0..self.nodes.len() {
+            if let Some(node) = &mut self.nodes[index] {
+                let due = node.tick(self.now);
+                self.send(index, copies(due.heartbeats));
+            }
+        }
+        let now = self.now;
+        let arrived: Vec<_> = self
+            .heartbeats
+            .extract_if(.., |(at, ..)| *at <= now)
+            .collect();
+        for (_, to, beat) in arrived {
+            let Some(node) = &mut self.nodes[to] else {
+                continue;
+            };
+            let (replies, _) = node.receive(&beat, now);
+            let sender = Node::from(beat.node);
+            self.send(to, replies.into_iter().map(|beat| (sender, beat)).collect());
+        }
+    }
+
+    fn send(&mut self, from: usize, beats: Vec<(Node, Beat)>) {
+        for (to, beat) in beats {
+            let to = (u32::from(to) - u32::from(address(0))) as usize;
+            if self.groups[from] == self.groups[to] && !self.rng.random_bool(0.02) {
+                let near = from % REGIONS.len() == to % REGIONS.len();
+                let delay = ms(if near { 1 } else { 31 });
+                self.heartbeats.push((self.now + delay, to, beat));
+            }
+        }
+    }
+
+    /// Lets the endpoints answer: the head names the rate, then the request ends.
+    fn answer(&mut self) {
+        let now = self.now;
+        for open in &mut self.open {
+            let Some(node) = &mut self.nodes[open.node] else {
+                continue;
+            };
+            if !open.head_read && now >= open.attempt.sent() + ANSWER.0 {
+                open.head_read = true;
+                let found = self.endpoints.iter();
+                let mut found = found.filter(|one| key(one) == open.attempt.key());
+                let rate = found.next().and_then(|endpoint| endpoint.rate);
+                node.record_rate(&open.attempt, rate, now);
+                node.record_answer_start(&mut open.attempt, false, &open.flight, now);
+            }
+        }
+        let whole = |open: &mut Open| now >= open.attempt.sent() + ANSWER.1;
+        for open in self.open.extract_if(.., whole) {
+            if let Some(node) = &mut self.nodes[open.node] {
+                node.finish(&open.attempt, End::Finished, &open.flight, now);
+            }
+        }
+    }
+
+    fn retry_waiting(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.waiting.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, node, flight) in due {
+            self.place(node, flight);
+        }
+    }
+
+    fn arrive(&mut self) {
+        let (reached, rate) = self.callers.clone();
+        for index in reached {
+            if !self.rng.random_bool((rate * STEP.as_secs_f64()).min(1.0)) {
+                continue;
+            }
+            let urgent = self.rng.random_bool(self.urgent_share);
+            let request = decoded_request(if urgent { "urgent" } else { "bulk" });
+            let Some(node) = &mut self.nodes[index] else {
+                continue;
+            };
+            let mut flight = node.admit(request, 7, self.now).expect("admitted");
+            flight.rank = u8::from(!urgent);
+            self.place(index, flight);
+        }
+    }
+
+    fn place(&mut self, index: usize, mut flight: Flight) {
+        let Some(node) = &mut self.nodes[index] else {
+            return;
+        };
+        match node.place(&mut flight, self.now) {
+            Placement::Send(assignment) => {
+                self.counts.sent += 1;
+                let attempt = assignment.attempt;
+                let mut endpoints = self.endpoints.iter_mut();
+                let endpoint = endpoints.find(|one| key(one) == attempt.key());
+                let endpoint = endpoint.expect("only listed endpoints are used");
+                endpoint.got.push((self.now, index, flight.rank));
+                self.open.push(Open {
+                    node: index,
+                    flight,
+                    attempt,
+                    head_read: false,
+                });
+            }
+            Placement::Wait(delay) => {
+                self.counts.waited += 1;
+                self.waiting.push((self.now + delay.time, index, flight));
+            }
+            Placement::Refuse(..) => self.counts.refused += 1,
+        }
+    }
+
+    /// Returns the number of requests that an endpoint got in a span of time.
+    pub fn count(&self, endpoint: usize, from: Duration, to: Duration) -> usize {
+        let got = self.endpoints[endpoint].got.iter();
+        got.filter(|(at, ..)| (from..to).contains(at)).count()
+    }
+
+    /// Asserts that an endpoint got no more in any window than it allows, since it named its rate.
+    pub fn assert_kept(&self, endpoint: usize, named: Duration, rate: f64, what: &str) {
+        let allowed = (1.5 * rate * WINDOW.as_secs_f64()).ceil() as usize + 5;
+        let got = &self.endpoints[endpoint].got;
+        for (start, ..) in got.iter().filter(|(at, ..)| *at >= named + IN_FORCE) {
+            let count = self.count(endpoint, *start, *start + WINDOW);
+            assert!(
+                count <= allowed,
+                "{what}: {count} in 4 s from {start:?}, {allowed} allowed"
+            );
+        }
+    }
+
+    /// Asserts that an endpoint got a share of its rate at least in a span of time.
+    pub fn assert_used(&self, endpoint: usize, share: f64, from: Duration, rate: f64, what: &str) {
+        let due = share * rate * (self.now - from).as_secs_f64();
+        let count = self.count(endpoint, from, self.now);
+        assert!(count as f64 >= due, "{what}: {count} used, {due:.1} due");
+    }
+}
