Share out the rates that endpoints name by one node for each

What callers saw: endpoints in need got more than they had named, 29 requests in 4 s where 24 were allowed, and answered late or not at all.

Cause: no node read the rate, so each sent what placement preferred the endpoint for. Class: a limit that belongs to an endpoint and is kept by each node for itself, or by none.

Change: beliefs in rates travel with heartbeats. A node of the endpoint's data centre grants single requests to nodes that demand them, the most urgent first; sides of a cut together stay below the bound (docs/design/RATES.md). Protocol version 4.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -105,6 +105,10 @@
     crashes: crashes::List,
     departures: departures::List,
     rates: rate::Table,
+    /// Changes of rates that peers have reported since the last tick.
+    rate_news: Vec<rate::News>,
+    /// Grants that are to be sent, each to a node for an endpoint.
+    grants: Vec<(Node, Key)>,
     suspicions: Vec<Suspicion>,
     begun: Vec<Begun>,
     plain_answer_ms: mean::Table,
@@ -141,6 +145,8 @@
             crashes: crashes::List::default(),
             departures: departures::List::default(),
             rates: rate::Table::default(),
+            rate_news: Vec::new(),
+            grants: Vec::new(),
             suspicions: Vec::new(),
             begun: Vec::new(),
             plain_answer_ms: mean::Table::new(INITIAL_PLAIN_ANSWER_MS),
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -38,6 +38,8 @@
             let status = self.status(now);
             due.heartbeats = self.fleet.beats(&status, now);
         }
+        due.heartbeats.append(&mut self.rate_messages(now));
+        due.rates = std::mem::take(&mut self.rate_news);
         due.probes = self.probes(now);
         due.cache_queries = self.cache_queries();
         due.snapshot_requests = self.snapshot_requests(now);
@@ -47,6 +49,7 @@
             self.prefixes.expire(now);
             self.crashes.expire(now);
             self.departures.expire(now);
+            self.rates.expire(now);
             self.expire_suspicions(now);
         }
         due
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
@@ -141,10 +141,10 @@
         flight.may_run_after(flight.runs + 1)
             && self.suspicion(flight) == 0
             && flight.time_left(now) > MIN_ATTEMPT_TIME
-            && self
-                .states
-                .iter()
-                .any(|state| self.admits(state, flight, now).is_ok())
+            && self.states.iter().any(|state| {
+                self.admits(state, flight, now).is_ok()
+                    && self.rate_admits(state.key, flight.rank, now)
+            })
             && self.budget.take_retry(&flight.service, nodes, now)
     }
 
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
@@ -31,7 +31,7 @@
 const FOLLOWER_FETCH_DELAY: Duration = Duration::from_millis(20);
 
 /// Returns a time in milliseconds, at most the largest number of the message.
-fn millis(time: Duration) -> u32 {
+pub(super) fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
@@ -93,14 +93,16 @@
         for key in &beat.departures {
             self.record_departure(*key, now);
         }
+        self.receive_rates(beat, now);
         self.note_newer_states(beat, now);
         let node = Node::from(beat.node);
-        let replies = if changes.reply_requested {
+        let mut replies = if changes.reply_requested {
             let status = self.status(now);
             self.fleet.reply(node, &status, now)
         } else {
             Vec::new()
         };
+        replies.append(&mut self.grants_to(node, now));
         (replies, changes.joined)
     }
 
@@ -200,6 +202,7 @@
             roster: self.registry.progress(Area::Roster).changed,
             version: self.registry.version(),
             departures: self.departures.recent(now).take(MAX_DEPARTURES).collect(),
+            rates: self.rate_reports(turn as usize, now),
             loads: busy.map(|state| (state.key, state.own_load)).collect(),
             health,
             strikes: crashes.iter().map(strike).collect(),
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -128,13 +128,19 @@
         let unknown = Service::default();
         let service = config.service(&flight.service).unwrap_or(&unknown);
         let (ranked, mut exclusions) = self.rank(flight, service, now);
-        if let Some((key, estimate)) = ranked.first()
+        let mut within_rate = ranked
+            .iter()
+            .filter(|(key, _)| self.rate_admits(*key, flight.rank, now));
+        if let Some((key, estimate)) = within_rate.next()
             && let Some(delay) = self.defer(flight, service, *key, estimate, now)
         {
             return Placement::Wait(delay);
         }
         for (key, estimate) in ranked {
-            match self.admit_cold(key, service, now) {
+            let admitted = self
+                .admit_rate(key, flight, now)
+                .and_then(|()| self.admit_cold(key, service, now));
+            match admitted {
                 Ok(()) => return Placement::Send(self.assign(key, estimate, flight, service, now)),
                 Err(exclusion) => exclusions.push(exclusion),
             }
@@ -358,6 +364,7 @@
     ) -> Assignment {
         flight.waiting_since = None;
         flight.tried.push(key);
+        self.spend_rate(key, flight.rank, now);
         if service.model.is_some() {
             for part in &flight.prompt.shared {
                 self.prefixes.record_use(part.prefix, key, now);
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/rates.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/rates.rs
@@ -1,15 +1,38 @@
-//! Rates that endpoints name, and the parts of them that this node may spend.
+//! Rates that endpoints name, and the parts of them that this node may spend or grants to others.
 
-use super::Dispatcher;
+use peridotdeck_wire::beat;
+
+use super::{Dispatcher, peers::millis};
 use crate::{
     dispatch::{
-        Key,
+        Key, Node,
         attempt::Attempt,
-        rate::{Limit, News},
+        data_centre,
+        endpoint::State,
+        fleet::{Broadcast, Status},
+        flight::Flight,
+        key as endpoint_key,
+        placement::Exclusion,
+        rate::{Demand, Limit, News, Table},
     },
     id::Time,
+    rendezvous,
 };
 
+/// Least rate that is spent, in requests per second, since only an answer shows that a rate of
+/// nearly 0 has ended.
+const MIN_RATE: f64 = 0.2;
+
+/// Fraction of a rate that is granted outside the endpoint's data centre, by all others together,
+/// while they reach no node there. Nodes there may be cut off from them, and grant the whole rate.
+const REMOTE_FRACTION: f64 = 0.2;
+
+/// Most demands or grants in one message.
+const MAX_ENTRIES: usize = 32;
+
+/// Start time that stands for all processes of an endpoint, so that a restart keeps the owner.
+const ANY_START: u64 = 0;
+
 impl Dispatcher {
     /// Records whether an answer named a rate that its endpoint takes from all nodes together.
     ///
@@ -18,12 +41,234 @@
         if self.find(attempt.key()).is_err() {
             return None;
         }
-        self.rates.note(attempt.key(), rate, attempt.sent(), now)
+        let news = self.rates.note(attempt.key(), rate, attempt.sent(), now)?;
+        self.fleet.mark_urgent();
+        Some(news)
     }
 
-    /// Returns what is known of the rate that an endpoint takes.
+    /// Returns what is known of the rates that endpoints name.
     #[must_use]
-    pub fn rate(&self, key: Key) -> Option<Limit> {
-        self.rates.get(key)
+    pub fn rates(&self) -> &Table {
+        &self.rates
+    }
+
+    /// Returns whether a request of a rank may be sent to an endpoint within the rate that it names.
+    pub(super) fn rate_admits(&self, key: Key, rank: u8, now: Time) -> bool {
+        let entry = self.rates.get(key);
+        let named = entry.filter(|entry| entry.limit.rate.is_some());
+        named.is_none_or(|entry| entry.allowance.admits(rank, now))
+    }
+
+    /// Counts a request towards the rate of its endpoint, if it names one.
+    pub(super) fn spend_rate(&mut self, key: Key, rank: u8, now: Time) {
+        if let Some((entry, _)) = self.rates.named_mut(key) {
+            entry.allowance.spend(rank, now);
+        }
+    }
+
+    /// Checks that a request may be sent within its endpoint's rate, and demands a part if not.
+    ///
+    /// # Errors
+    /// Returns the reason if the endpoint names a rate of which this node holds no part.
+    pub(super) fn admit_rate(
+        &mut self,
+        key: Key,
+        flight: &Flight,
+        now: Time,
+    ) -> Result<(), Exclusion> {
+        let rank = flight.rank;
+        if self.rate_admits(key, rank, now) {
+            return Ok(());
+        }
+        let data_centre = &self.options.data_centre;
+        // While an endpoint is cold, only nodes of its own data centre may send to it.
+        let may_use = |state: &State| !state.is_cold(now) || state.info.data_centre == *data_centre;
+        if !self.state(key).is_some_and(may_use) {
+            return Err(Exclusion::RateLimited);
+        }
+        if let Some((entry, _)) = self.rates.named_mut(key) {
+            let is_new = flight.waiting_since.is_none();
+            entry.allowance.want(rank, is_new, now);
+        }
+        // The owner's own requests need no message.
+        if self.rates.get(key).is_some_and(|entry| entry.is_owner) {
+            self.share_out(key, now);
+            if self.rate_admits(key, rank, now) {
+                return Ok(());
+            }
+        }
+        Err(Exclusion::RateLimited)
+    }
+
+    /// Returns the node that shares out an endpoint's rate, and the fraction of it that this node
+    /// would grant.
+    ///
+    /// It is a node of the endpoint's data centre. Where no live one is known, each other data
+    /// centre has an owner of its own, for a small part.
+    fn rate_owner(&self, state: &State, now: Time) -> Option<(Node, f64)> {
+        let ranking = u64::from(endpoint_key(&state.info.id, ANY_START));
+        let owner = |data_centre| {
+            let nodes = self.fleet.live_nodes(data_centre, now).into_iter();
+            rendezvous::first(ranking, nodes.map(u32::from)).map(Node::from)
+        };
+        let there = data_centre(&state.info.data_centre);
+        if let Some(node) = owner(there) {
+            return Some((node, self.fleet.majority_fraction(now)));
+        }
+        let here = data_centre(&self.options.data_centre);
+        if self.fleet.is_single() {
+            return Some((self.options.node, self.fleet.majority_fraction(now)));
+        }
+        let others = self.options.regions.len().saturating_sub(1).max(1);
+        let fraction = REMOTE_FRACTION / others as f64 * self.fleet.majority_fraction(now);
+        Some((owner(here)?, fraction))
+    }
+
+    /// Grants what an endpoint's rate allows by now, if this node shares it out.
+    ///
+    /// Grants to this node itself count at once, others are queued for a message.
+    fn share_out(&mut self, key: Key, now: Time) {
+        let owner = self
+            .state(key)
+            .and_then(|state| self.rate_owner(state, now));
+        let me = self.options.node;
+        let Some((entry, rate)) = self.rates.named_mut(key) else {
+            return;
+        };
+        let Some((_, fraction)) = owner.filter(|(owner, _)| *owner == me) else {
+            entry.is_owner = false;
+            entry.ledger.reset();
+            return;
+        };
+        entry.is_owner = true;
+        if let Some(demand) = entry.allowance.take_demand(now) {
+            entry.ledger.demand(me, demand, now);
+        }
+        let nodes = entry.ledger.share_out(rate.max(MIN_RATE) * fraction, now);
+        for node in nodes {
+            if node == me {
+                entry.allowance.deposit(1, now);
+            } else {
+                self.grants.push((node, key));
+            }
+        }
+    }
+
+    /// Applies the reports, demands and grants in a peer's heartbeat.
+    pub(super) fn receive_rates(&mut self, beat: &beat::Beat, now: Time) {
+        for report in &beat.rates {
+            if self.find(report.endpoint).is_err() {
+                continue;
+            }
+            let age = Time::from_millis(report.age_ms.into());
+            let limit = Limit {
+                rate: report.named.then(|| f64::from(report.millis) / 1e3),
+                observed: now.saturating_sub(age),
+            };
+            if let Some(news) = self.rates.receive(report.endpoint, limit) {
+                self.rate_news.push(news);
+            }
+        }
+        let node = Node::from(beat.node);
+        for demand in &beat.demands {
+            let (key, count) = (demand.endpoint, demand.count);
+            let rank = demand.rank;
+            if let Some((entry, _)) = self.rates.named_mut(key) {
+                entry.ledger.demand(node, Demand { rank, count }, now);
+                self.share_out(key, now);
+            }
+        }
+        for grant in &beat.grants {
+            if let Some((entry, _)) = self.rates.named_mut(grant.endpoint) {
+                entry.allowance.deposit(grant.count, now);
+            }
+        }
+    }
+
+    /// Grants what the rates allow, and returns the messages with demands and grants that are due.
+    pub(super) fn rate_messages(&mut self, now: Time) -> Vec<Broadcast> {
+        let keys: Vec<Key> = self.rates.named().map(|entry| entry.endpoint).collect();
+        let mut demands: Vec<(Node, beat::Demand)> = Vec::new();
+        for key in keys {
+            self.share_out(key, now);
+            demands.extend(self.due_demand(key, now));
+        }
+        let grants = std::mem::take(&mut self.grants);
+        if demands.is_empty() && grants.is_empty() {
+            return Vec::new();
+        }
+        demands.sort_by_key(|(node, _)| *node);
+        let status = self.status(now);
+        let mut messages = self.grant_messages(grants, &status);
+        for group in demands.chunk_by(|(one, _), (other, _)| one == other) {
+            for part in group.chunks(MAX_ENTRIES) {
+                let mut beat = self.fleet.message(&status);
+                beat.demands = part.iter().map(|(_, demand)| demand.clone()).collect();
+                messages.push(Broadcast::to(group[0].0, beat));
+            }
+        }
+        messages
+    }
+
+    /// Returns the messages that tell other nodes of grants.
+    fn grant_messages(&mut self, mut grants: Vec<(Node, Key)>, status: &Status) -> Vec<Broadcast> {
+        grants.sort_unstable();
+        let mut messages = Vec::new();
+        for group in grants.chunk_by(|(one, _), (other, _)| one == other) {
+            for part in group.chunks(MAX_ENTRIES) {
+                let mut beat = self.fleet.message(status);
+                let equal = part.chunk_by(|(_, one), (_, other)| one == other);
+                beat.grants = equal
+                    .map(|equal| beat::Grant {
+                        endpoint: equal[0].1,
+                        count: equal.len() as u32,
+                    })
+                    .collect();
+                messages.push(Broadcast::to(group[0].0, beat));
+            }
+        }
+        messages
+    }
+
+    /// Returns the message that tells a node of its grants, which it has just demanded.
+    pub(super) fn grants_to(&mut self, node: Node, now: Time) -> Vec<beat::Beat> {
+        let own = |(receiver, _): &mut (Node, Key)| *receiver == node;
+        let grants: Vec<(Node, Key)> = self.grants.extract_if(.., own).collect();
+        if grants.is_empty() {
+            return Vec::new();
+        }
+        let status = self.status(now);
+        let messages = self.grant_messages(grants, &status).into_iter();
+        messages.map(|message| message.beat).collect()
+    }
+
+    /// Returns this node's demand for an endpoint, and the node that shares out its rate.
+    fn due_demand(&mut self, key: Key, now: Time) -> Option<(Node, beat::Demand)> {
+        let (owner, _) = self.rate_owner(self.state(key)?, now)?;
+        if owner == self.options.node {
+            return None;
+        }
+        let (entry, _) = self.rates.named_mut(key)?;
+        let Demand { rank, count } = entry.allowance.take_demand(now)?;
+        let demand = beat::Demand {
+            endpoint: key,
+            rank,
+            count,
+        };
+        Some((owner, demand))
+    }
+
+    /// Returns the reports of rates for a heartbeat; `turn` shifts the choice if there are many.
+    pub(super) fn rate_reports(&self, turn: usize, now: Time) -> Vec<beat::Rate> {
+        /// Number of rates that are sent.
+        const MAX_RATES: usize = 8;
+        let reports = self.rates.reports(MAX_RATES, turn, now).into_iter();
+        let reports = reports.map(|(endpoint, limit, age)| beat::Rate {
+            endpoint,
+            named: limit.rate.is_some(),
+            millis: (limit.rate.unwrap_or_default() * 1e3) as u32,
+            age_ms: millis(age),
+        });
+        reports.collect()
     }
 }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/waiting.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/waiting.rs
@@ -20,6 +20,11 @@
 /// Fraction of the target for which a request waits for an eligible endpoint, then is refused.
 const WAIT_TARGET_FRACTION: f64 = 0.3;
 
+/// Fraction of the target for which a request waits for a part of the rate that an endpoint names.
+///
+/// Such a part comes soon, while a caller that is refused comes back much later.
+const RATE_WAIT_TARGET_FRACTION: f64 = 0.6;
+
 /// Shortest time for which a request waits for an eligible endpoint before it is refused.
 const MIN_WAIT: Duration = Duration::from_millis(100);
 
@@ -121,11 +126,12 @@
         exclusions: Vec<Exclusion>,
         now: Time,
     ) -> Placement {
-        let max_wait = flight
-            .route
-            .target
-            .mul_f64(WAIT_TARGET_FRACTION)
-            .max(MIN_WAIT);
+        let fraction = if exclusions.contains(&Exclusion::RateLimited) {
+            RATE_WAIT_TARGET_FRACTION
+        } else {
+            WAIT_TARGET_FRACTION
+        };
+        let max_wait = flight.route.target.mul_f64(fraction).max(MIN_WAIT);
         let since = *flight.waiting_since.get_or_insert(now);
         let excluded_by_region = exclusions
             .iter()
@@ -147,7 +153,11 @@
         let usable = |exclusion: &Exclusion| {
             matches!(
                 exclusion,
-                Exclusion::Tried | Exclusion::Resting | Exclusion::Cold | Exclusion::ColdElsewhere
+                Exclusion::Tried
+                    | Exclusion::Resting
+                    | Exclusion::Cold
+                    | Exclusion::ColdElsewhere
+                    | Exclusion::RateLimited
             )
         };
         if exclusions.iter().any(usable) {
--- a/crates/peridotdeck-core/src/dispatch/due.rs
+++ b/crates/peridotdeck-core/src/dispatch/due.rs
@@ -6,6 +6,7 @@
     Key, Node,
     crashes::Notice,
     fleet::Broadcast,
+    rate::News,
     registry::{Area, Change, Position},
 };
 
@@ -43,6 +44,8 @@
     pub heartbeats: Vec<Broadcast>,
     /// Endpoints to probe.
     pub probes: Vec<Probe>,
+    /// Changes of endpoints' rates that peers have reported since the last tick.
+    pub rates: Vec<News>,
     /// Newer revisions to fetch from peers.
     pub snapshot_requests: Vec<SnapshotRequest>,
     /// Postponed changes of the registry, such as the removal of endpoints missing for too long.
--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -12,7 +12,7 @@
 mod receive;
 mod send;
 
-use std::time::Duration;
+use std::{cmp::Ordering, time::Duration};
 
 use peridotdeck_wire::beat;
 use send::round_time;
@@ -95,6 +95,17 @@
     pub beat: beat::Beat,
 }
 
+impl Broadcast {
+    /// Creates a heartbeat for one peer.
+    #[must_use]
+    pub fn to(node: Node, beat: beat::Beat) -> Self {
+        Self {
+            receivers: vec![node],
+            beat,
+        }
+    }
+}
+
 /// State that a node reports in its heartbeats.
 #[derive(Clone, Debug, Default)]
 pub struct Status {
@@ -114,6 +125,8 @@
     pub proofs: Vec<beat::Proof>,
     /// Endpoints whose departure has become known recently.
     pub departures: Vec<Key>,
+    /// Rates that endpoints name, or no longer name.
+    pub rates: Vec<beat::Rate>,
 }
 
 /// Changes that a received heartbeat leads to.
@@ -290,13 +303,45 @@
     #[must_use]
     pub fn is_isolated(&self, now: Time) -> bool {
         let here = self.live_nodes(self.data_centre, now).len();
-        let most = self
-            .local_sizes
-            .iter()
-            .map(|(_, size)| *size)
-            .max()
-            .unwrap_or(1);
-        2 * here < most || now.saturating_sub(self.started) < DISCOVERY
+        2 * here < self.recent_local_size() || now.saturating_sub(self.started) < DISCOVERY
+    }
+
+    /// Returns the fraction that this node's part of its data centre may spend of what belongs to
+    /// the whole data centre.
+    ///
+    /// Other parts may be cut off and spend at the same time. A majority spends everything, a half
+    /// spends a half. All minorities together spend a tenth at most, a node that has just started
+    /// nothing, and one that has found none of its seeds a half.
+    #[must_use]
+    pub fn majority_fraction(&self, now: Time) -> f64 {
+        /// Fraction that minorities would spend if they were the whole data centre.
+        const MINORITY_FRACTION: f64 = 0.2;
+        if self.leaving || now.saturating_sub(self.started) < DISCOVERY {
+            return 0.0;
+        }
+        let was_heard = |peer: &Peer| peer.incarnation != 0;
+        if !self.seeds.is_empty() && !self.peers.iter().any(was_heard) {
+            return 0.5;
+        }
+        let here = self.live_nodes(self.data_centre, now).len();
+        let most = self.recent_local_size().max(here);
+        match (2 * here).cmp(&most) {
+            Ordering::Greater => 1.0,
+            Ordering::Equal => 0.5,
+            Ordering::Less => MINORITY_FRACTION * here as f64 / most as f64,
+        }
+    }
+
+    /// Returns whether this node knows of no other node, not even as a seed.
+    #[must_use]
+    pub fn is_single(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    /// Returns the largest recent number of live nodes in this data centre.
+    fn recent_local_size(&self) -> usize {
+        let sizes = self.local_sizes.iter().map(|(_, size)| *size);
+        sizes.max().unwrap_or(1)
     }
 
     /// Returns the largest recent number of live nodes in the fleet.
--- a/crates/peridotdeck-core/src/dispatch/fleet/send.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/send.rs
@@ -274,9 +274,22 @@
         first.strikes.clone_from(&status.strikes);
         first.proofs.clone_from(&status.proofs);
         first.departures.clone_from(&status.departures);
+        first.rates.clone_from(&status.rates);
         beats
     }
 
+    /// Returns a heartbeat for a single peer, which reports the rates of endpoints but no load.
+    pub fn message(&mut self, status: &Status) -> beat::Beat {
+        self.sequence += 1;
+        beat::Beat {
+            sequence: self.sequence,
+            first: 1,
+            last: 0,
+            rates: status.rates.clone(),
+            ..self.empty_beat(status, false)
+        }
+    }
+
     /// Returns a heartbeat with the sender and the revisions in force that reports no load at all.
     fn empty_beat(&self, status: &Status, joining: bool) -> beat::Beat {
         beat::Beat {
@@ -298,6 +311,9 @@
             strikes: Vec::new(),
             proofs: Vec::new(),
             departures: Vec::new(),
+            rates: Vec::new(),
+            demands: Vec::new(),
+            grants: Vec::new(),
         }
     }
 
--- a/crates/peridotdeck-core/src/dispatch/placement/exclusion.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement/exclusion.rs
@@ -26,4 +26,6 @@
     ColdElsewhere,
     /// The endpoint is cold, and this node's share of its rate is used up.
     Cold,
+    /// The endpoint names a rate, and this node holds no part of it.
+    RateLimited,
 }
--- a/crates/peridotdeck-core/src/dispatch/rate.rs
+++ b/crates/peridotdeck-core/src/dispatch/rate.rs
@@ -1,11 +1,24 @@
 //! Rates that endpoints in need name, which all nodes spend together.
 //!
 //! An endpoint may name in its answers how many requests per second it takes from all nodes. The
-//! belief in such a rate ([`Limit`]) travels with heartbeats. `docs/design/RATES.md` compares the
-//! ways to keep the sum.
+//! belief in such a rate ([`Limit`]) travels with heartbeats. One node of the endpoint's data centre
+//! shares the rate out ([`Ledger`]): nodes tell it what they could send, and it grants single
+//! requests, the most urgent first. A node sends to the endpoint only what it has been granted
+//! ([`Allowance`]), and everything else to other endpoints.
+//!
+//! `docs/design/RATES.md` compares the ways to keep the sum, and states its bound.
 
+mod allowance;
+mod ledger;
 mod limit;
 mod table;
 
+pub use allowance::{Allowance, Demand};
+pub use ledger::Ledger;
 pub use limit::Limit;
-pub use table::{News, Table};
+pub use table::{Entry, News, Table};
+
+use std::time::Duration;
+
+/// Span over which the use of a rate is reported.
+pub const USE_WINDOW: Duration = Duration::from_secs(4);
--- a/crates/peridotdeck-core/tests/testsuite/named_rates/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/named_rates/world.rs
@@ -45,6 +45,8 @@
     pub sent: usize,
     pub waited: usize,
     pub refused: usize,
+    /// Refused requests of the most urgent route.
+    pub refused_urgent: usize,
 }
 
 pub struct World {
@@ -105,7 +107,7 @@
     fn node(&mut self, index: usize) -> Dispatcher {
         let mut options = options(1, data_centre(index));
         options.node = address(index);
-        options.seeds = vec![address(0), address(1), address(2)];
+        options.seeds = (0..self.groups.len().min(3)).map(address).collect();
         options.incarnation = self.rng.random();
         let infos: Vec<_> = self.endpoints.iter().map(|one| one.info.clone()).collect();
         configure(Dispatcher::new(options, self.now), &infos)
@@ -159,7 +161,8 @@
     fn send(&mut self, from: usize, beats: Vec<(Node, Beat)>) {
         for (to, beat) in beats {
             let to = (u32::from(to) - u32::from(address(0))) as usize;
-            if self.groups[from] == self.groups[to] && !self.rng.random_bool(0.02) {
+            let is_reached = self.groups.get(to) == Some(&self.groups[from]);
+            if is_reached && !self.rng.random_bool(0.02) {
                 let near = from % REGIONS.len() == to % REGIONS.len();
                 let delay = ms(if near { 1 } else { 31 });
                 self.heartbeats.push((self.now + delay, to, beat));
@@ -239,7 +242,10 @@
                 self.counts.waited += 1;
                 self.waiting.push((self.now + delay.time, index, flight));
             }
-            Placement::Refuse(..) => self.counts.refused += 1,
+            Placement::Refuse(..) => {
+                self.counts.refused += 1;
+                self.counts.refused_urgent += usize::from(flight.rank == 0);
+            }
         }
     }
 
@@ -249,6 +255,13 @@
         got.filter(|(at, ..)| (from..to).contains(at)).count()
     }
 
+    /// Returns the number of requests of a rank that an endpoint got since a time.
+    pub fn count_rank(&self, endpoint: usize, rank: u8, from: Duration) -> usize {
+        let got = self.endpoints[endpoint].got.iter();
+        got.filter(|(at, _, other)| *at >= from && *other == rank)
+            .count()
+    }
+
     /// Asserts that an endpoint got no more in any window than it allows, since it named its rate.
     pub fn assert_kept(&self, endpoint: usize, named: Duration, rate: f64, what: &str) {
         let allowed = (1.5 * rate * WINDOW.as_secs_f64()).ceil() as usize + 5;
@@ -264,7 +277,7 @@
 
     /// Asserts that an endpoint got a share of its rate at least in a span of time.
     pub fn assert_used(&self, endpoint: usize, share: f64, from: Duration, rate: f64, what: &str) {
-        let due = share * rate * (self.now - from).as_secs_f64();
+        let due = share * rate * self.now.saturating_sub(from).as_secs_f64();
         let count = self.count(endpoint, from, self.now);
         assert!(count as f64 >= due, "{what}: {count} used, {due:.1} due");
     }
--- a/crates/peridotdeck-relay/src/control.rs
+++ b/crates/peridotdeck-relay/src/control.rs
@@ -8,10 +8,13 @@
     body::{Bytes, Incoming},
     header::{CONTENT_TYPE, HeaderValue},
 };
-use peridotdeck_core::dispatch::{
-    Dispatcher,
-    rate::Limit,
-    registry::{Area, Position},
+use peridotdeck_core::{
+    dispatch::{
+        Dispatcher,
+        rate::Entry,
+        registry::{Area, Position},
+    },
+    id::Time,
 };
 
 use crate::{Ingress, Shared, clock};
@@ -203,7 +206,7 @@
                 state.is_cold(now),
                 state.is_in_backoff(),
                 state.is_suspected(),
-                rate_text(dispatcher.rate(state.key)),
+                rate_text(dispatcher.rates().get(state.key), now),
                 state.own_load.running,
                 load.running,
                 load.unread,
@@ -215,10 +218,22 @@
     lines
 }
 
-/// Returns the rate that an endpoint names, in requests per second.
-fn rate_text(limit: Option<Limit>) -> String {
-    let rate = limit.and_then(|limit| limit.rate);
-    rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
+/// Returns the rate that an endpoint names in requests per second, and its use.
+///
+/// The use is what this node has sent lately and, where it shares out the rate, what it has granted
+/// to all nodes.
+fn rate_text(entry: Option<&Entry>, now: Time) -> String {
+    let named = entry.and_then(|entry| Some((entry, entry.limit.rate?)));
+    let Some((entry, rate)) = named else {
+        return "none".to_owned();
+    };
+    let used = entry.allowance.used(now);
+    if entry.is_owner {
+        let granted = entry.ledger.used(now);
+        format!("{rate} rate_used={used:.2} rate_granted={granted:.2}")
+    } else {
+        format!("{rate} rate_used={used:.2}")
+    }
 }
 
 fn push_line(lines: &mut String, line: std::fmt::Arguments<'_>) {
--- a/crates/peridotdeck-relay/src/node.rs
+++ b/crates/peridotdeck-relay/src/node.rs
@@ -14,6 +14,7 @@
     Ingress, Publisher, Shared, clock, control, exchange, front, notice,
     peers::Peers,
     server::{self, Limits},
+    shared::log_rate,
     shutdown,
 };
 
@@ -139,6 +140,9 @@
         for node in &due.silent {
             log::info!("event=peer_silent node={node}");
         }
+        for news in due.rates {
+            log_rate(news, "peer");
+        }
         for notice in &due.crashes {
             notice::log(notice);
         }
--- a/crates/peridotdeck-relay/src/shared.rs
+++ b/crates/peridotdeck-relay/src/shared.rs
@@ -68,7 +68,7 @@
         let (key, now) = (attempt.key(), clock::now());
         let news = self.dispatcher().record_rate(attempt, notice.rate, now);
         if let Some(news) = news {
-            log_rate(key, news, id);
+            log_rate(news, id);
         }
         if notice.leaving && self.dispatcher().record_departure(key, now) {
             log::info!("event=endpoint_departing endpoint_key={key:08x} id={id}");
@@ -114,10 +114,11 @@
 }
 
 /// Logs a change of the rate that an endpoint is believed to take, and where it was learned.
-pub(crate) fn log_rate(key: Key, news: News, source: &str) {
+pub(crate) fn log_rate(news: News, source: &str) {
     let text = |rate: Option<f64>| rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
     log::info!(
-        "event=endpoint_rate endpoint_key={key:08x} rate={} before={} source={source}",
+        "event=endpoint_rate endpoint_key={:08x} rate={} before={} source={source}",
+        news.endpoint,
         text(news.now),
         text(news.before),
     );
--- a/crates/peridotdeck-wire/src/beat.rs
+++ b/crates/peridotdeck-wire/src/beat.rs
@@ -53,8 +53,10 @@
 ///  "description": "Periodic heartbeat datagram between nodes that schedule their own callers' requests without pool owners.",
 ///  "type": "object",
 ///  "required": [
+///    "demands",
 ///    "departures",
 ///    "first",
+///    "grants",
 ///    "health",
 ///    "holdings",
 ///    "incarnation",
@@ -67,12 +69,20 @@
 ///    "place",
 ///    "policy",
 ///    "proofs",
+///    "rates",
 ///    "roster",
 ///    "sequence",
 ///    "strikes",
 ///    "version"
 ///  ],
 ///  "properties": {
+///    "demands": {
+///      "description": "Requests that the sender could send to endpoints whose rates the receiver shares out.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/Demand"
+///      }
+///    },
 ///    "departures": {
 ///      "description": "Digests of endpoints that have recently announced their departure in an answer.",
 ///      "type": "array",
@@ -88,6 +98,13 @@
 ///      "format": "uint32",
 ///      "minimum": 0.0
 ///    },
+///    "grants": {
+///      "description": "Requests that the receiver may send to endpoints whose rates the sender shares out.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/Grant"
+///      }
+///    },
 ///    "health": {
 ///      "description": "Outcomes of recent attempts that the sender has seen, by endpoint.",
 ///      "type": "array",
@@ -159,6 +176,13 @@
 ///        "$ref": "#/definitions/Proof"
 ///      }
 ///    },
+///    "rates": {
+///      "description": "Rates that endpoints have named in answers, or no longer name.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/Rate"
+///      }
+///    },
 ///    "roster": {
 ///      "description": "Position of the sender's endpoint list.",
 ///      "$ref": "#/definitions/Position"
@@ -190,10 +214,14 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Beat {
+    ///Requests that the sender could send to endpoints whose rates the receiver shares out.
+    pub demands: ::std::vec::Vec<Demand>,
     ///Digests of endpoints that have recently announced their departure in an answer.
     pub departures: ::std::vec::Vec<u32>,
     ///Smallest endpoint digest in the range whose loads this heartbeat reports.
     pub first: u32,
+    ///Requests that the receiver may send to endpoints whose rates the sender shares out.
+    pub grants: ::std::vec::Vec<Grant>,
     ///Outcomes of recent attempts that the sender has seen, by endpoint.
     pub health: ::std::vec::Vec<Health>,
     ///Prompt prefixes that endpoints have prefilled recently.
@@ -218,6 +246,8 @@
     pub policy: Position,
     ///Parts of prompts that endpoints have answered on without a crash, among those that crashes are attributed to.
     pub proofs: ::std::vec::Vec<Proof>,
+    ///Rates that endpoints have named in answers, or no longer name.
+    pub rates: ::std::vec::Vec<Rate>,
     ///Position of the sender's endpoint list.
     pub roster: Position,
     ///Counter of the sender's heartbeats.
@@ -232,6 +262,101 @@
         value.clone()
     }
 }
+///Requests that a node could send to an endpoint which names a rate.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Requests that a node could send to an endpoint which names a rate.",
+///  "type": "object",
+///  "required": [
+///    "count",
+///    "endpoint",
+///    "rank"
+///  ],
+///  "properties": {
+///    "count": {
+///      "description": "Number of requests.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "endpoint": {
+///      "description": "Digest of the endpoint's id and start time.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "rank": {
+///      "description": "Rank of the most urgent of the requests; 0 is the first.",
+///      "type": "integer",
+///      "format": "uint8",
+///      "minimum": 0.0
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Demand {
+    ///Number of requests.
+    pub count: u32,
+    ///Digest of the endpoint's id and start time.
+    pub endpoint: u32,
+    ///Rank of the most urgent of the requests; 0 is the first.
+    pub rank: u8,
+}
+impl ::std::convert::From<&Demand> for Demand {
+    fn from(value: &Demand) -> Self {
+        value.clone()
+    }
+}
+///Requests that a node may send to an endpoint which names a rate.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Requests that a node may send to an endpoint which names a rate.",
+///  "type": "object",
+///  "required": [
+///    "count",
+///    "endpoint"
+///  ],
+///  "properties": {
+///    "count": {
+///      "description": "Number of requests.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "endpoint": {
+///      "description": "Digest of the endpoint's id and start time.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Grant {
+    ///Number of requests.
+    pub count: u32,
+    ///Digest of the endpoint's id and start time.
+    pub endpoint: u32,
+}
+impl ::std::convert::From<&Grant> for Grant {
+    fn from(value: &Grant) -> Self {
+        value.clone()
+    }
+}
 ///Outcomes of attempts at one endpoint in units of an eighth attempt; older attempts count less.
 ///
 /// <details><summary>JSON schema</summary>
@@ -513,6 +638,65 @@
         value.clone()
     }
 }
+///Rate that an endpoint takes from all nodes together.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Rate that an endpoint takes from all nodes together.",
+///  "type": "object",
+///  "required": [
+///    "age_ms",
+///    "endpoint",
+///    "millis",
+///    "named"
+///  ],
+///  "properties": {
+///    "age_ms": {
+///      "description": "Milliseconds since the answer that says so.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "endpoint": {
+///      "description": "Digest of the endpoint's id and start time.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "millis": {
+///      "description": "Requests in a thousand seconds.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "named": {
+///      "description": "Whether the endpoint names a rate; if not, it no longer does.",
+///      "type": "boolean"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Rate {
+    ///Milliseconds since the answer that says so.
+    pub age_ms: u32,
+    ///Digest of the endpoint's id and start time.
+    pub endpoint: u32,
+    ///Requests in a thousand seconds.
+    pub millis: u32,
+    ///Whether the endpoint names a rate; if not, it no longer does.
+    pub named: bool,
+}
+impl ::std::convert::From<&Rate> for Rate {
+    fn from(value: &Rate) -> Self {
+        value.clone()
+    }
+}
 ///A crash of an endpoint that is attributed to a request, or to a part of its prompt.
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/peridotdeck-wire/src/codec.rs
+++ b/crates/peridotdeck-wire/src/codec.rs
@@ -6,7 +6,7 @@
 use crate::Envelope;
 
 /// Protocol version, the first byte of a datagram; other versions are dropped and counted.
-pub const VERSION: u8 = 3;
+pub const VERSION: u8 = 4;
 
 /// Maximum size of a datagram in bytes.
 ///
