Log software versions, and which streams callers take up

The logs could not tell whether a node resumed a stream at another version by itself, or took one up for its caller (ORDER). Entries of endpoints now carry the version of their software, and requests the id of the attempt that began their stream: `software=` and `resumes=` in `request_placed` and `endpoint_updated`, `software=` in `/status`. No decision uses them yet. The nodes and endpoints of the tests of rates become a module that other tests share.

--- a/crates/peridotdeck-core/src/dispatch.rs
+++ b/crates/peridotdeck-core/src/dispatch.rs
@@ -48,6 +48,8 @@
 pub type Prefix = u64;
 /// Digest of a data centre's name.
 pub type DataCentre = u32;
+/// Digest of the version of an endpoint's software.
+pub type Software = u32;
 /// Address that identifies a node to its peers.
 pub type Node = Ipv4Addr;
 
@@ -66,3 +68,9 @@
 pub fn data_centre(name: &str) -> DataCentre {
     xxh3_64(name.as_bytes()) as DataCentre
 }
+
+/// Returns the digest of a version of endpoints' software.
+#[must_use]
+pub fn software(version: &str) -> Software {
+    xxh3_64(version.as_bytes()) as Software
+}
--- a/crates/peridotdeck-core/src/dispatch/attempt.rs
+++ b/crates/peridotdeck-core/src/dispatch/attempt.rs
@@ -5,7 +5,7 @@
 use strum::{Display, IntoStaticStr};
 
 use super::{
-    Key,
+    Key, Software,
     endpoint::Load,
     placement::{Estimate, Exclusion},
     refusal::Refusal,
@@ -75,6 +75,8 @@
     pub address: SocketAddrV4,
     /// Id that the endpoint must have, since another one may use the address by now.
     pub instance: String,
+    /// Version of the endpoint's software.
+    pub version: String,
     /// Endpoint from which the chosen one should fetch the cached prompt prefix.
     pub source: Option<SocketAddrV4>,
     /// Rank of the request at the endpoint; 0 is served first.
@@ -95,6 +97,8 @@
 #[derive(Clone, Debug)]
 pub struct Attempt {
     pub(super) key: Key,
+    /// Version of the endpoint's software.
+    pub(super) software: Software,
     pub(super) load: Load,
     pub(super) expected: Duration,
     pub(super) sent: Time,
--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -9,6 +9,7 @@
 //! - `pauses`: a stream pauses between events;
 //! - `quarantine`: an endpoint has crashed, or has answered on a prompt;
 //! - `rates`: an endpoint names a rate, or a request needs a part of one;
+//! - `streams`: a stream begins, or a caller takes one up;
 //! - `peers`: a heartbeat from a peer arrives, or one to a peer is composed;
 //! - `maintenance`: time passes, or the result of a probe or of a cache query arrives.
 
@@ -19,6 +20,7 @@
 mod placing;
 mod quarantine;
 mod rates;
+mod streams;
 mod waiting;
 
 use std::time::Duration;
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -85,6 +85,7 @@
             rank,
             urgent,
             organisation,
+            resumes: request.resumes,
             prompt: request.prompt,
             fingerprint,
             trial,
@@ -392,6 +393,7 @@
         Assignment {
             attempt: Attempt {
                 key,
+                software: state.info.software(),
                 load,
                 expected: estimate.time_to_first,
                 sent: now,
@@ -399,6 +401,7 @@
             },
             address: state.info.address,
             instance: state.info.id.clone(),
+            version: state.info.version.clone(),
             source,
             rank: flight.rank,
             hedge_after,
--- a/crates/peridotdeck-core/src/dispatch/flight.rs
+++ b/crates/peridotdeck-core/src/dispatch/flight.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{
-    Key, Prefix,
+    Key, Prefix, Software,
     config::{Organisation, Route},
 };
 use crate::id::{Fingerprint, Time};
@@ -39,6 +39,10 @@
     pub path: String,
     /// Key that identifies an organisation.
     pub key: Option<String>,
+    /// Id of the request that brought the first event of the stream, if the caller takes one up.
+    ///
+    /// It is empty if the caller does not say.
+    pub resumes: Option<String>,
     /// Longest time that the caller will wait for the answer.
     pub max_wait: Option<Duration>,
     /// Size and shareable prefixes of the prompt.
@@ -54,6 +58,10 @@
     pub route: Arc<Route>,
     /// Organisation that sent it, if the route requires a key.
     pub organisation: Option<Arc<Organisation>>,
+    /// Id of the request that brought the first event of the stream, if the caller takes one up.
+    pub resumes: Option<String>,
+    /// Version of the endpoint that sent the stream's first event, once one has.
+    pub software: Option<Software>,
     /// Urgency among all requests; 0 is served first.
     pub rank: u8,
     /// Whether it is one of the most urgent streams of its service.
@@ -89,6 +97,8 @@
         Self {
             id: String::new(),
             organisation: None,
+            resumes: None,
+            software: None,
             rank: route.priority,
             urgent: false,
             version,
--- a/crates/peridotdeck-core/src/dispatch/registry/endpoint.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry/endpoint.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::dispatch::{Key, key};
+use crate::dispatch::{Key, Software, key, software};
 
 /// Location and state of an endpoint, as it announces them itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -15,6 +15,8 @@
     pub born: u64,
     /// Name of the service that the endpoint belongs to.
     pub service: String,
+    /// Version of the endpoint's software; streams of two versions do not fit together.
+    pub version: String,
     /// Address on which it listens.
     pub address: SocketAddrV4,
     /// Name of the endpoint's data centre.
@@ -35,6 +37,12 @@
         key(&self.id, self.born)
     }
 
+    /// Returns the digest of the software's version.
+    #[must_use]
+    pub fn software(&self) -> Software {
+        software(&self.version)
+    }
+
     /// Returns whether this entry describes a later state than another entry of the same id.
     ///
     /// A process that drains never stops to, and a later process has a later start.
--- a/crates/peridotdeck-core/tests/testsuite/dispatch.rs
+++ b/crates/peridotdeck-core/tests/testsuite/dispatch.rs
@@ -126,6 +126,7 @@
         id: id.to_owned(),
         born: 1,
         service: service.to_owned(),
+        version: "v1".to_owned(),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, last_octet), 80),
         data_centre: data_centre.to_owned(),
         slots: 6,
@@ -189,6 +190,7 @@
         host: "host".to_owned(),
         path: format!("/{route}/x"),
         key: Some("key".to_owned()),
+        resumes: None,
         max_wait: Some(Duration::from_secs(10)),
         prompt: Prompt::default(),
     }
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -27,3 +27,4 @@
 mod shared_bounds;
 mod simulation;
 mod stream_pauses;
+mod world;
--- a/crates/peridotdeck-core/tests/testsuite/named_rates.rs
+++ b/crates/peridotdeck-core/tests/testsuite/named_rates.rs
@@ -3,11 +3,10 @@
 //! A node that keeps the rate for itself alone, or that does not hear of it, makes the sum of all
 //! nodes exceed it.
 
-mod world;
-
-use crate::dispatch::ms;
-
-use world::{Counts, World};
+use crate::{
+    dispatch::ms,
+    world::{Counts, World},
+};
 
 /// An endpoint in need got as many requests as before, because no node kept the rate that it named.
 #[test]
--- a/crates/peridotdeck-core/tests/testsuite/named_rates/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world.rs
@@ -1,17 +1,17 @@
-//! Nodes of three data centres, callers, and endpoints that name the rate that they take.
+//! Nodes of three data centres, callers, and endpoints that name rates or run several versions.
 
 use std::{net::Ipv4Addr, time::Duration};
 
 use peridotdeck_core::dispatch::{
     Dispatcher, Key, Node,
-    attempt::{Attempt, End, Placement},
+    attempt::{Attempt, End, Next, Placement},
     flight::Flight,
-    registry,
+    registry::{self, Area, Fact},
 };
 use peridotdeck_wire::beat::Beat;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::dispatch::{REGIONS, configure, copies, decoded_request, endpoint, ms, options};
+use crate::dispatch::{REGIONS, configure, copies, decoded_request, endpoint, ms, options, report};
 
 /// Span in which the requests at an endpoint are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -64,6 +64,7 @@
     heartbeats: Vec<(Duration, usize, Beat)>,
     waiting: Vec<(Duration, usize, Flight)>,
     open: Vec<Open>,
+    revision: u64,
 }
 
 fn address(index: usize) -> Node {
@@ -98,6 +99,7 @@
             heartbeats: Vec::new(),
             waiting: Vec::new(),
             open: Vec::new(),
+            revision: 1,
         };
         world.nodes = (0..nodes).map(|index| Some(world.node(index))).collect();
         world.run(ms(2_000));
@@ -123,6 +125,12 @@
     /// Starts a node, which knows only what the publisher says.
     pub fn start(&mut self, index: usize) {
         self.nodes[index] = Some(self.node(index));
+        let infos: Vec<_> = self.endpoints.iter().map(|one| one.info.clone()).collect();
+        let facts = infos.into_iter().map(Fact::Endpoint).collect();
+        let report = report(Area::Roster, self.revision, true, facts);
+        if let Some(node) = &mut self.nodes[index] {
+            node.apply_report(report, self.now);
+        }
     }
 
     pub fn run(&mut self, time: Duration) {
@@ -249,6 +257,75 @@
         }
     }
 
+    /// Replaces the listed endpoints at all nodes; those that are not given are gone.
+    pub fn publish(&mut self, infos: Vec<registry::Endpoint>) {
+        self.revision += 1;
+        for node in self.nodes.iter_mut().flatten() {
+            let facts = infos.iter().cloned().map(Fact::Endpoint).collect();
+            node.apply_report(report(Area::Roster, self.revision, true, facts), self.now);
+        }
+        let listed = infos.into_iter().map(|info| Endpoint {
+            info,
+            rate: None,
+            got: Vec::new(),
+        });
+        self.endpoints = listed.collect();
+    }
+
+    /// Begins a stream at a node, or takes up the one that the request `began` began.
+    ///
+    /// Returns the version of the endpoint that sends events, or none if the request is refused.
+    /// Heartbeats are exchanged while the request waits.
+    pub fn stream(&mut self, node: usize, id: &str, began: Option<&str>) -> Option<String> {
+        let mut request = decoded_request("urgent");
+        request.id = id.to_owned();
+        request.resumes = began.map(str::to_owned);
+        let dispatcher = self.nodes[node].as_mut()?;
+        let mut flight = dispatcher.admit(request, 7, self.now).ok()?;
+        loop {
+            let dispatcher = self.nodes[node].as_mut()?;
+            match dispatcher.place(&mut flight, self.now) {
+                Placement::Send(assignment) => {
+                    let version = assignment.version.clone();
+                    let mut attempt = assignment.attempt;
+                    dispatcher.record_answer_start(&mut attempt, false, &flight, self.now);
+                    dispatcher.begin_stream(&attempt, &mut flight, self.now);
+                    self.open.push(Open {
+                        node,
+                        flight,
+                        attempt,
+                        head_read: true,
+                    });
+                    return Some(version);
+                }
+                Placement::Wait(_) => self.run(STEP),
+                Placement::Refuse(..) => return None,
+            }
+        }
+    }
+
+    /// Breaks the stream of a request, which its node resumes by itself.
+    ///
+    /// Returns the version of the endpoint that goes on, or none if the request is refused.
+    pub fn break_stream(&mut self, id: &str) -> Option<String> {
+        let found = self.open.iter().position(|open| open.flight.id == id);
+        let mut open = self.open.remove(found.expect("an open stream"));
+        let dispatcher = self.nodes[open.node].as_mut()?;
+        dispatcher.finish(&open.attempt, End::Broken, &open.flight, self.now);
+        if dispatcher.next_step(&mut open.flight, End::Broken, self.now) != Next::Retry {
+            return None;
+        }
+        let Placement::Send(assignment) = dispatcher.place(&mut open.flight, self.now) else {
+            return None;
+        };
+        let version = assignment.version.clone();
+        open.attempt = assignment.attempt;
+        dispatcher.record_answer_start(&mut open.attempt, false, &open.flight, self.now);
+        dispatcher.begin_stream(&open.attempt, &mut open.flight, self.now);
+        self.open.push(open);
+        Some(version)
+    }
+
     /// Returns the number of requests that an endpoint got in a span of time.
     pub fn count(&self, endpoint: usize, from: Duration, to: Duration) -> usize {
         let got = self.endpoints[endpoint].got.iter();
--- a/crates/peridotdeck-relay/src/control.rs
+++ b/crates/peridotdeck-relay/src/control.rs
@@ -193,12 +193,13 @@
         push_line(
             &mut lines,
             format_args!(
-                "endpoint={} key={:08x} service={} place={} draining={} departing={} paused_ms={} \
+                "endpoint={} key={:08x} service={} software={} place={} draining={} departing={} paused_ms={} \
                  cold={} resting={} suspected={} rate={} own={} running={} unread={} pace={:.2} \
                  failure_rate={:.2}",
                 state.info.id,
                 state.key,
                 state.info.service,
+                state.info.version,
                 state.info.data_centre,
                 state.info.draining,
                 state.is_departing(),
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -311,6 +311,9 @@
         if let Some(attempt) = &mut self.current_attempt {
             let mut dispatcher = self.shared.dispatcher();
             dispatcher.record_answer_start(attempt, plain, &self.flight, now);
+            if !plain {
+                dispatcher.begin_stream(attempt, &mut self.flight, now);
+            }
         }
     }
 
--- a/crates/peridotdeck-relay/src/forwarding/logging.rs
+++ b/crates/peridotdeck-relay/src/forwarding/logging.rs
@@ -60,12 +60,15 @@
         let estimate = &assignment.estimate;
         let now = clock::now();
         log::info!(
-            "event=request_placed id={} route={} endpoint={} attempt={} rank={} score={:.0} \
+            "event=request_placed id={} route={} endpoint={} software={} resumes={} attempt={} \
+             rank={} score={:.0} \
              expected_ms={} prompt={} shared={} known={} cached={} unread={} fetch={} running={} \
              backlog={} waited_ms={} left_ms={} roster={} roster_age_ms={}",
             self.flight.id,
             self.flight.route.name,
             assignment.instance,
+            assignment.version,
+            self.flight.resumes.as_deref().unwrap_or("none"),
             self.attempts,
             assignment.rank,
             estimate.score,
--- a/crates/peridotdeck-relay/src/shared.rs
+++ b/crates/peridotdeck-relay/src/shared.rs
@@ -129,6 +129,7 @@
         id,
         born,
         service,
+        version,
         address,
         data_centre,
         draining,
@@ -137,7 +138,8 @@
     } = endpoint;
     let address: SocketAddrV4 = *address;
     log::info!(
-        "event={event} endpoint={id} born={born} key={:08x} service={service} address={address} \
+        "event={event} endpoint={id} born={born} key={:08x} service={service} software={version} \
+         address={address} \
          place={data_centre} draining={draining} cold_ms={} source={source}",
         endpoint.key(),
         cold.as_millis()
