Reproduce streams that go on at another software version, with failing tests

Endpoints of two versions side by side before 2 to 60 nodes: a node resumes a broken stream, callers take streams up at any node, twice, after the first node was killed, after all were, and while versions are replaced.

--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -26,5 +26,6 @@
 mod roster_lapse;
 mod shared_bounds;
 mod simulation;
+mod software_versions;
 mod stream_pauses;
 mod world;
