Let streams go on only at the software version that began them

Cause: a node that resumed a broken stream, and any node at which a caller took one up, placed it like a new request; no node knew which version had begun it. Class: a property of an endpoint that a request takes along from its first event.

Change: a stream is bound to the version that sent its first event. While a service has several versions, its node tells two nodes of its data centre and one in each of two others, chosen by the stream's digest; the node at which it is taken up asks the same ones for up to 250 ms. What no node knows is refused as not run, unless there has been only one version. Cached prompts are fetched within a version.

--- a/crates/peridotdeck-core/src/dispatch.rs
+++ b/crates/peridotdeck-core/src/dispatch.rs
@@ -35,6 +35,7 @@
 pub mod rate;
 pub mod refusal;
 pub mod registry;
+pub mod stream;
 
 use std::net::Ipv4Addr;
 
--- a/crates/peridotdeck-core/src/dispatch/attempt.rs
+++ b/crates/peridotdeck-core/src/dispatch/attempt.rs
@@ -30,6 +30,8 @@
 pub enum WaitCause {
     /// The node no longer has a configuration.
     Unconfigured,
+    /// Other nodes are asked which software version began the stream.
+    Lookup,
     /// No endpoint is eligible.
     NoEndpoint,
     /// The best endpoint is so full that more urgent requests would displace this one.
--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -39,6 +39,7 @@
     prefix::Index,
     rate,
     registry::{self, Change, Position, Registry, Report},
+    stream,
 };
 use crate::id::Time;
 
@@ -109,6 +110,10 @@
     rates: rate::Table,
     /// Changes of rates that peers have reported since the last tick.
     rate_news: Vec<rate::News>,
+    streams: stream::Table,
+    versions: stream::Versions,
+    /// Streams whose versions are to be asked for.
+    lookups: Vec<stream::Id>,
     /// Grants that are to be sent, each to a node for an endpoint.
     grants: Vec<(Node, Key)>,
     suspicions: Vec<Suspicion>,
@@ -149,6 +154,9 @@
             rates: rate::Table::default(),
             rate_news: Vec::new(),
             grants: Vec::new(),
+            streams: stream::Table::default(),
+            versions: stream::Versions::default(),
+            lookups: Vec::new(),
             suspicions: Vec::new(),
             begun: Vec::new(),
             plain_answer_ms: mean::Table::new(INITIAL_PLAIN_ANSWER_MS),
@@ -243,6 +251,8 @@
     fn apply_change(&mut self, change: &Change, now: Time) {
         if *change != Change::default() {
             self.fleet.mark_changed();
+            self.versions.observe(change.removed.iter(), now);
+            self.versions.observe(self.registry.endpoints().iter(), now);
         }
         let query_caches = self.states.is_empty() && self.options.is_restart;
         for endpoint in &change.removed {
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -39,6 +39,7 @@
             due.heartbeats = self.fleet.beats(&status, now);
         }
         due.heartbeats.append(&mut self.rate_messages(now));
+        due.heartbeats.append(&mut self.stream_messages(now));
         due.rates = std::mem::take(&mut self.rate_news);
         due.probes = self.probes(now);
         due.cache_queries = self.cache_queries();
@@ -50,6 +51,8 @@
             self.crashes.expire(now);
             self.departures.expire(now);
             self.rates.expire(now);
+            self.streams.expire(now);
+            self.versions.observe(self.registry.endpoints().iter(), now);
             self.expire_suspicions(now);
         }
         due
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
@@ -103,6 +103,7 @@
             Vec::new()
         };
         replies.append(&mut self.grants_to(node, now));
+        replies.append(&mut self.receive_streams(beat, now));
         (replies, changes.joined)
     }
 
@@ -203,6 +204,7 @@
             version: self.registry.version(),
             departures: self.departures.recent(now).take(MAX_DEPARTURES).collect(),
             rates: self.rate_reports(turn as usize, now),
+            mixed: self.versions.is_any_mixed(),
             loads: busy.map(|state| (state.key, state.own_load)).collect(),
             health,
             strikes: crashes.iter().map(strike).collect(),
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -123,6 +123,9 @@
         if let Err(refusal) = self.recheck_quarantine(flight, now) {
             return Placement::Refuse(refusal, Vec::new());
         }
+        if let Some(placement) = self.resolve_version(flight, now) {
+            return placement;
+        }
         let Some(config) = self.registry.config().cloned() else {
             return Placement::Wait(Delay::poll(WaitCause::Unconfigured));
         };
@@ -165,6 +168,9 @@
             .closed()
             .binary_search(&info.data_centre)
             .is_ok();
+        let fits = flight
+            .software
+            .is_none_or(|software| software == state.software);
         let exclusions = [
             (info.service != flight.service, Exclusion::Service),
             (!flight.may_run_in(&state.region), Exclusion::Region),
@@ -172,7 +178,8 @@
             (info.draining, Exclusion::Draining),
             (state.is_departing(), Exclusion::Departing),
             (state.pause_left(now).is_some(), Exclusion::RetryAfter),
-            (flight.tried.contains(&state.key), Exclusion::Tried),
+            (!fits, Exclusion::Version),
+            (flight.excludes(state.key), Exclusion::Tried),
             (state.is_in_backoff(), Exclusion::Resting),
         ];
         match exclusions.iter().find(|(excluded, _)| *excluded) {
@@ -393,7 +400,7 @@
         Assignment {
             attempt: Attempt {
                 key,
-                software: state.info.software(),
+                software: state.software,
                 load,
                 expected: estimate.time_to_first,
                 sent: now,
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -1,14 +1,239 @@
 //! Streams, which go on only at endpoints of the software version that began them.
 
-use super::Dispatcher;
+use std::time::Duration;
+
+use peridotdeck_wire::beat;
+
+use super::{Dispatcher, peers::millis, waiting::give_up};
 use crate::{
-    dispatch::{attempt::Attempt, flight::Flight},
+    dispatch::{
+        DataCentre, Node,
+        attempt::{Attempt, Delay, Placement, WaitCause},
+        data_centre,
+        fleet::Broadcast,
+        flight::Flight,
+        refusal::Cause,
+        stream::{self, Entry, Table},
+    },
     id::Time,
+    rendezvous,
 };
 
+/// Time for which a stream is remembered beyond the deadline of the request that began it.
+const GRACE: Duration = Duration::from_secs(3);
+
+/// Longest wait for other nodes to say which version began a stream.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Nodes of the own data centre that are told of a stream, and those that are asked.
+///
+/// One more is asked, since the one that ranked first may just have joined.
+const LOCAL_HOLDERS: (usize, usize) = (2, 3);
+
+/// Nodes of another data centre that are told of a stream, and those that are asked.
+const REMOTE_HOLDERS: (usize, usize) = (1, 2);
+
+/// Other data centres whose nodes are told of a stream.
+const REMOTE_DATA_CENTRES: usize = 2;
+
+/// Most streams or lookups in one message, so that it fits a datagram.
+const MAX_ENTRIES: usize = 48;
+
+/// Most streams that others are told of in one tick.
+const MAX_TOLD: usize = 256;
+
+/// Most lookups that wait for a message; further ones are not sent.
+const MAX_LOOKUPS: usize = 1_024;
+
+/// A use of the nodes that should know a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Purpose {
+    Tell,
+    Ask,
+}
+
 impl Dispatcher {
     /// Records that a stream's first event is about to be forwarded, or the first one after a break.
-    pub fn begin_stream(&mut self, attempt: &Attempt, flight: &mut Flight, _now: Time) {
-        flight.software.get_or_insert(attempt.software);
+    ///
+    /// From then on the stream goes on only at endpoints of the same software version.
+    pub fn begin_stream(&mut self, attempt: &Attempt, flight: &mut Flight, now: Time) {
+        let software = *flight.software.get_or_insert(attempt.software);
+        let began = flight.resumes.as_deref().filter(|id| !id.is_empty());
+        for id in [Some(flight.id.as_str()), began].into_iter().flatten() {
+            self.streams.insert(Entry {
+                stream: stream::id(id),
+                software,
+                until: flight.deadline.max(now) + GRACE,
+                told: false,
+            });
+        }
+    }
+
+    /// Returns the streams that this node knows.
+    #[must_use]
+    pub fn streams(&self) -> &Table {
+        &self.streams
+    }
+
+    /// Finds the version that began a stream which its caller takes up.
+    ///
+    /// Returns how the request must wait for it or be refused, if this node does not know.
+    pub(super) fn resolve_version(&mut self, flight: &mut Flight, now: Time) -> Option<Placement> {
+        if flight.software.is_some() {
+            return None;
+        }
+        let began = flight.resumes.as_deref()?;
+        let stream = stream::id(began);
+        if let Some(entry) = self.streams.get(stream).filter(|_| !began.is_empty()) {
+            flight.software = Some(entry.software);
+            return None;
+        }
+        if !self.versions.is_mixed(&flight.service, now) {
+            return None;
+        }
+        if began.is_empty() || now.saturating_sub(flight.arrived) >= LOOKUP_TIMEOUT {
+            let wait = self.retry_after(flight, now);
+            let refusal = give_up(flight, Cause::UnknownStream, Some(wait));
+            return Some(Placement::Refuse(refusal, Vec::new()));
+        }
+        if !flight.looked_up {
+            flight.looked_up = true;
+            if self.lookups.len() < MAX_LOOKUPS {
+                self.lookups.push(stream);
+            }
+        }
+        Some(Placement::Wait(Delay::poll(WaitCause::Lookup)))
+    }
+
+    /// Applies what a peer says of streams, and returns the streams that it asks for.
+    pub(super) fn receive_streams(&mut self, beat: &beat::Beat, now: Time) -> Vec<beat::Beat> {
+        if beat.mixed {
+            self.versions.note_report(now);
+        }
+        for told in &beat.streams {
+            self.streams.insert(Entry {
+                stream: told.stream,
+                software: told.software,
+                until: now + Duration::from_millis(told.left_ms.into()),
+                told: true,
+            });
+        }
+        let asked = beat.lookups.iter();
+        let known: Vec<beat::Stream> = asked
+            .filter_map(|asked| self.streams.get(*asked))
+            .map(|entry| to_message(entry, now))
+            .collect();
+        if known.is_empty() {
+            return Vec::new();
+        }
+        let status = self.status(now);
+        let parts = known.chunks(MAX_ENTRIES);
+        let messages = parts.map(|part| {
+            let mut beat = self.fleet.message(&status);
+            beat.streams = part.to_vec();
+            beat
+        });
+        messages.collect()
+    }
+
+    /// Returns the messages that tell other nodes of new streams, or ask for unknown ones.
+    pub(super) fn stream_messages(&mut self, now: Time) -> Vec<Broadcast> {
+        let lookups = std::mem::take(&mut self.lookups);
+        let untold = if self.versions.is_any_mixed() {
+            self.streams.take_untold(MAX_TOLD)
+        } else {
+            Vec::new()
+        };
+        if lookups.is_empty() && untold.is_empty() {
+            return Vec::new();
+        }
+        let data_centres = self.data_centre_nodes(now);
+        let mut told: Vec<(Node, beat::Stream)> = Vec::new();
+        for entry in &untold {
+            let holders = self.holders(&data_centres, entry.stream, Purpose::Tell);
+            told.extend(holders.map(|node| (node, to_message(entry, now))));
+        }
+        let mut asked: Vec<(Node, stream::Id)> = Vec::new();
+        for stream in lookups {
+            let holders = self.holders(&data_centres, stream, Purpose::Ask);
+            asked.extend(holders.map(|node| (node, stream)));
+        }
+        told.sort_by_key(|(node, _)| *node);
+        asked.sort_unstable();
+        let status = self.status(now);
+        let mut messages = Vec::new();
+        for group in told.chunk_by(|(one, _), (other, _)| one == other) {
+            for part in group.chunks(MAX_ENTRIES) {
+                let mut beat = self.fleet.message(&status);
+                beat.streams = part.iter().map(|(_, stream)| stream.clone()).collect();
+                messages.push(Broadcast::to(group[0].0, beat));
+            }
+        }
+        for group in asked.chunk_by(|(one, _), (other, _)| one == other) {
+            for part in group.chunks(MAX_ENTRIES) {
+                let mut beat = self.fleet.message(&status);
+                beat.lookups = part.iter().map(|(_, stream)| *stream).collect();
+                messages.push(Broadcast::to(group[0].0, beat));
+            }
+        }
+        messages
+    }
+
+    /// Returns the live nodes of each data centre, this node excluded.
+    fn data_centre_nodes(&self, now: Time) -> Vec<(DataCentre, Vec<Node>)> {
+        let names = self.options.regions.iter().map(|(name, _)| name);
+        let nodes = names.map(|name| {
+            let data_centre = data_centre(name);
+            let mut nodes = self.fleet.live_nodes(data_centre, now);
+            nodes.retain(|node| *node != self.options.node);
+            (data_centre, nodes)
+        });
+        nodes.collect()
+    }
+
+    /// Returns the nodes that should know a stream, which every node derives from its digest.
+    ///
+    /// They are in several data centres, since one may be lost with all its nodes.
+    fn holders(
+        &self,
+        data_centres: &[(DataCentre, Vec<Node>)],
+        stream: stream::Id,
+        purpose: Purpose,
+    ) -> impl Iterator<Item = Node> {
+        let here = data_centre(&self.options.data_centre);
+        let count = |(told, asked)| {
+            if purpose == Purpose::Tell {
+                told
+            } else {
+                asked
+            }
+        };
+        let first = |nodes: &[Node], count: usize| {
+            let ranked = rendezvous::order(stream, nodes.iter().map(|&node| u32::from(node)));
+            ranked.into_iter().take(count).map(Node::from)
+        };
+        let local = data_centres.iter().filter(|(name, _)| *name == here);
+        let mut holders: Vec<Node> = local
+            .flat_map(|(_, nodes)| first(nodes, count(LOCAL_HOLDERS)))
+            .collect();
+        let mut others: Vec<_> = data_centres
+            .iter()
+            .filter(|(name, nodes)| *name != here && !nodes.is_empty())
+            .collect();
+        if purpose == Purpose::Tell {
+            others.sort_by_key(|(name, _)| rendezvous::weight(stream, *name));
+            others.truncate(REMOTE_DATA_CENTRES);
+        }
+        let remote = others.iter();
+        holders.extend(remote.flat_map(|(_, nodes)| first(nodes, count(REMOTE_HOLDERS))));
+        holders.into_iter()
+    }
+}
+
+fn to_message(entry: &Entry, now: Time) -> beat::Stream {
+    beat::Stream {
+        stream: entry.stream,
+        software: entry.software,
+        left_ms: millis(entry.until.saturating_sub(now)),
     }
 }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/waiting.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/waiting.rs
@@ -119,7 +119,8 @@
 
     /// Lets a request without an eligible endpoint wait, or refuses it after a bounded wait.
     ///
-    /// If the regions that may serve the request exclude every endpoint, it is refused immediately.
+    /// If no endpoint can become eligible in time, for its region, or because it leaves and no other
+    /// runs the stream's software version, the request is refused immediately.
     pub(super) fn wait_or_refuse(
         &mut self,
         flight: &mut Flight,
@@ -133,14 +134,12 @@
         };
         let max_wait = flight.route.target.mul_f64(fraction).max(MIN_WAIT);
         let since = *flight.waiting_since.get_or_insert(now);
-        let excluded_by_region = exclusions
-            .iter()
-            .all(|exclusion| *exclusion == Exclusion::Region)
-            && !exclusions.is_empty();
+        let is_hopeless =
+            !exclusions.is_empty() && exclusions.iter().all(|exclusion| lasts(*exclusion, flight));
         let waited = now.saturating_sub(since);
         let left = max_wait.min(flight.time_left(now)).saturating_sub(waited);
         let pause = self.pause_left(flight, &exclusions, now);
-        if !excluded_by_region && left > pause.unwrap_or_default() {
+        if !is_hopeless && left > pause.unwrap_or_default() {
             return Placement::Wait(Delay::poll(WaitCause::NoEndpoint));
         }
         let wait = self.retry_after(flight, now).max(pause.unwrap_or_default());
@@ -188,6 +187,17 @@
     }
 }
 
+/// Returns whether a reason excludes an endpoint for as long as a request could wait.
+///
+/// An endpoint that leaves is replaced, but perhaps by one of another software version.
+fn lasts(exclusion: Exclusion, flight: &Flight) -> bool {
+    match exclusion {
+        Exclusion::Region | Exclusion::Version => true,
+        Exclusion::Draining | Exclusion::Departing => flight.software.is_some(),
+        _ => false,
+    }
+}
+
 /// Returns the refusal that ends a request, with the verdict that follows from its runs.
 pub(super) fn give_up(flight: &Flight, cause: Cause, wait: Option<Duration>) -> Refusal {
     if flight.runs > 0 {
--- a/crates/peridotdeck-core/src/dispatch/endpoint.rs
+++ b/crates/peridotdeck-core/src/dispatch/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Key, registry};
+use super::{Key, Software, registry};
 use crate::{id::Time, limit::Bucket};
 
 /// First backoff after a failure to reach the endpoint; it doubles with each further failure.
@@ -102,6 +102,8 @@
     pub key: Key,
     /// The endpoint's entry in the registry.
     pub info: registry::Endpoint,
+    /// Digest of the version of the endpoint's software.
+    pub software: Software,
     /// Region of the endpoint's data centre.
     pub region: String,
     /// Load that this node has sent to the endpoint.
@@ -130,6 +132,7 @@
         let cold_until = now + info.cold;
         Self {
             key: info.key(),
+            software: info.software(),
             info,
             region,
             own_load: Load::default(),
@@ -153,6 +156,7 @@
         if info.cold != self.info.cold {
             self.cold_until = now + info.cold;
         }
+        self.software = info.software();
         self.info = info;
     }
 
--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -127,6 +127,8 @@
     pub departures: Vec<Key>,
     /// Rates that endpoints name, or no longer name.
     pub rates: Vec<beat::Rate>,
+    /// Whether endpoints of several software versions of one service were listed lately.
+    pub mixed: bool,
 }
 
 /// Changes that a received heartbeat leads to.
--- a/crates/peridotdeck-core/src/dispatch/fleet/send.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/send.rs
@@ -314,6 +314,9 @@
             rates: Vec::new(),
             demands: Vec::new(),
             grants: Vec::new(),
+            mixed: status.mixed,
+            streams: Vec::new(),
+            lookups: Vec::new(),
         }
     }
 
--- a/crates/peridotdeck-core/src/dispatch/flight.rs
+++ b/crates/peridotdeck-core/src/dispatch/flight.rs
@@ -60,8 +60,10 @@
     pub organisation: Option<Arc<Organisation>>,
     /// Id of the request that brought the first event of the stream, if the caller takes one up.
     pub resumes: Option<String>,
-    /// Version of the endpoint that sent the stream's first event, once one has.
+    /// Software version at which the stream must go on, once it is known.
     pub software: Option<Software>,
+    /// Whether other nodes have been asked for that version.
+    pub looked_up: bool,
     /// Urgency among all requests; 0 is served first.
     pub rank: u8,
     /// Whether it is one of the most urgent streams of its service.
@@ -99,6 +101,7 @@
             organisation: None,
             resumes: None,
             software: None,
+            looked_up: false,
             rank: route.priority,
             urgent: false,
             version,
@@ -134,6 +137,18 @@
             && organisation.is_none_or(|organisation| allows(&organisation.regions))
     }
 
+    /// Returns whether a request that was sent to an endpoint may not be sent there again.
+    ///
+    /// A stream that goes on at one software version may return to an endpoint, but not at once.
+    #[must_use]
+    pub fn excludes(&self, key: Key) -> bool {
+        if self.software.is_some() {
+            self.tried.last() == Some(&key)
+        } else {
+            self.tried.contains(&key)
+        }
+    }
+
     /// Returns whether the request may run again after `runs` runs.
     #[must_use]
     pub fn may_run_after(&self, runs: u32) -> bool {
--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -333,7 +333,9 @@
 
     fn may_fetch(state: &State, other: &State, flight: &Flight) -> bool {
         let same_service = other.info.service == state.info.service;
+        let same_software = other.software == state.software;
         same_service
+            && same_software
             && !other.is_in_backoff()
             && !other.is_suspected()
             && flight.may_run_in(&other.region)
--- a/crates/peridotdeck-core/src/dispatch/placement/exclusion.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement/exclusion.rs
@@ -18,6 +18,8 @@
     Departing,
     /// The endpoint has asked this node to send nothing for a while.
     RetryAfter,
+    /// The endpoint runs another software version than the one that began the stream.
+    Version,
     /// The request has already been sent to the endpoint.
     Tried,
     /// The endpoint is in backoff because it could not be reached.
--- a/crates/peridotdeck-core/src/dispatch/refusal.rs
+++ b/crates/peridotdeck-core/src/dispatch/refusal.rs
@@ -22,6 +22,8 @@
     NoEndpoint,
     /// Endpoints rejected the request without running it, and no further one may be tried.
     Rejected,
+    /// The caller takes up a stream, and no node knows which software version began it.
+    UnknownStream,
     /// The request has crashed too many endpoints.
     Quarantined,
     /// An endpoint failed while it held the request.
--- /dev/null
+++ b/crates/peridotdeck-core/src/dispatch/stream.rs
@@ -0,0 +1,25 @@
+//! Which software version began a stream, so that the stream goes on at no other.
+//!
+//! Endpoints of several software versions may serve side by side, and what two of them write does not
+//! fit together. A node knows the versions of the streams that it forwards ([`Table`]). While a service
+//! has several versions ([`Versions`]), the node also tells a few others, chosen by the stream's digest.
+//! A caller may take its stream up at any node, which asks the same ones.
+//!
+//! `docs/design/VERSIONS.md` compares the ways to know the version.
+
+mod table;
+mod versions;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+pub use table::{Entry, Table};
+pub use versions::Versions;
+
+/// Digest of the id of the request that began a stream.
+pub type Id = u64;
+
+/// Returns the digest of the id of the request that began a stream.
+#[must_use]
+pub fn id(request: &str) -> Id {
+    xxh3_64(request.as_bytes())
+}
--- a/crates/peridotdeck-wire/src/beat.rs
+++ b/crates/peridotdeck-wire/src/beat.rs
@@ -64,7 +64,9 @@
 ///    "last",
 ///    "leaving",
 ///    "loads",
+///    "lookups",
 ///    "members",
+///    "mixed",
 ///    "node",
 ///    "place",
 ///    "policy",
@@ -72,6 +74,7 @@
 ///    "rates",
 ///    "roster",
 ///    "sequence",
+///    "streams",
 ///    "strikes",
 ///    "version"
 ///  ],
@@ -146,6 +149,15 @@
 ///        "$ref": "#/definitions/Load"
 ///      }
 ///    },
+///    "lookups": {
+///      "description": "Digests of streams whose software versions the sender needs to know.",
+///      "type": "array",
+///      "items": {
+///        "type": "integer",
+///        "format": "uint64",
+///        "minimum": 0.0
+///      }
+///    },
 ///    "members": {
 ///      "description": "Live nodes that the sender knows.",
 ///      "type": "array",
@@ -153,6 +165,10 @@
 ///        "$ref": "#/definitions/Member"
 ///      }
 ///    },
+///    "mixed": {
+///      "description": "Whether the sender has lately listed endpoints of several software versions of one service.",
+///      "type": "boolean"
+///    },
 ///    "node": {
 ///      "description": "IPv4 address of the sender as a number.",
 ///      "type": "integer",
@@ -193,6 +209,13 @@
 ///      "format": "uint64",
 ///      "minimum": 0.0
 ///    },
+///    "streams": {
+///      "description": "Streams whose software versions the receiver should know.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/Stream"
+///      }
+///    },
 ///    "strikes": {
 ///      "description": "Crashes of endpoints that are attributed to requests, or to parts of their prompts.",
 ///      "type": "array",
@@ -236,8 +259,12 @@
     pub leaving: bool,
     ///Load caused by the sender, or by its whole data centre if the receiver is in another one, sorted by endpoint.
     pub loads: ::std::vec::Vec<Load>,
+    ///Digests of streams whose software versions the sender needs to know.
+    pub lookups: ::std::vec::Vec<u64>,
     ///Live nodes that the sender knows.
     pub members: ::std::vec::Vec<Member>,
+    ///Whether the sender has lately listed endpoints of several software versions of one service.
+    pub mixed: bool,
     ///IPv4 address of the sender as a number.
     pub node: u32,
     ///Digest of the sender's data centre.
@@ -252,6 +279,8 @@
     pub roster: Position,
     ///Counter of the sender's heartbeats.
     pub sequence: u64,
+    ///Streams whose software versions the receiver should know.
+    pub streams: ::std::vec::Vec<Stream>,
     ///Crashes of endpoints that are attributed to requests, or to parts of their prompts.
     pub strikes: ::std::vec::Vec<Strike>,
     ///Version of the sender's configuration; 0 without one.
@@ -697,6 +726,58 @@
         value.clone()
     }
 }
+///A stream that its caller may take up at any node.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "A stream that its caller may take up at any node.",
+///  "type": "object",
+///  "required": [
+///    "left_ms",
+///    "software",
+///    "stream"
+///  ],
+///  "properties": {
+///    "left_ms": {
+///      "description": "Milliseconds for which its caller may take it up.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "software": {
+///      "description": "Digest of the software version of the endpoint that began it.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "stream": {
+///      "description": "Digest of the id of the request that began the stream.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Stream {
+    ///Milliseconds for which its caller may take it up.
+    pub left_ms: u32,
+    ///Digest of the software version of the endpoint that began it.
+    pub software: u32,
+    ///Digest of the id of the request that began the stream.
+    pub stream: u64,
+}
+impl ::std::convert::From<&Stream> for Stream {
+    fn from(value: &Stream) -> Self {
+        value.clone()
+    }
+}
 ///A crash of an endpoint that is attributed to a request, or to a part of its prompt.
 ///
 /// <details><summary>JSON schema</summary>
