Quarantine prompt prefixes that crash endpoints on the own interface

Cause: crashes were attributed to fingerprints of whole requests. Change: flight::table::prefix attributes them to the prefix too, by dispatch::crashes: three crashes quarantine it, an answer clears it, one node makes trials. Strikes say which of both they name.

--- a/crates/peridotdeck-core/src/flight/table.rs
+++ b/crates/peridotdeck-core/src/flight/table.rs
@@ -2,10 +2,11 @@
 //!
 //! Each stage has a module with its transitions: [`reservation`] for idempotency keys,
 //! [`slot_request`] for requests to pool owners, and [`attempt`] for runs at endpoints.
-//! [`maintenance`] holds the periodic work.
+//! [`maintenance`] holds the periodic work, and [`prefix`] the quarantine of prompt prefixes.
 
 mod attempt;
 mod maintenance;
+mod prefix;
 mod reservation;
 mod slot_request;
 
@@ -16,7 +17,9 @@
 
 use super::{Context, Flight, Outbox, Stage};
 use crate::{
-    Action, claim, id, limit,
+    Action, claim,
+    dispatch::crashes,
+    id, limit,
     output_size::Estimator,
     quarantine,
     request::{Call, Cause, Refusal},
@@ -80,6 +83,8 @@
     retries: limit::RetryBudgets,
     output_sizes: Estimator,
     quarantine: quarantine::List,
+    /// Prompt prefixes that crashes are attributed to.
+    prefixes: crashes::List,
     settlements: Vec<Settlement>,
     holding_reports: Vec<HoldingReport>,
     successes: Vec<Successes>,
@@ -97,6 +102,7 @@
             retries: limit::RetryBudgets::default(),
             output_sizes: Estimator::default(),
             quarantine: quarantine::List::default(),
+            prefixes: crashes::List::default(),
             settlements: Vec::new(),
             holding_reports: Vec::new(),
             successes: Vec::new(),
@@ -178,7 +184,8 @@
         let (Some(organisation), Some(_)) = (organisation, known) else {
             return not_run(Cause::Unknown, None);
         };
-        if self.quarantine.is_quarantined(call.fingerprint) {
+        if self.quarantine.is_quarantined(call.fingerprint) || !self.may_send_prefix(call, context)
+        {
             return not_run(Cause::Quarantined, None);
         }
         let share = limit::Share::of(organisation, context.view.live_count());
--- a/crates/peridotdeck-core/src/flight/table/attempt.rs
+++ b/crates/peridotdeck-core/src/flight/table/attempt.rs
@@ -116,11 +116,13 @@
                     fingerprint,
                     endpoint,
                     cleared: true,
+                    is_prefix: false,
                 },
                 context,
                 out,
             );
         }
+        self.clear_prefix(self.flights[index].call.prefix, endpoint, context, out);
         self.record_success(endpoint, context.now);
         self.settle_reservation(index, Phase::Ran, end.answer, context.now);
         self.remove(index);
@@ -215,13 +217,18 @@
                     fingerprint,
                     endpoint,
                     cleared: false,
+                    is_prefix: false,
                 },
                 context,
                 out,
             );
         }
+        if outcome == Outcome::Broken {
+            self.blame_prefix(index, running.endpoint, context, out);
+        }
         let flight = &self.flights[index];
-        let quarantined = self.quarantine.crashes(fingerprint) >= CRASH_LIMIT;
+        let quarantined = self.quarantine.crashes(fingerprint) >= CRASH_LIMIT
+            || self.is_suspected(flight.call.prefix);
         let continues = flight.delivered_tokens == 0 || flight.call.resumable;
         if flight.call.idempotent && continues && !quarantined {
             return self.retry_or_refuse(index, running.endpoint, context, out);
--- a/crates/peridotdeck-core/src/flight/table/maintenance.rs
+++ b/crates/peridotdeck-core/src/flight/table/maintenance.rs
@@ -28,7 +28,9 @@
 impl Table {
     /// Records a crash that a peer attributes to a request, or clears the request of suspicion.
     pub fn record_crash(&mut self, strike: &Strike, now: id::Time) {
-        if strike.cleared {
+        if strike.is_prefix {
+            self.receive_prefix(strike, now);
+        } else if strike.cleared {
             self.quarantine.clear(strike.fingerprint);
         } else {
             self.quarantine
@@ -40,6 +42,7 @@
     /// Advances every flight, resends due messages and reports held slots to owners.
     pub fn tick(&mut self, context: &mut Context<'_>, out: &mut Outbox) {
         self.quarantine.expire(context.now);
+        self.prefixes.expire(context.now);
         self.successes
             .retain(|record| context.now.saturating_sub(record.last) < MAX_SUCCESS_AGE);
         for request in self.requests(|flight| !matches!(flight.stage, Stage::Suspended)) {
--- a/crates/peridotdeck-core/tests/testsuite/poison.rs
+++ b/crates/peridotdeck-core/tests/testsuite/poison.rs
@@ -107,3 +107,32 @@
     }
     assert!(crashes <= MAX_CRASHES, "{crashes} crashes");
 }
+
+/// A prefix that all requests share was blamed for crashes that had another cause, and all of them
+/// were refused.
+#[test]
+fn prefix_that_endpoints_answer_on_stays_in_use() {
+    let mut sim = Simulation::settled(&[("a", 2), ("b", 2), ("c", 2)], 2);
+    for round in 0..24 {
+        for vm in 0..6 {
+            let sound = Call {
+                prefix: 5,
+                ..call("draft", "matrah", 2_000 + round * 6 + vm)
+            };
+            sim.send(vm as usize, sound);
+        }
+        sim.advance_ms(25);
+        if round % 6 == 5
+            && let Some(endpoint) = busy_endpoints(&sim).first()
+        {
+            sim.crash_endpoint(*endpoint);
+        }
+        for _ in 0..80 {
+            sim.advance_ms(25);
+        }
+    }
+    let quarantined = sim.endings.values().filter(
+        |ending| matches!(ending, Ending::Refused(refusal) if refusal.cause == Cause::Quarantined),
+    );
+    assert_eq!(quarantined.count(), 0);
+}
--- a/crates/peridotdeck-wire/src/generated.rs
+++ b/crates/peridotdeck-wire/src/generated.rs
@@ -1830,22 +1830,23 @@
         value.clone()
     }
 }
-///Reports that an endpoint crashed while it ran a request.
+///Reports that an endpoint crashed while it ran a request, or one with a prompt prefix.
 ///
 /// <details><summary>JSON schema</summary>
 ///
 /// ```json
 ///{
-///  "description": "Reports that an endpoint crashed while it ran a request.",
+///  "description": "Reports that an endpoint crashed while it ran a request, or one with a prompt prefix.",
 ///  "type": "object",
 ///  "required": [
 ///    "cleared",
 ///    "endpoint",
-///    "fingerprint"
+///    "fingerprint",
+///    "is_prefix"
 ///  ],
 ///  "properties": {
 ///    "cleared": {
-///      "description": "Whether the request has since completed, which clears it of the crash.",
+///      "description": "Whether the request has since completed, or another one with the prefix, which clears it of the crash.",
 ///      "type": "boolean"
 ///    },
 ///    "endpoint": {
@@ -1857,6 +1858,10 @@
 ///      "type": "integer",
 ///      "format": "uint64",
 ///      "minimum": 0.0
+///    },
+///    "is_prefix": {
+///      "description": "Whether the fingerprint is that of a prompt prefix, and not of a whole request.",
+///      "type": "boolean"
 ///    }
 ///  },
 ///  "additionalProperties": false
@@ -1866,10 +1871,12 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Strike {
-    ///Whether the request has since completed, which clears it of the crash.
+    ///Whether the request has since completed, or another one with the prefix, which clears it of the crash.
     pub cleared: bool,
     pub endpoint: u32,
     pub fingerprint: u64,
+    ///Whether the fingerprint is that of a prompt prefix, and not of a whole request.
+    pub is_prefix: bool,
 }
 impl ::std::convert::From<&Strike> for Strike {
     fn from(value: &Strike) -> Self {
