Group entries for other nodes in one place, and test that the fullest messages fit

Demands, grants, streams and lookups were grouped by receiver four times. The fullest heartbeat now reports rates too, and 400 streams that begin at once are told in several datagrams.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -13,6 +13,7 @@
 //! - `peers`: a heartbeat from a peer arrives, or one to a peer is composed;
 //! - `maintenance`: time passes, or the result of a probe or of a cache query arrives.
 
+mod batch;
 mod maintenance;
 mod outcomes;
 mod pauses;
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/rates.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/rates.rs
@@ -2,7 +2,7 @@
 
 use peridotdeck_wire::beat;
 
-use super::{Dispatcher, peers::millis};
+use super::{Dispatcher, batch, peers::millis};
 use crate::{
     dispatch::{
         Key, Node,
@@ -197,15 +197,12 @@
         if demands.is_empty() && grants.is_empty() {
             return Vec::new();
         }
-        demands.sort_by_key(|(node, _)| *node);
         let status = self.status(now);
         let mut messages = self.grant_messages(grants, &status);
-        for group in demands.chunk_by(|(one, _), (other, _)| one == other) {
-            for part in group.chunks(MAX_ENTRIES) {
-                let mut beat = self.fleet.message(&status);
-                beat.demands = part.iter().map(|(_, demand)| demand.clone()).collect();
-                messages.push(Broadcast::to(group[0].0, beat));
-            }
+        for batch in batch::by_receiver(demands, MAX_ENTRIES) {
+            let mut beat = self.fleet.message(&status);
+            beat.demands = batch.entries;
+            messages.push(Broadcast::to(batch.receiver, beat));
         }
         messages
     }
@@ -213,19 +210,17 @@
     /// Returns the messages that tell other nodes of grants.
     fn grant_messages(&mut self, mut grants: Vec<(Node, Key)>, status: &Status) -> Vec<Broadcast> {
         grants.sort_unstable();
+        let equal = grants.chunk_by(|one, other| one == other);
+        let counted = equal.map(|equal| {
+            let (receiver, endpoint) = equal[0];
+            let count = equal.len() as u32;
+            (receiver, beat::Grant { endpoint, count })
+        });
         let mut messages = Vec::new();
-        for group in grants.chunk_by(|(one, _), (other, _)| one == other) {
-            for part in group.chunks(MAX_ENTRIES) {
-                let mut beat = self.fleet.message(status);
-                let equal = part.chunk_by(|(_, one), (_, other)| one == other);
-                beat.grants = equal
-                    .map(|equal| beat::Grant {
-                        endpoint: equal[0].1,
-                        count: equal.len() as u32,
-                    })
-                    .collect();
-                messages.push(Broadcast::to(group[0].0, beat));
-            }
+        for batch in batch::by_receiver(counted.collect(), MAX_ENTRIES) {
+            let mut beat = self.fleet.message(status);
+            beat.grants = batch.entries;
+            messages.push(Broadcast::to(batch.receiver, beat));
         }
         messages
     }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -4,7 +4,7 @@
 
 use peridotdeck_wire::beat;
 
-use super::{Dispatcher, peers::millis, waiting::give_up};
+use super::{Dispatcher, batch, peers::millis, waiting::give_up};
 use crate::{
     dispatch::{
         DataCentre, Node,
@@ -158,23 +158,17 @@
             let holders = self.holders(&data_centres, stream, Purpose::Ask);
             asked.extend(holders.map(|node| (node, stream)));
         }
-        told.sort_by_key(|(node, _)| *node);
-        asked.sort_unstable();
         let status = self.status(now);
         let mut messages = Vec::new();
-        for group in told.chunk_by(|(one, _), (other, _)| one == other) {
-            for part in group.chunks(MAX_ENTRIES) {
-                let mut beat = self.fleet.message(&status);
-                beat.streams = part.iter().map(|(_, stream)| stream.clone()).collect();
-                messages.push(Broadcast::to(group[0].0, beat));
-            }
+        for batch in batch::by_receiver(told, MAX_ENTRIES) {
+            let mut beat = self.fleet.message(&status);
+            beat.streams = batch.entries;
+            messages.push(Broadcast::to(batch.receiver, beat));
         }
-        for group in asked.chunk_by(|(one, _), (other, _)| one == other) {
-            for part in group.chunks(MAX_ENTRIES) {
-                let mut beat = self.fleet.message(&status);
-                beat.lookups = part.iter().map(|(_, stream)| *stream).collect();
-                messages.push(Broadcast::to(group[0].0, beat));
-            }
+        for batch in batch::by_receiver(asked, MAX_ENTRIES) {
+            let mut beat = self.fleet.message(&status);
+            beat.lookups = batch.entries;
+            messages.push(Broadcast::to(batch.receiver, beat));
         }
         messages
     }
--- a/crates/peridotdeck-core/src/flight/table/prefix.rs
+++ b/crates/peridotdeck-core/src/flight/table/prefix.rs
@@ -59,7 +59,7 @@
         }
         self.prefixes
             .record(Subject::Part(prefix), endpoint, context.now);
-        self.announce_prefix(prefix, endpoint, false, context, out);
+        announce(prefix, endpoint, false, context, out);
     }
 
     /// Clears a prefix on which an endpoint has completed an answer.
@@ -76,7 +76,7 @@
         let was_suspected = self.prefixes.count(Subject::Part(prefix)) > 0;
         self.prefixes.clear_part(prefix, context.now);
         if was_suspected {
-            self.announce_prefix(prefix, endpoint, true, context, out);
+            announce(prefix, endpoint, true, context, out);
         }
     }
 
@@ -94,21 +94,21 @@
         };
         self.prefixes.receive(report, now);
     }
+}
 
-    fn announce_prefix(
-        &self,
-        prefix: u64,
-        endpoint: id::Endpoint,
-        cleared: bool,
-        context: &Context<'_>,
-        out: &mut Outbox,
-    ) {
-        let strike = Strike {
-            fingerprint: prefix,
-            endpoint,
-            cleared,
-            is_prefix: true,
-        };
-        broadcast_strike(&strike, context, out);
-    }
+/// Tells all other live nodes of a crash that is attributed to a prefix, or of an answer on it.
+fn announce(
+    prefix: u64,
+    endpoint: id::Endpoint,
+    cleared: bool,
+    context: &Context<'_>,
+    out: &mut Outbox,
+) {
+    let strike = Strike {
+        fingerprint: prefix,
+        endpoint,
+        cleared,
+        is_prefix: true,
+    };
+    broadcast_strike(&strike, context, out);
 }
--- a/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
+++ b/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
@@ -244,6 +244,7 @@
     let mut fleet = Fleet::new(nodes.collect());
     fleet.run(0, 500);
     let node = &mut fleet.nodes[0].1;
+    let mut attempts = Vec::new();
     for subject in 1..=300_u64 {
         let digest = subject.wrapping_mul(0x9e37_79b9_7f4a_7c15);
         let mut request = decoded_request("bulk");
@@ -255,8 +256,12 @@
         if subject % 4 == 0 {
             node.finish(&assignment.attempt, End::Failed, &flight, ms(500));
         }
+        attempts.push(assignment.attempt);
     }
     crash_endpoints(node, 20, ms(500));
+    for attempt in &attempts[..40] {
+        node.record_rate(attempt, Some(4_000_000.0), ms(500));
+    }
     for endpoint in &endpoints[..20] {
         node.record_departure(endpoint.key(), ms(500));
     }
@@ -265,6 +270,7 @@
     let known: u32 = other.iter().map(|state| state.load().running).sum();
     assert_eq!(known, 225);
     assert!(other.iter().filter(|state| state.is_departing()).count() >= 8);
+    assert!(fleet.nodes[29].1.rates().named().count() >= 8);
 }
 
 #[test]
--- a/crates/peridotdeck-core/tests/testsuite/software_versions.rs
+++ b/crates/peridotdeck-core/tests/testsuite/software_versions.rs
@@ -174,3 +174,18 @@
     world.run(ms(700));
     assert_eq!(world.stream(0, "c", Some("from before")), None);
 }
+
+/// More new streams than fit a datagram are told in several.
+#[test]
+fn many_streams_at_once_are_told() {
+    let mut world = rollout(3, 7);
+    for at in 0..400 {
+        world.stream(0, &format!("a{at}"), None).expect("begun");
+    }
+    world.run(ms(200));
+    world.kill(0);
+    for at in 0..400 {
+        let went_on = world.stream(1 + at % 2, &format!("b{at}"), Some(&format!("a{at}")));
+        assert!(went_on.is_some(), "a{at} is known");
+    }
+}
--- a/crates/peridotdeck-core/tests/testsuite/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world.rs
@@ -8,7 +8,7 @@
     flight::Flight,
     registry::{self, Area, Fact},
 };
-use peridotdeck_wire::beat::Beat;
+use peridotdeck_wire::{beat::Beat, pack};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::dispatch::{REGIONS, configure, copies, decoded_request, endpoint, ms, options, report};
@@ -168,6 +168,15 @@
 
     fn send(&mut self, from: usize, beats: Vec<(Node, Beat)>) {
         for (to, beat) in beats {
+            let lengths = [
+                beat.streams.len(),
+                beat.lookups.len(),
+                beat.demands.len(),
+                beat.grants.len(),
+            ];
+            if lengths.into_iter().any(|length| length > 0) {
+                pack(&beat).expect("fits a datagram");
+            }
             let to = (u32::from(to) - u32::from(address(0))) as usize;
             let is_reached = self.groups.get(to) == Some(&self.groups[from]);
             if is_reached && !self.rng.random_bool(0.02) {
