--- a/crates/peridotdeck-relay/src/control.rs
+++ b/crates/peridotdeck-relay/src/control.rs
@@ -89,6 +89,8 @@
     metrics.set_state("prefixes", dispatcher.prefix_count() as u64);
     let quarantines = dispatcher.quarantines(now).count();
     metrics.set_state("quarantines", quarantines as u64);
+    metrics.set_state("named_rates", dispatcher.rates().named().count() as u64);
+    metrics.set_state("streams", dispatcher.streams().len() as u64);
     metrics.set_state("kept_connections", shared.pool.len() as u64);
 }
 
