--- a/crates/peridotdeck-core/tests/testsuite/crashing_parts.rs
+++ b/crates/peridotdeck-core/tests/testsuite/crashing_parts.rs
@@ -13,7 +13,9 @@
 };
 use world::{COMMON, CRASHES, DEADLY, MAX_LATE, Sound, World, data_centre, prompt};
 
-use crate::dispatch::{configure, decoded_request, endpoint, ms, options};
+use crate::dispatch::{
+    configure, copies, decoded_request, dispatcher, endpoint, expect_sent, ms, options,
+};
 
 /// Guards against a part that crashes one endpoint after the other, since no two requests are alike.
 #[test]
@@ -176,3 +178,39 @@
     assert_eq!(one.count(Subject::Part(DEADLY)), 0);
     assert_eq!(other.count(Subject::Part(DEADLY)), 0);
 }
+
+/// Callers send the same lookup again and again. It was quarantined because endpoints crashed beside
+/// it, although other nodes had it answered all the while.
+#[test]
+fn request_that_is_answered_at_other_nodes_stays_in_use() {
+    let infos: Vec<_> = (0..6)
+        .map(|number| endpoint(&format!("e{number}"), "desk", "muenchen"))
+        .collect();
+    let mut nodes = [1, 2].map(|number| dispatcher(number, "muenchen", &infos));
+    let exchange = |nodes: &mut [Dispatcher; 2], now| {
+        for from in 0..2 {
+            for (_, beat) in copies(nodes[from].tick(now).heartbeats) {
+                nodes[1 - from].receive(&beat, now);
+            }
+        }
+    };
+    exchange(&mut nodes, ms(100));
+    for crash in 1..=4 {
+        let now = ms(5_000 * crash);
+        for node in 0..2 {
+            let Ok(mut flight) = nodes[node].admit(decoded_request("lookup"), 7, now) else {
+                panic!("refused after {crash} crashes beside it");
+            };
+            let attempt = expect_sent(nodes[node].place(&mut flight, now)).attempt;
+            if node == 0 {
+                nodes[0].finish(&attempt, End::Broken, &flight, now);
+                nodes[0].record_probe(attempt.key(), false, now);
+            } else {
+                nodes[1].finish(&attempt, End::Finished, &flight, now + ms(20));
+            }
+        }
+        for step in 1..40 {
+            exchange(&mut nodes, now + ms(25 * step));
+        }
+    }
+}
