Round named rates to what heartbeats carry

A rate such as 2.3 or 2.857142 differed by its last digits from what peers reported of it, so each answer was news to its node: a log line, and heartbeats to all data centres at once.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/rates.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/rates.rs
@@ -261,7 +261,7 @@
         let reports = reports.map(|(endpoint, limit, age)| beat::Rate {
             endpoint,
             named: limit.rate.is_some(),
-            millis: (limit.rate.unwrap_or_default() * 1e3) as u32,
+            millis: (limit.rate.unwrap_or_default() * 1e3).round() as u32,
             age_ms: millis(age),
         });
         reports.collect()
--- a/crates/peridotdeck-core/src/dispatch/rate/table.rs
+++ b/crates/peridotdeck-core/src/dispatch/rate/table.rs
@@ -59,7 +59,7 @@
             return None;
         }
         let limit = Limit {
-            rate,
+            rate: rate.map(rounded),
             observed: now,
         };
         self.set(key, limit)
@@ -158,3 +158,8 @@
             .binary_search_by_key(&key, |entry| entry.endpoint)
     }
 }
+
+/// Returns a rate in the precision of reports, so that a peer's report of it is no change.
+fn rounded(rate: f64) -> f64 {
+    (rate * 1e3).round() / 1e3
+}
--- a/crates/peridotdeck-core/tests/testsuite/named_rates.rs
+++ b/crates/peridotdeck-core/tests/testsuite/named_rates.rs
@@ -179,3 +179,17 @@
     world.run(ms(8_000));
     assert_eq!((world.counts.waited, world.counts.refused), (0, 0));
 }
+
+/// A rate with many decimals differed from what peers reported of it, so each answer was news.
+#[test]
+fn reported_rate_equals_the_named_one() {
+    let mut world = World::new(7, 1, 11);
+    world.callers.1 = 10.0;
+    for rate in [2.3, 2.857_142, 1e-9] {
+        world.endpoints[0].rate = Some(rate);
+        world.run(ms(8_000));
+        let changes = world.rate_changes;
+        world.run(ms(6_000));
+        assert_eq!(world.rate_changes, changes, "rate {rate}");
+    }
+}
--- a/crates/peridotdeck-core/tests/testsuite/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world.rs
@@ -61,6 +61,8 @@
     /// Share of requests that belong to the most urgent route.
     pub urgent_share: f64,
     pub counts: Counts,
+    /// Changes of the rates that nodes believe in.
+    pub rate_changes: usize,
     heartbeats: Vec<(Duration, usize, Beat)>,
     waiting: Vec<(Duration, usize, Flight)>,
     open: Vec<Open>,
@@ -96,6 +98,7 @@
             callers: ((0..nodes).collect(), 4.0),
             urgent_share: 0.5,
             counts: Counts::default(),
+            rate_changes: 0,
             heartbeats: Vec::new(),
             waiting: Vec::new(),
             open: Vec::new(),
@@ -148,6 +151,7 @@
         for index in 0..self.nodes.len() {
             if let Some(node) = &mut self.nodes[index] {
                 let due = node.tick(self.now);
+                self.rate_changes += due.rates.len();
                 self.send(index, copies(due.heartbeats));
             }
         }
@@ -199,7 +203,8 @@
                 let found = self.endpoints.iter();
                 let mut found = found.filter(|one| key(one) == open.attempt.key());
                 let rate = found.next().and_then(|endpoint| endpoint.rate);
-                node.record_rate(&open.attempt, rate, now);
+                let news = node.record_rate(&open.attempt, rate, now);
+                self.rate_changes += usize::from(news.is_some());
                 node.record_answer_start(&mut open.attempt, false, &open.flight, now);
             }
         }
