--- a/crates/peridotdeck-core/src/dispatch.rs
+++ b/crates/peridotdeck-core/src/dispatch.rs
@@ -15,7 +15,7 @@
 //! - [`registry`]: the current configuration and endpoints, whose revisions never decrease;
 //! - [`flight`]: one caller's request and the attempts that it may still make;
 //! - [`placement`]: the choice of an endpoint, or the reasons why none is eligible;
-//! - [`endpoint`]: this node's knowledge of one endpoint;
+//! - [`endpoint`]: this node's knowledge of one endpoint, and its [`path`]s to it;
 //! - [`attempt`]: a request sent to an endpoint, its outcome and the next step;
 //! - [`dispatcher`]: the state and decisions that combine all of these.
 
@@ -24,12 +24,14 @@
 pub mod config;
 pub mod crashes;
 pub mod departures;
+pub mod detour;
 pub mod dispatcher;
 pub mod due;
 pub mod endpoint;
 pub mod fleet;
 pub mod flight;
 pub mod mean;
+pub mod path;
 pub mod placement;
 pub mod prefix;
 pub mod rate;
--- a/crates/peridotdeck-core/src/dispatch/attempt.rs
+++ b/crates/peridotdeck-core/src/dispatch/attempt.rs
@@ -5,11 +5,10 @@
 use strum::{Display, IntoStaticStr};
 
 use super::{
-    Key, Software,
+    Key, Node, Software,
     endpoint::Load,
     placement::{Estimate, Exclusion},
     refusal::Refusal,
-    registry::Position,
 };
 use crate::{Verdict, id::Time};
 
@@ -89,10 +88,6 @@
     pub estimate: Estimate,
     /// Known load of the endpoint before this request.
     pub load: Load,
-    /// Position of the endpoint list.
-    pub roster: Position,
-    /// Time since the endpoint list was last confirmed as up to date.
-    pub roster_age: Duration,
 }
 
 /// A request that was sent to an endpoint, with the load that it adds there.
@@ -101,6 +96,8 @@
     pub(super) key: Key,
     /// Version of the endpoint's software.
     pub(super) software: Software,
+    /// Peer through which the request is sent, if the own path is lost.
+    pub(super) detour: Option<Node>,
     pub(super) load: Load,
     pub(super) expected: Duration,
     pub(super) sent: Time,
@@ -115,6 +112,12 @@
         self.key
     }
 
+    /// Returns the peer through which the request is sent, if the own path is lost.
+    #[must_use]
+    pub fn detour(&self) -> Option<Node> {
+        self.detour
+    }
+
     /// Returns the time at which the request was placed.
     #[must_use]
     pub fn sent(&self) -> Time {
@@ -136,6 +139,8 @@
     Misdirected,
     /// No connection could be opened, so the request did not run.
     Unreachable,
+    /// The request did not leave this node, for a reason that does not concern the endpoint.
+    Unsent,
     /// The connection closed before the answer was complete.
     Broken,
     /// The connection closed where the answer may or may not have been complete.
@@ -156,7 +161,9 @@
     pub fn verdict(self) -> Verdict {
         match self {
             Self::Finished | Self::Failed => Verdict::Ran,
-            Self::Rejected | Self::Misdirected | Self::Unreachable => Verdict::NotRun,
+            Self::Rejected | Self::Misdirected | Self::Unreachable | Self::Unsent => {
+                Verdict::NotRun
+            }
             _ => Verdict::MayHaveRun,
         }
     }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -11,9 +11,11 @@
 //! - `rates`: an endpoint names a rate, or a request needs a part of one;
 //! - `streams`: a stream begins, or a caller takes one up;
 //! - `peers`: a heartbeat from a peer arrives, or one to a peer is composed;
+//! - `detours`: a path to an endpoint is lost, or works again;
 //! - `maintenance`: time passes, or the result of a probe or of a cache query arrives.
 
 mod batch;
+mod detours;
 mod maintenance;
 mod outcomes;
 mod pauses;
@@ -26,13 +28,14 @@
 
 use std::time::Duration;
 
+use detours::Schedule;
 use quarantine::{Begun, Suspicion};
 use rand::{SeedableRng, rngs::SmallRng};
 
 use super::{
     DataCentre, Key, Node,
     budget::{Bound, Budget},
-    crashes, data_centre, departures,
+    crashes, data_centre, departures, detour,
     due::{CacheQuery, SnapshotRequest},
     endpoint::State,
     fleet::Fleet,
@@ -119,6 +122,10 @@
     grants: Vec<(Node, Key)>,
     suspicions: Vec<Suspicion>,
     begun: Vec<Begun>,
+    schedule: Schedule,
+    pauses: detour::Pauses,
+    /// Changes of paths since the last tick.
+    path_news: Vec<detour::News>,
     plain_answer_ms: mean::Table,
     whole_answer_ms: mean::Table,
     failure_rate: mean::Table,
@@ -160,6 +167,9 @@
             lookups: Vec::new(),
             suspicions: Vec::new(),
             begun: Vec::new(),
+            schedule: Schedule::default(),
+            pauses: detour::Pauses::default(),
+            path_news: Vec::new(),
             plain_answer_ms: mean::Table::new(INITIAL_PLAIN_ANSWER_MS),
             whole_answer_ms: mean::Table::new(INITIAL_WHOLE_ANSWER_MS),
             failure_rate: mean::Table::new(0.0),
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -1,4 +1,4 @@
-//! Periodic work, and the results of probes and cache queries.
+//! Periodic work, and the results of cache queries.
 
 use std::time::Duration;
 
@@ -6,7 +6,7 @@
 use crate::{
     dispatch::{
         Key, Prefix,
-        due::{CacheQuery, Due, Probe},
+        due::{CacheQuery, Due},
         fleet::Changes,
     },
     id::Time,
@@ -41,7 +41,10 @@
         due.heartbeats.append(&mut self.rate_messages(now));
         due.heartbeats.append(&mut self.stream_messages(now));
         due.rates = std::mem::take(&mut self.rate_news);
+        due.closed = self.end_detours(now);
         due.probes = self.probes(now);
+        due.searches = self.searches(now);
+        due.paths = std::mem::take(&mut self.path_news);
         due.cache_queries = self.cache_queries();
         due.snapshot_requests = self.snapshot_requests(now);
         due.crashes = self.crashes.take_notices();
@@ -51,6 +54,7 @@
             self.crashes.expire(now);
             self.departures.expire(now);
             self.rates.expire(now);
+            self.pauses.expire(now);
             self.streams.expire(now);
             self.versions.observe(self.registry.endpoints().iter(), now);
             self.expire_suspicions(now);
@@ -83,21 +87,6 @@
         due.into_iter().map(|(_, query)| query).collect()
     }
 
-    /// Starts the probes that are due and returns them.
-    fn probes(&mut self, now: Time) -> Vec<Probe> {
-        let mut probes = Vec::new();
-        for state in &mut self.states {
-            if state.probe_due().is_some_and(|due| due <= now) {
-                state.start_probe();
-                probes.push(Probe {
-                    key: state.key,
-                    address: state.info.address,
-                });
-            }
-        }
-        probes
-    }
-
     /// Records the prompt prefixes that an endpoint holds in memory.
     pub fn record_cached(&mut self, key: Key, parts: &[Prefix], now: Time) {
         if self.find(key).is_ok() {
@@ -107,29 +96,10 @@
         }
     }
 
-    /// Records the result of a probe.
-    ///
-    /// A failed probe soon after a broken attempt counts as a crash that its request caused.
-    pub fn record_probe(&mut self, key: Key, accepted: bool, now: Time) {
-        let Some(state) = self.state_mut(key) else {
-            return;
-        };
-        if accepted {
-            if state.record_reachable() {
-                self.treat_as_cold(key, now);
-            }
-            self.drop_suspicions(key);
-            return;
-        }
-        state.record_unreachable(now);
-        self.prefixes.remove_endpoint(key);
-        self.attribute_crash(key, now);
-    }
-
     /// Treats an endpoint as cold that is reachable again.
     ///
     /// It may have restarted while it was unreachable, and its new entry may not be known yet.
-    fn treat_as_cold(&mut self, key: Key, now: Time) {
+    pub(super) fn treat_as_cold(&mut self, key: Key, now: Time) {
         let Some(config) = self.registry.config().cloned() else {
             return;
         };
@@ -146,7 +116,7 @@
     /// Records that an idle connection to an endpoint broke.
     pub fn suspect(&mut self, key: Key, now: Time) {
         if let Some(state) = self.state_mut(key) {
-            state.suspect(now);
+            state.path.suspect(now);
         }
     }
 }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
@@ -26,7 +26,7 @@
 const REJECTION_WEIGHT: f64 = 0.5;
 
 /// Longest time for which an endpoint may ask for no requests; a longer one is likely an error.
-const MAX_PAUSE: Duration = Duration::from_secs(300);
+pub(super) const MAX_PAUSE: Duration = Duration::from_secs(300);
 
 impl Dispatcher {
     /// Records that the answer has begun, which means that the prompt has been read.
@@ -72,9 +72,20 @@
 
     /// Sends nothing to an endpoint for a time that it has asked for.
     pub fn pause_endpoint(&mut self, key: Key, time: Duration, now: Time) {
-        if let Some(state) = self.state_mut(key) {
-            state.pause(now + time.min(MAX_PAUSE));
-        }
+        self.note_pause(self.options.node, key, now + time.min(MAX_PAUSE));
+        self.fleet.mark_changed();
+    }
+
+    /// Sends nothing to an endpoint over the path of an attempt, for a time that it has asked for.
+    ///
+    /// The peer whose path it was learns of the pause at once.
+    pub fn pause_path(&mut self, attempt: &Attempt, time: Duration, now: Time) {
+        let Some(peer) = attempt.detour else {
+            self.pause_endpoint(attempt.key, time, now);
+            return;
+        };
+        self.note_pause(peer, attempt.key, now + time.min(MAX_PAUSE));
+        self.fleet.mark_urgent();
     }
 
     /// Ends an attempt and updates load, health and expectations from its outcome.
@@ -105,13 +116,16 @@
                 _ => {}
             }
             match end {
-                End::Broken | End::Unconfirmed | End::Silent => state.suspect(now),
-                End::Unreachable => state.record_unreachable(now),
+                End::Broken | End::Unconfirmed | End::Silent | End::Unsent => {
+                    state.path.suspect(now);
+                }
                 _ => {}
             }
         }
         match end {
-            End::Unreachable | End::Misdirected => self.prefixes.remove_endpoint(key),
+            End::Unreachable if attempt.detour.is_some() => self.end_detour(key, now),
+            End::Unreachable => self.record_unreachable(key, now),
+            End::Misdirected => self.prefixes.remove_endpoint(key),
             End::Rejected | End::Silent => self.forget_unread(attempt, flight),
             _ => {}
         }
@@ -154,7 +168,11 @@
         match end.verdict() {
             Verdict::NotRun => {
                 let enough_time = flight.time_left(now) > MIN_ATTEMPT_TIME;
-                let was_sent = end != End::Unreachable;
+                let was_sent = !matches!(end, End::Unreachable | End::Unsent);
+                if !was_sent {
+                    // The endpoint may soon be reached over another path.
+                    flight.tried.pop();
+                }
                 flight.rejections += u32::from(was_sent);
                 let few_rejections = flight.rejections <= MAX_REJECTIONS;
                 if enough_time
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
@@ -4,7 +4,7 @@
 
 use peridotdeck_wire::beat;
 
-use super::{Dispatcher, NewerState};
+use super::{Dispatcher, NewerState, outcomes::MAX_PAUSE};
 use crate::{
     dispatch::{
         Node,
@@ -93,6 +93,10 @@
         for key in &beat.departures {
             self.record_departure(*key, now);
         }
+        for pause in &beat.pauses {
+            let left = Duration::from_millis(pause.left_ms.into()).min(MAX_PAUSE);
+            self.note_pause(Node::from(pause.node), pause.endpoint, now + left);
+        }
         self.receive_rates(beat, now);
         self.note_newer_states(beat, now);
         let node = Node::from(beat.node);
@@ -183,6 +187,8 @@
         let mut health: Vec<beat::Health> = self
             .states
             .iter()
+            // What is seen over a path that may be lost says nothing about the endpoint.
+            .filter(|state| !state.path.is_lost() && !state.path.is_suspected())
             .map(|state| (state.key, state.health.weights(now)))
             .filter(|(_, (_, bad))| *bad > 0.1)
             .map(|(endpoint, (good, bad))| beat::Health {
@@ -198,7 +204,11 @@
             now.as_millis() / CRASH_TURN.as_millis() + u128::from(u32::from(self.options.node));
         let crashes = self.crashes.reports(MAX_CRASHES, turn as usize, now);
         let proofs = self.crashes.proofs(MAX_PROOFS, now).into_iter();
+        let (unreached, cut_off) = self.unreached(turn as usize);
         Status {
+            unreached,
+            cut_off,
+            pauses: self.pause_reports(now),
             policy: self.registry.progress(Area::Policy).changed,
             roster: self.registry.progress(Area::Roster).changed,
             version: self.registry.version(),
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -20,7 +20,6 @@
         placement::{CachedTokens, Estimate, Exclusion, View},
         prefix::{Holding, Index, REFRESH},
         refusal::{Cause, Refusal},
-        registry::Area,
     },
     id::{Fingerprint, Time},
 };
@@ -180,7 +179,8 @@
             (state.pause_left(now).is_some(), Exclusion::RetryAfter),
             (!fits, Exclusion::Version),
             (flight.excludes(state.key), Exclusion::Tried),
-            (state.is_in_backoff(), Exclusion::Resting),
+            (!state.path.is_usable(), Exclusion::Resting),
+            (!self.detour_allows(state, flight), Exclusion::Detour),
         ];
         match exclusions.iter().find(|(excluded, _)| *excluded) {
             Some((_, exclusion)) => Err(*exclusion),
@@ -385,8 +385,6 @@
         let source = estimate.source.and_then(|source| self.state(source));
         let source = source.map(|state| state.info.address);
         let hedge_after = hedge_after(flight, &estimate);
-        let roster = self.registry.progress(Area::Roster).changed;
-        let roster_age = self.registry.age(Area::Roster, now);
         let load = Load {
             running: 1,
             unread: estimate.unread,
@@ -401,6 +399,7 @@
             attempt: Attempt {
                 key,
                 software: state.software,
+                detour: state.path.detour(),
                 load,
                 expected: estimate.time_to_first,
                 sent: now,
@@ -414,8 +413,6 @@
             hedge_after,
             estimate,
             load: before,
-            roster,
-            roster_age,
         }
     }
 }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/waiting.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/waiting.rs
@@ -154,6 +154,7 @@
                 exclusion,
                 Exclusion::Tried
                     | Exclusion::Resting
+                    | Exclusion::Detour
                     | Exclusion::Cold
                     | Exclusion::ColdElsewhere
                     | Exclusion::RateLimited
--- a/crates/peridotdeck-core/src/dispatch/due.rs
+++ b/crates/peridotdeck-core/src/dispatch/due.rs
@@ -5,6 +5,7 @@
 use super::{
     Key, Node,
     crashes::Notice,
+    detour::{self, Search},
     fleet::Broadcast,
     rate::News,
     registry::{Area, Change, Position},
@@ -38,14 +39,20 @@
 pub struct Due {
     /// Endpoints whose cached prompt prefixes should be listed.
     pub cache_queries: Vec<CacheQuery>,
+    /// Endpoints whose kept connections lead through peers that are of no use any more.
+    pub closed: Vec<Key>,
     /// Changes since the last tick of what is blamed for crashes.
     pub crashes: Vec<Notice>,
     /// Heartbeats to send, each with the peers that receive it.
     pub heartbeats: Vec<Broadcast>,
+    /// Changes of the paths to endpoints since the last tick.
+    pub paths: Vec<detour::News>,
     /// Endpoints to probe.
     pub probes: Vec<Probe>,
     /// Changes of endpoints' rates that peers have reported since the last tick.
     pub rates: Vec<News>,
+    /// Searches for peers that reach endpoints to which the own path is lost.
+    pub searches: Vec<Search>,
     /// Newer revisions to fetch from peers.
     pub snapshot_requests: Vec<SnapshotRequest>,
     /// Postponed changes of the registry, such as the removal of endpoints missing for too long.
--- a/crates/peridotdeck-core/src/dispatch/endpoint.rs
+++ b/crates/peridotdeck-core/src/dispatch/endpoint.rs
@@ -1,16 +1,10 @@
-//! State of one endpoint at this node: load, health, slowdown and backoff.
+//! State of one endpoint at this node: load, health, slowdown and paths.
 
 use std::time::Duration;
 
-use super::{Key, Software, registry};
+use super::{Key, Software, path::Path, registry};
 use crate::{id::Time, limit::Bucket};
 
-/// First backoff after a failure to reach the endpoint; it doubles with each further failure.
-const FIRST_BACKOFF: Duration = Duration::from_millis(200);
-
-/// Longest backoff after a failure to reach the endpoint.
-const MAX_BACKOFF: Duration = Duration::from_secs(2);
-
 /// Time in which the weight of an attempt's outcome falls to a half.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 
@@ -114,13 +108,11 @@
     pub health: Health,
     /// Outcomes that a peer reported last.
     pub peer_health: Health,
+    /// This node's paths to the endpoint.
+    pub path: Path,
     slowdown: f64,
     cold_until: Time,
     cold_bucket: Bucket,
-    backoff_until: Time,
-    failures: u32,
-    suspected: bool,
-    probing: bool,
     departing: bool,
     paused_until: Time,
 }
@@ -139,13 +131,10 @@
             peer_load: Load::default(),
             health: Health::default(),
             peer_health: Health::default(),
+            path: Path::default(),
             slowdown: 1.0,
             cold_until,
             cold_bucket: Bucket::full(1.0, now),
-            backoff_until: Time::ZERO,
-            failures: 0,
-            suspected: false,
-            probing: false,
             departing: false,
             paused_until: Time::ZERO,
         }
@@ -225,53 +214,6 @@
         self.paused_until = self.paused_until.max(until);
     }
 
-    /// Returns whether the endpoint could not be reached and has not been reached since.
-    #[must_use]
-    pub fn is_in_backoff(&self) -> bool {
-        self.failures > 0
-    }
-
-    /// Returns whether a connection broke without an answer and no probe has succeeded since.
-    #[must_use]
-    pub fn is_suspected(&self) -> bool {
-        self.suspected
-    }
-
-    /// Returns when to probe the endpoint, if it needs a probe and none is running.
-    #[must_use]
-    pub fn probe_due(&self) -> Option<Time> {
-        let needed = self.failures > 0 || self.suspected;
-        (needed && !self.probing).then_some(self.backoff_until)
-    }
-
-    /// Marks a probe as running.
-    pub fn start_probe(&mut self) {
-        self.probing = true;
-    }
-
-    /// Records a failure to reach the endpoint, which starts or extends its backoff.
-    pub fn record_unreachable(&mut self, now: Time) {
-        self.probing = false;
-        let backoff = FIRST_BACKOFF * 2_u32.saturating_pow(self.failures.min(8));
-        self.failures += 1;
-        self.backoff_until = now + backoff.min(MAX_BACKOFF);
-    }
-
-    /// Makes a probe due now, because a connection broke without an answer.
-    pub fn suspect(&mut self, now: Time) {
-        self.suspected = true;
-        if self.failures == 0 {
-            self.backoff_until = now;
-        }
-    }
-
-    /// Ends backoff and suspicion after an accepted connection; returns whether it was in backoff.
-    pub fn record_reachable(&mut self) -> bool {
-        self.probing = false;
-        self.suspected = false;
-        std::mem::take(&mut self.failures) > 0
-    }
-
     /// Returns the share of recent attempts that failed, including those that peers reported.
     #[must_use]
     pub fn failure_rate(&self, now: Time) -> f64 {
--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -47,6 +47,9 @@
 /// Heartbeats to the same data centre that carry an announcement, as heartbeats may be lost.
 const LOCAL_REPEATS: u32 = 2;
 
+/// Time for which a peer's report of the endpoints that it cannot reach counts.
+const REACH_LIFETIME: Duration = Duration::from_secs(5);
+
 /// Most announcements that wait for a heartbeat; beyond it the oldest are dropped.
 const MAX_ANNOUNCEMENTS: usize = 512;
 
@@ -62,6 +65,12 @@
     probed: Option<Time>,
     leaving: bool,
     loads: Vec<(Key, Load)>,
+    /// Endpoints that the peer could not reach, as it reported last.
+    unreached: Vec<Key>,
+    /// Whether the peer reached less than half of its endpoints.
+    cut_off: bool,
+    /// Time of that report.
+    reach_reported: Time,
 }
 
 /// Load that the nodes of another data centre reported together.
@@ -129,6 +138,12 @@
     pub rates: Vec<beat::Rate>,
     /// Whether endpoints of several software versions of one service were listed lately.
     pub mixed: bool,
+    /// Endpoints to which this node cannot open connections, up to the number that is listed.
+    pub unreached: Vec<Key>,
+    /// Whether this node can open connections to less than half of its endpoints.
+    pub cut_off: bool,
+    /// Endpoints that want no requests over the path of a node for a while.
+    pub pauses: Vec<beat::Pause>,
 }
 
 /// Changes that a received heartbeat leads to.
@@ -368,6 +383,30 @@
             .collect()
     }
 
+    /// Returns whether a node is a live peer.
+    #[must_use]
+    pub fn is_live_peer(&self, node: Node, now: Time) -> bool {
+        let found = self.find_peer(node);
+        found.is_ok_and(|index| self.is_live(&self.peers[index], now))
+    }
+
+    /// Returns the data centre of a peer.
+    #[must_use]
+    pub fn place_of(&self, node: Node) -> Option<DataCentre> {
+        self.peers[self.find_peer(node).ok()?].data_centre
+    }
+
+    /// Returns whether a peer may reach an endpoint, as far as it has reported lately.
+    #[must_use]
+    pub fn reaches(&self, node: Node, endpoint: Key, now: Time) -> bool {
+        let Ok(index) = self.find_peer(node) else {
+            return false;
+        };
+        let peer = &self.peers[index];
+        let is_recent = now.saturating_sub(peer.reach_reported) < REACH_LIFETIME;
+        !is_recent || !(peer.cut_off || peer.unreached.contains(&endpoint))
+    }
+
     /// Returns the sum of all other nodes' load at an endpoint.
     #[must_use]
     pub fn load_at(&self, key: Key) -> Load {
@@ -420,6 +459,9 @@
                     probed: None,
                     leaving: false,
                     loads: Vec::new(),
+                    unreached: Vec::new(),
+                    cut_off: false,
+                    reach_reported: Time::ZERO,
                 };
                 self.peers.insert(index, peer);
                 index
--- a/crates/peridotdeck-core/src/dispatch/fleet/receive.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/receive.rs
@@ -34,6 +34,12 @@
         peer.received = Some(now);
         peer.last_known = now;
         peer.leaving = beat.leaving;
+        // The first heartbeat of a round bears the whole report.
+        if beat.first == 0 {
+            peer.unreached.clone_from(&beat.unreached);
+            peer.cut_off = beat.cut_off;
+            peer.reach_reported = now;
+        }
         let mut changes = Changes {
             joined: !was_live && !beat.leaving,
             reply_requested: beat.joining,
--- a/crates/peridotdeck-core/src/dispatch/fleet/send.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/send.rs
@@ -275,6 +275,9 @@
         first.proofs.clone_from(&status.proofs);
         first.departures.clone_from(&status.departures);
         first.rates.clone_from(&status.rates);
+        first.unreached.clone_from(&status.unreached);
+        first.cut_off = status.cut_off;
+        first.pauses.clone_from(&status.pauses);
         beats
     }
 
@@ -317,6 +320,9 @@
             mixed: status.mixed,
             streams: Vec::new(),
             lookups: Vec::new(),
+            unreached: Vec::new(),
+            cut_off: false,
+            pauses: Vec::new(),
         }
     }
 
--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -188,7 +188,7 @@
         } else if state.info.data_centre != self.data_centre {
             estimate.score += OTHER_DATA_CENTRE_SCORE_MS;
         }
-        if state.is_suspected() {
+        if state.path.is_suspected() {
             estimate.score += SUSPECTED_SCORE_MS;
         }
         estimate
@@ -336,8 +336,8 @@
         let same_software = other.software == state.software;
         same_service
             && same_software
-            && !other.is_in_backoff()
-            && !other.is_suspected()
+            && !other.path.is_lost()
+            && !other.path.is_suspected()
             && flight.may_run_in(&other.region)
     }
 
--- a/crates/peridotdeck-core/src/dispatch/placement/exclusion.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement/exclusion.rs
@@ -22,8 +22,10 @@
     Version,
     /// The request has already been sent to the endpoint.
     Tried,
-    /// The endpoint is in backoff because it could not be reached.
+    /// The endpoint is in backoff because neither this node nor a peer could reach it.
     Resting,
+    /// The endpoint is reached through a peer whose region may not see the request.
+    Detour,
     /// The endpoint is cold, and other nodes share its limited rate.
     ColdElsewhere,
     /// The endpoint is cold, and this node's share of its rate is used up.
--- a/crates/peridotdeck-core/tests/testsuite/crashing_parts/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/crashing_parts/world.rs
@@ -165,6 +165,14 @@
                 let accepted = self.is_up(probe.key);
                 self.nodes[index].record_probe(probe.key, accepted, self.now);
             }
+            for search in due.searches {
+                let found = search
+                    .peers
+                    .iter()
+                    .find(|_| self.is_up(search.key))
+                    .copied();
+                self.nodes[index].record_search(search.key, found, self.now);
+            }
             self.send(index, copies(due.heartbeats));
         }
         let now = self.now;
--- a/crates/peridotdeck-relay/src/control.rs
+++ b/crates/peridotdeck-relay/src/control.rs
@@ -1,6 +1,9 @@
 //! HTTP service of the node itself: health checks, metrics, state, and snapshots for peers.
 
-use std::{fmt::Write as _, sync::Arc};
+use std::{
+    fmt::Write as _,
+    sync::{Arc, atomic::Ordering},
+};
 
 use http_body_util::Full;
 use hyper::{
@@ -10,20 +13,33 @@
 };
 use peridotdeck_core::{
     dispatch::{
-        Dispatcher,
+        Dispatcher, Key,
         rate::Entry,
         registry::{Area, Position},
     },
     id::Time,
 };
 
-use crate::{Ingress, Shared, clock};
+use crate::{Ingress, Shared, clock, shared::detour_text, tunnel};
 
 /// Responds to a request to one of the node's own addresses.
 ///
 /// `ready` is the path of the load balancer's readiness check, besides `/readyz`.
-#[must_use]
-pub fn respond<I: Ingress>(
+pub async fn respond<I: Ingress>(
+    shared: Arc<Shared<I>>,
+    request: Request<Incoming>,
+    ready: String,
+) -> Response<Full<Bytes>> {
+    if request.uri().path() == tunnel::PATH {
+        let query = request.uri().query().unwrap_or_default();
+        let key = parameter(query, "endpoint").and_then(|text| Key::from_str_radix(text, 16).ok());
+        return tunnel::accept(&shared, request, key).await;
+    }
+    page(&shared, &request, &ready)
+}
+
+/// Returns one of the node's own pages.
+fn page<I: Ingress>(
     shared: &Arc<Shared<I>>,
     request: &Request<Incoming>,
     ready: &str,
@@ -36,7 +52,7 @@
     match path {
         "/healthz" => text_response(StatusCode::OK, "ok\n"),
         "/metrics" => metrics_response(shared),
-        "/status" => text_response(StatusCode::OK, status(&shared.dispatcher())),
+        "/status" => text_response(StatusCode::OK, status(shared)),
         "/explain" => explain(&shared.dispatcher(), query),
         "/fleet/policy" => snapshot_response(shared, Area::Policy, Position::default()),
         "/fleet/roster" => {
@@ -91,6 +107,11 @@
     metrics.set_state("quarantines", quarantines as u64);
     metrics.set_state("named_rates", dispatcher.rates().named().count() as u64);
     metrics.set_state("streams", dispatcher.streams().len() as u64);
+    let (_, lost, detours) = dispatcher.path_counts();
+    metrics.set_state("lost_paths", lost as u64);
+    metrics.set_state("detours", detours as u64);
+    let tunnels = shared.tunnels.load(Ordering::Relaxed);
+    metrics.set_state("tunnels", tunnels.into());
     metrics.set_state("kept_connections", shared.pool.len() as u64);
 }
 
@@ -160,16 +181,21 @@
 ///
 /// The first line is about the node itself. One line for each peer, each quarantine and each endpoint
 /// follows.
-fn status(dispatcher: &Dispatcher) -> String {
+fn status<I: Ingress>(shared: &Shared<I>) -> String {
+    let dispatcher = shared.dispatcher();
     let now = clock::now();
     let registry = dispatcher.registry();
+    let (endpoints, lost, detours) = dispatcher.path_counts();
     let mut lines = format!(
-        "version={} policy={} roster={} ready={} closed={}\n",
+        "version={} policy={} roster={} ready={} closed={} endpoints={endpoints} reached={} \
+         detours={detours} tunnels={}\n",
         registry.config().map_or(0, |config| config.version),
         registry.progress(Area::Policy).changed,
         registry.progress(Area::Roster).changed,
         dispatcher.is_ready(),
         registry.closed().join(","),
+        endpoints - lost,
+        shared.tunnels.load(Ordering::Relaxed),
     );
     for (node, data_centre) in dispatcher.fleet().members(now) {
         push_line(
@@ -196,7 +222,7 @@
             &mut lines,
             format_args!(
                 "endpoint={} key={:08x} service={} software={} place={} draining={} departing={} paused_ms={} \
-                 cold={} resting={} suspected={} rate={} own={} running={} unread={} pace={:.2} \
+                 cold={} resting={} suspected={} lost={} detour={} rate={} own={} running={} unread={} pace={:.2} \
                  failure_rate={:.2}",
                 state.info.id,
                 state.key,
@@ -207,8 +233,10 @@
                 state.is_departing(),
                 state.pause_left(now).unwrap_or_default().as_millis(),
                 state.is_cold(now),
-                state.is_in_backoff(),
-                state.is_suspected(),
+                !state.path.is_usable(),
+                state.path.is_suspected(),
+                state.path.is_lost(),
+                detour_text(state.path.detour()),
                 rate_text(dispatcher.rates().get(state.key), now),
                 state.own_load.running,
                 load.running,
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
+use async_io::Timer;
 use async_std::future::timeout;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use http_body_util::Full;
 use hyper::{
     HeaderMap, Request, Response, Version,
@@ -10,10 +12,11 @@
     http::request,
 };
 use peridotdeck_core::dispatch::{
-    Key,
+    Key, Node,
     attempt::{Assignment, End},
     config::Kind,
-    due::CacheQuery,
+    detour::Search,
+    due::{CacheQuery, Probe},
     flight::Flight,
 };
 
@@ -23,6 +26,7 @@
     framing::Framing,
     ingress::Reply,
     pool::{self, Connection, Pool},
+    tunnel,
 };
 
 /// Longest idle time of a connection that is reused for a request which must not run twice.
@@ -126,7 +130,7 @@
     let mut connection = reuse_or_dial(shared, flight, assignment).await?;
     let left = flight.time_left(clock::now());
     if left.is_zero() {
-        return Err(Failure::new(End::Unreachable, "no time left to send"));
+        return Err(Failure::new(End::Unsent, "no time left to send"));
     }
     let headers = shared
         .ingress
@@ -162,7 +166,7 @@
 /// A cancelled request never left this process; any other one may have reached the endpoint.
 fn to_failure(cause: &hyper::Error) -> Failure {
     if cause.is_canceled() {
-        Failure::new(End::Unreachable, cause)
+        Failure::new(End::Unsent, cause)
     } else if cause.is_parse() {
         Failure::new(End::Garbled, cause)
     } else {
@@ -184,7 +188,10 @@
     if let Some(connection) = shared.pool.reuse(key, max_idle) {
         return Ok(connection);
     }
-    let dialed = dial_endpoint(shared, key, assignment.address).await;
+    let dialed = match assignment.attempt.detour() {
+        Some(peer) => dial_through(shared, key, peer).await,
+        None => dial_endpoint(shared, key, assignment.address).await,
+    };
     dialed.map_err(|cause| Failure::new(End::Unreachable, &cause))
 }
 
@@ -200,18 +207,75 @@
     dialed
 }
 
-/// Returns whether an endpoint accepts a connection, which is kept for later requests.
-pub async fn probe<I: Ingress>(shared: &Arc<Shared<I>>, key: Key, address: SocketAddrV4) -> bool {
-    match dial_endpoint(shared, key, address).await {
-        Ok(connection) => {
-            shared.pool.keep(key, connection, None);
-            true
-        }
-        Err(cause) => {
-            log::info!("event=probe_failed endpoint={address} cause=\"{cause}\"");
-            false
+/// Opens a connection to an endpoint through a peer.
+async fn dial_through<I: Ingress>(
+    shared: &Arc<Shared<I>>,
+    key: Key,
+    peer: Node,
+) -> Result<Connection, pool::Error> {
+    let dialed = tunnel::dial(shared, key, peer).await;
+    shared.metrics.count_detour(dialed.is_ok());
+    dialed
+}
+
+/// Probes this node's own path to an endpoint; a connection that opens is kept for later requests.
+pub async fn probe<I: Ingress>(shared: &Arc<Shared<I>>, probe: Probe) {
+    let Probe { key, address } = probe;
+    let dialed = dial_endpoint(shared, key, address).await;
+    if let Err(cause) = &dialed {
+        log::info!("event=probe_failed endpoint={address} cause=\"{cause}\"");
+    }
+    let is_regained = shared
+        .dispatcher()
+        .record_probe(key, dialed.is_ok(), clock::now());
+    if is_regained {
+        // Kept connections lead through a peer.
+        shared.pool.close(key);
+    }
+    if let Ok(connection) = dialed {
+        shared.pool.keep(key, connection, None);
+    }
+}
+
+/// Searches for a peer that reaches an endpoint, and keeps the connection through it.
+///
+/// The peers are asked one shortly after the other, as some may have lost their paths unnoticed.
+pub async fn search<I: Ingress>(shared: &Arc<Shared<I>>, search: Search) {
+    /// Time after which the next peer is asked too.
+    const STAGGER: Duration = Duration::from_millis(150);
+    let key = search.key;
+    let mut asked: FuturesUnordered<_> = search
+        .peers
+        .iter()
+        .enumerate()
+        .map(|(index, &peer)| async move {
+            Timer::after(STAGGER * index as u32).await;
+            (peer, dial_through(shared, key, peer).await)
+        })
+        .collect();
+    let mut found = None;
+    while let Some((peer, dialed)) = asked.next().await {
+        match dialed {
+            Ok(connection) => {
+                found = Some((peer, connection));
+                break;
+            }
+            Err(cause) => {
+                log::info!(
+                    "event=detour_failed endpoint_key={key:08x} peer={peer} cause=\"{cause}\""
+                );
+            }
         }
     }
+    let peer = found.as_ref().map(|(peer, _)| *peer);
+    let is_changed = shared.dispatcher().record_search(key, peer, clock::now());
+    if is_changed {
+        // Kept connections use the lost path, or another peer.
+        shared.pool.close(key);
+    }
+    if let Some((_, connection)) = found {
+        shared.pool.keep(key, connection, None);
+    }
 }
 
 /// Fetches the list of prompt prefixes that an endpoint has cached, and records it.
--- a/crates/peridotdeck-relay/src/forwarding/logging.rs
+++ b/crates/peridotdeck-relay/src/forwarding/logging.rs
@@ -8,7 +8,7 @@
 };
 
 use super::Forwarding;
-use crate::{Ingress, clock};
+use crate::{Ingress, clock, shared::detour_text};
 
 impl<I: Ingress> Forwarding<I> {
     /// Logs and counts a request that ended without a complete answer, for the refusal's cause.
@@ -59,8 +59,12 @@
     pub(super) fn log_placed(&self, assignment: &Assignment) {
         let estimate = &assignment.estimate;
         let now = clock::now();
+        let dispatcher = self.shared.dispatcher();
+        let roster = dispatcher.registry().progress(Area::Roster).changed;
+        let roster_age = dispatcher.registry().age(Area::Roster, now);
+        drop(dispatcher);
         log::info!(
-            "event=request_placed id={} route={} endpoint={} software={} resumes={} attempt={} \
+            "event=request_placed id={} route={} endpoint={} software={} detour={} resumes={} attempt={} \
              rank={} score={:.0} \
              expected_ms={} prompt={} shared={} known={} cached={} unread={} fetch={} running={} \
              backlog={} waited_ms={} left_ms={} roster={} roster_age_ms={}",
@@ -68,6 +72,7 @@
             self.flight.route.name,
             assignment.instance,
             assignment.version,
+            detour_text(assignment.attempt.detour()),
             self.flight.resumes.as_deref().unwrap_or("none"),
             self.attempts,
             assignment.rank,
@@ -87,8 +92,8 @@
             assignment.load.unread,
             now.saturating_sub(self.flight.arrived).as_millis(),
             self.flight.time_left(now).as_millis(),
-            assignment.roster,
-            assignment.roster_age.as_millis(),
+            roster,
+            roster_age.as_millis(),
         );
     }
 
--- a/crates/peridotdeck-relay/src/lib.rs
+++ b/crates/peridotdeck-relay/src/lib.rs
@@ -11,7 +11,7 @@
 //! 4. [`stream`] relays the events of a stream, and resumes a broken stream at another endpoint if
 //!    the route allows it.
 //!
-//! [`peers`] exchanges heartbeats and snapshots with other nodes, [`control`] serves health checks,
+//! [`tunnel`] leads a connection to an endpoint through a peer. [`peers`] exchanges heartbeats and snapshots with other nodes, [`control`] serves health checks,
 //! metrics and state, and [`node`] starts and stops everything. `docs/design/PLATFORM.md` gives the
 //! reasons for the design.
 
@@ -34,6 +34,7 @@
 pub mod shared;
 pub mod shutdown;
 pub mod stream;
+pub mod tunnel;
 
 pub use ingress::Ingress;
 pub use publisher::Publisher;
--- a/crates/peridotdeck-relay/src/metrics.rs
+++ b/crates/peridotdeck-relay/src/metrics.rs
@@ -18,6 +18,7 @@
     whole_answer: HistogramVec,
     attempts: IntCounterVec,
     dials: IntCounterVec,
+    detours: IntCounterVec,
     publisher_failures: IntCounterVec,
     peer_messages: IntCounterVec,
     state: IntGaugeVec,
@@ -70,6 +71,11 @@
             "Connections to endpoints by whether they were accepted",
             &["accepted"],
         );
+        let detours = counter(
+            "peridotdeck_detours_total",
+            "Connections to endpoints through peers by whether they were opened",
+            &["opened"],
+        );
         let publisher_failures = counter(
             "peridotdeck_publisher_failures_total",
             "Failed reads of what is published",
@@ -95,6 +101,7 @@
             whole_answer,
             attempts,
             dials,
+            detours,
             publisher_failures,
             peer_messages,
             state,
@@ -129,6 +136,12 @@
         self.dials.with_label_values(&[label]).inc();
     }
 
+    /// Counts a connection to an endpoint through a peer that was opened or not.
+    pub fn count_detour(&self, opened: bool) {
+        let label = if opened { "yes" } else { "no" };
+        self.detours.with_label_values(&[label]).inc();
+    }
+
     /// Counts a failed read of an area from the publisher.
     pub fn count_publisher_failure(&self, area: &str) {
         self.publisher_failures.with_label_values(&[area]).inc();
--- a/crates/peridotdeck-relay/src/node.rs
+++ b/crates/peridotdeck-relay/src/node.rs
@@ -14,7 +14,7 @@
     Ingress, Publisher, Shared, clock, control, exchange, front, notice,
     peers::Peers,
     server::{self, Limits},
-    shared::log_rate,
+    shared::{log_path, log_rate},
     shutdown,
 };
 
@@ -69,7 +69,12 @@
     let started = clock::now();
     let signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let dispatcher = Dispatcher::new(options.dispatch.clone(), started);
-    let shared = Arc::new(Shared::new(ingress, dispatcher));
+    let shared = Arc::new(Shared::new(
+        ingress,
+        dispatcher,
+        options.dispatch.node,
+        options.control.port(),
+    ));
     task::spawn(publisher.follow(Arc::clone(&shared)));
     let (closing, closed) = async_channel::bounded::<()>(1);
     listen(&options, &shared, &closed)?;
@@ -116,7 +121,7 @@
     for address in [options.ready, options.control, options.metrics] {
         let listener = server::listen(address)?;
         let (state, ready) = (Arc::clone(shared), options.ready_path.clone());
-        let respond = move |request| future::ready(control::respond(&state, &request, &ready));
+        let respond = move |request| control::respond(Arc::clone(&state), request, ready.clone());
         let limits = || Limits {
             head_bytes: MAX_CONTROL_HEAD_BYTES,
             idle_timeout: CONTROL_IDLE_TIMEOUT,
@@ -143,6 +148,12 @@
         for news in due.rates {
             log_rate(news, "peer");
         }
+        for news in due.paths {
+            log_path(news);
+        }
+        for key in due.closed {
+            shared.pool.close(key);
+        }
         for notice in &due.crashes {
             notice::log(notice);
         }
@@ -161,11 +172,11 @@
         }
         for probe in due.probes {
             let shared = Arc::clone(shared);
-            task::spawn(async move {
-                let accepted = exchange::probe(&shared, probe.key, probe.address).await;
-                let mut dispatcher = shared.dispatcher();
-                dispatcher.record_probe(probe.key, accepted, clock::now());
-            });
+            task::spawn(async move { exchange::probe(&shared, probe).await });
+        }
+        for search in due.searches {
+            let shared = Arc::clone(shared);
+            task::spawn(async move { exchange::search(&shared, search).await });
         }
     }
 }
--- a/crates/peridotdeck-relay/src/pool.rs
+++ b/crates/peridotdeck-relay/src/pool.rs
@@ -22,13 +22,14 @@
 use hyper::{
     body::Bytes,
     client::conn::http1::{self, SendRequest},
+    rt::{Read, Write},
 };
 use peridotdeck_core::{dispatch::Key, id::Time};
 use quick_error::quick_error;
 use smol_hyper::rt::FuturesIo;
 use socket2::{SockRef, TcpKeepalive};
 
-use crate::clock;
+use crate::{clock, tunnel};
 
 /// Longest time to open a connection.
 ///
@@ -42,7 +43,9 @@
 const KEEPALIVE_PROBES: u32 = 3;
 
 /// Longest time for which sent data may stay unacknowledged before the kernel closes a connection.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
+///
+/// It overrides the number of keepalive probes, so it is the time that these take.
+const UNACKNOWLEDGED_TIMEOUT: Duration = KEEPALIVE_INTERVAL.saturating_mul(KEEPALIVE_PROBES + 1);
 
 /// Longest time for which an idle connection may wait for its next use.
 const MAX_IDLE: Duration = Duration::from_secs(4);
@@ -69,6 +72,12 @@
             from()
             source(cause)
         }
+        /// A peer opened no connection to the endpoint.
+        Detour(cause: tunnel::Error) {
+            display("no connection through the peer: {cause}")
+            from()
+            source(cause)
+        }
         /// The HTTP client could not be set up on the connection.
         Handshake(cause: hyper::Error) {
             display("handshake failed: {cause}")
@@ -240,9 +249,21 @@
     // Reset the connection on drop: an orderly close would go on sending undelivered data long
     // after the request was abandoned.
     SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))?;
+    Ok(handshake(FuturesIo::new(stream), on_broken).await?)
+}
+
+/// Sets up the HTTP client, and calls `on_broken` if the connection breaks while no request uses it.
+///
+/// # Errors
+/// If the client cannot be set up; no request was sent then.
+pub async fn handshake<T, F>(io: T, on_broken: F) -> Result<Connection, hyper::Error>
+where
+    T: Read + Write + Unpin + Send + 'static,
+    F: FnOnce() + Send + 'static,
+{
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(FuturesIo::new(stream))
+        .handshake(io)
         .await?;
     let (close, closed) = async_channel::bounded::<()>(1);
     let in_use = Arc::new(AtomicBool::new(true));
--- a/crates/peridotdeck-relay/src/server.rs
+++ b/crates/peridotdeck-relay/src/server.rs
@@ -28,7 +28,7 @@
     service::service_fn,
 };
 use smol_hyper::rt::FuturesIo;
-use socket::Socket;
+pub(crate) use socket::Socket;
 use socket2::{Domain, Type};
 
 use crate::pool;
@@ -113,6 +113,10 @@
     }
 }
 
+/// Address of the other end of a connection, as an extension of its requests.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Remote(pub(crate) SocketAddr);
+
 /// Reason why a connection ends or is shut down.
 enum Stop {
     Ended(Result<(), hyper::Error>),
@@ -130,14 +134,16 @@
 where
     L: Fn() -> Limits,
     F: Fn(Request<Incoming>) -> Fut,
-    Fut: Future<Output = Response<B>>,
+    Fut: Future<Output = Response<B>> + 'static,
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     pool::set_options(stream.get_ref())?;
+    let remote = Remote(stream.get_ref().peer_addr()?);
     let socket = Socket::new(stream);
     let activity = Arc::new(Activity::new());
-    let service = service_fn(|request: Request<Incoming>| {
+    let service = service_fn(|mut request: Request<Incoming>| {
+        request.extensions_mut().insert(remote);
         let busy = activity.begin();
         let knows_chunks = request.version() != Version::HTTP_10;
         let response = respond(request);
@@ -150,7 +156,8 @@
     });
     let connection = http1::Builder::new()
         .max_buf_size(limits().head_bytes.max(MIN_HEAD_BUFFER_BYTES))
-        .serve_connection(FuturesIo::new(socket.clone()), service);
+        .serve_connection(FuturesIo::new(socket.clone()), service)
+        .with_upgrades();
     let mut connection = pin!(connection);
     let ended = async { Stop::Ended(connection.as_mut().await) };
     let closed = async {
--- a/crates/peridotdeck-relay/src/server/socket.rs
+++ b/crates/peridotdeck-relay/src/server/socket.rs
@@ -15,7 +15,7 @@
 
 /// A socket that stays accessible while hyper reads and writes it.
 #[derive(Clone, Debug)]
-pub(super) struct Socket(Arc<Async<TcpStream>>);
+pub(crate) struct Socket(Arc<Async<TcpStream>>);
 
 impl Socket {
     pub(super) fn new(stream: Async<TcpStream>) -> Self {
@@ -23,7 +23,7 @@
     }
 
     /// Makes the close of the connection a reset.
-    pub(super) fn reset_on_close(&self) -> io::Result<()> {
+    pub(crate) fn reset_on_close(&self) -> io::Result<()> {
         SockRef::from(self.0.get_ref()).set_linger(Some(Duration::ZERO))
     }
 }
--- a/crates/peridotdeck-relay/src/shared.rs
+++ b/crates/peridotdeck-relay/src/shared.rs
@@ -10,10 +10,11 @@
 };
 
 use peridotdeck_core::dispatch::{
-    Dispatcher, Key,
+    Dispatcher, Key, Node,
     attempt::Attempt,
+    detour::{self, Change},
     rate::News,
-    registry::{Area, Change, Endpoint, Position, Report},
+    registry::{self, Area, Endpoint, Position, Report},
 };
 
 use crate::{Ingress, clock, ingress::Notice, metrics::Metrics, pool::Pool, publisher::Sink};
@@ -30,6 +31,12 @@
     /// Number of requests in progress.
     pub open_requests: AtomicU32,
     dispatcher: Mutex<Dispatcher>,
+    /// Number of connections to endpoints that are open for peers.
+    pub tunnels: AtomicU32,
+    /// Address of this node, by which peers know it.
+    pub node: Node,
+    /// Port at which all nodes serve their peers.
+    pub control_port: u16,
     /// Failed reads of each area since its last successful read.
     failure_counts: [AtomicU32; 2],
 }
@@ -37,12 +44,15 @@
 impl<I: Ingress> Shared<I> {
     /// Creates the state of a node that has not served a request yet.
     #[must_use]
-    pub fn new(ingress: I, dispatcher: Dispatcher) -> Self {
+    pub fn new(ingress: I, dispatcher: Dispatcher, node: Node, control_port: u16) -> Self {
         Self {
             ingress,
             pool: Pool::default(),
             metrics: Metrics::new(),
             open_requests: AtomicU32::new(0),
+            tunnels: AtomicU32::new(0),
+            node,
+            control_port,
             dispatcher: Mutex::new(dispatcher),
             failure_counts: Default::default(),
         }
@@ -75,17 +85,18 @@
         }
         if let Some(time) = notice.pause {
             log::info!(
-                "event=endpoint_paused endpoint_key={key:08x} id={id} pause_ms={}",
-                time.as_millis()
+                "event=endpoint_paused endpoint_key={key:08x} id={id} pause_ms={} detour={}",
+                time.as_millis(),
+                detour_text(attempt.detour()),
             );
-            self.dispatcher().pause_endpoint(key, time, now);
+            self.dispatcher().pause_path(attempt, time, now);
         }
     }
 
     /// Logs a change and closes the connections to removed endpoints.
     ///
     /// `source` is logged as the origin of the change.
-    pub fn handle_change(&self, change: &Change, source: &str) {
+    pub fn handle_change(&self, change: &registry::Change, source: &str) {
         if let Some(version) = change.version {
             log::info!("event=config_adopted version={version} source={source}");
             self.metrics.set_config_version(version);
@@ -124,6 +135,25 @@
     );
 }
 
+/// Returns the peer through which a request is sent, or `none` for the own path.
+pub(crate) fn detour_text(peer: Option<Node>) -> String {
+    peer.map_or_else(|| "none".to_owned(), |peer| peer.to_string())
+}
+
+/// Logs a change of the path that this node uses to an endpoint.
+pub(crate) fn log_path(news: detour::News) {
+    let key = news.endpoint;
+    match news.change {
+        Change::Lost => log::info!("event=path_lost endpoint_key={key:08x}"),
+        Change::Down => log::info!("event=endpoint_unreached endpoint_key={key:08x}"),
+        Change::Detour(peer) => {
+            log::info!("event=detour_started endpoint_key={key:08x} peer={peer}");
+        }
+        Change::DetourEnded => log::info!("event=detour_ended endpoint_key={key:08x}"),
+        Change::Regained => log::info!("event=path_regained endpoint_key={key:08x}"),
+    }
+}
+
 fn log_endpoint(event: &str, endpoint: &Endpoint, source: &str) {
     let Endpoint {
         id,
--- a/crates/peridotdeck-relay/src/shutdown.rs
+++ b/crates/peridotdeck-relay/src/shutdown.rs
@@ -59,7 +59,8 @@
 /// The listeners and idle connections are closed when `closing` is dropped. Requests that are open
 /// shortly before the end of the grace period are cut.
 pub async fn drain<I: Ingress>(shared: &Shared<I>, grace_period: Duration, closing: Sender<()>) {
-    let open = || shared.open_requests.load(Ordering::Relaxed);
+    let open =
+        || shared.open_requests.load(Ordering::Relaxed) + shared.tunnels.load(Ordering::Relaxed);
     log::info!("event=leaving open={}", open());
     shared.dispatcher().leave();
     let deadline = clock::now() + grace_period.saturating_sub(SHUTDOWN_MARGIN);
--- a/crates/peridotdeck-wire/src/beat.rs
+++ b/crates/peridotdeck-wire/src/beat.rs
@@ -53,6 +53,7 @@
 ///  "description": "Periodic heartbeat datagram between nodes that schedule their own callers' requests without pool owners.",
 ///  "type": "object",
 ///  "required": [
+///    "cut_off",
 ///    "demands",
 ///    "departures",
 ///    "first",
@@ -68,6 +69,7 @@
 ///    "members",
 ///    "mixed",
 ///    "node",
+///    "pauses",
 ///    "place",
 ///    "policy",
 ///    "proofs",
@@ -76,9 +78,14 @@
 ///    "sequence",
 ///    "streams",
 ///    "strikes",
+///    "unreached",
 ///    "version"
 ///  ],
 ///  "properties": {
+///    "cut_off": {
+///      "description": "Whether the sender can open connections to less than half of its endpoints.",
+///      "type": "boolean"
+///    },
 ///    "demands": {
 ///      "description": "Requests that the sender could send to endpoints whose rates the receiver shares out.",
 ///      "type": "array",
@@ -175,6 +182,13 @@
 ///      "format": "uint32",
 ///      "minimum": 0.0
 ///    },
+///    "pauses": {
+///      "description": "Endpoints that have asked for no requests from a node for a while.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/Pause"
+///      }
+///    },
 ///    "place": {
 ///      "description": "Digest of the sender's data centre.",
 ///      "type": "integer",
@@ -223,6 +237,15 @@
 ///        "$ref": "#/definitions/Strike"
 ///      }
 ///    },
+///    "unreached": {
+///      "description": "Digests of endpoints to which the sender cannot open connections.",
+///      "type": "array",
+///      "items": {
+///        "type": "integer",
+///        "format": "uint32",
+///        "minimum": 0.0
+///      }
+///    },
 ///    "version": {
 ///      "description": "Version of the sender's configuration; 0 without one.",
 ///      "type": "integer",
@@ -237,6 +260,8 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Beat {
+    ///Whether the sender can open connections to less than half of its endpoints.
+    pub cut_off: bool,
     ///Requests that the sender could send to endpoints whose rates the receiver shares out.
     pub demands: ::std::vec::Vec<Demand>,
     ///Digests of endpoints that have recently announced their departure in an answer.
@@ -267,6 +292,8 @@
     pub mixed: bool,
     ///IPv4 address of the sender as a number.
     pub node: u32,
+    ///Endpoints that have asked for no requests from a node for a while.
+    pub pauses: ::std::vec::Vec<Pause>,
     ///Digest of the sender's data centre.
     pub place: u32,
     ///Position of the sender's configuration and closed data centres.
@@ -283,6 +310,8 @@
     pub streams: ::std::vec::Vec<Stream>,
     ///Crashes of endpoints that are attributed to requests, or to parts of their prompts.
     pub strikes: ::std::vec::Vec<Strike>,
+    ///Digests of endpoints to which the sender cannot open connections.
+    pub unreached: ::std::vec::Vec<u32>,
     ///Version of the sender's configuration; 0 without one.
     pub version: u64,
 }
@@ -581,6 +610,58 @@
         value.clone()
     }
 }
+///Time for which an endpoint wants no requests from a node, the sender or a peer whose path the sender used.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Time for which an endpoint wants no requests from a node, the sender or a peer whose path the sender used.",
+///  "type": "object",
+///  "required": [
+///    "endpoint",
+///    "left_ms",
+///    "node"
+///  ],
+///  "properties": {
+///    "endpoint": {
+///      "description": "Digest of the endpoint's id and start time.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "left_ms": {
+///      "description": "Time until the end of the pause.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "node": {
+///      "description": "IPv4 address of the node as a number.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Pause {
+    ///Digest of the endpoint's id and start time.
+    pub endpoint: u32,
+    ///Time until the end of the pause.
+    pub left_ms: u32,
+    ///IPv4 address of the node as a number.
+    pub node: u32,
+}
+impl ::std::convert::From<&Pause> for Pause {
+    fn from(value: &Pause) -> Self {
+        value.clone()
+    }
+}
 ///Revision within an era of the publisher, which rises each time the publisher is restored from a copy.
 ///
 /// <details><summary>JSON schema</summary>
