--- a/crates/peridotdeck-core/src/dispatch/dispatcher/detours.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/detours.rs
@@ -61,6 +61,8 @@
     detour_probes_due: Time,
     returning_until: Time,
     check_due: Time,
+    /// Time at which this node last reached no endpoint at all.
+    cut_off_at: Option<Time>,
 }
 
 impl Dispatcher {
@@ -101,7 +103,7 @@
         }
         let change = state.path.record_success(now);
         let is_lost = state.path.is_lost();
-        if change == Return::Unseen {
+        if change == Return::Unseen && !self.was_cut_off(now) {
             self.treat_as_cold(key, now);
         }
         if !is_lost {
@@ -139,7 +141,7 @@
         }
         // What this node has seen of the endpoint since the cut says nothing about its health.
         state.health = Health::default();
-        if change == Return::Unseen {
+        if change == Return::Unseen && !self.was_cut_off(now) {
             self.treat_as_cold(key, now);
         }
         self.drop_suspicions(key);
@@ -169,14 +171,27 @@
             self.note_path(key, Change::Down);
         }
         self.prefixes.remove_endpoint(key);
-        let (all, lost, _) = self.path_counts();
-        if all >= MIN_CUT_ENDPOINTS && lost == all {
+        if self.is_cut_off() {
             self.drop_suspicions(key);
         } else {
             self.attribute_crash(key, now);
         }
     }
 
+    /// Returns whether this node's paths to all endpoints are lost, of every service and data centre.
+    ///
+    /// Then the paths are to blame, and no endpoint.
+    fn is_cut_off(&self) -> bool {
+        let (all, lost, _) = self.path_counts();
+        all >= MIN_CUT_ENDPOINTS && lost == all
+    }
+
+    /// Returns whether this node was cut off until lately, so that endpoints may return together.
+    fn was_cut_off(&self, now: Time) -> bool {
+        let is_recent = |at: Time| now.saturating_sub(at) < RETURN_TIME;
+        self.schedule.cut_off_at.is_some_and(is_recent)
+    }
+
     /// Returns the searches for peers that are due.
     pub(super) fn searches(&mut self, now: Time) -> Vec<Search> {
         let is_due = |state: &&State| state.path.search_due().is_some_and(|due| due <= now);
@@ -302,6 +317,9 @@
     ///
     /// While peers' paths are used, few own ones are probed, until one of them works again.
     pub(super) fn probes(&mut self, now: Time) -> Vec<Probe> {
+        if self.is_cut_off() {
+            self.schedule.cut_off_at = Some(now);
+        }
         let returning = now < self.schedule.returning_until;
         let mut allowed = match now >= self.schedule.detour_probes_due {
             _ if returning => usize::MAX,
@@ -319,7 +337,7 @@
         order.sort_unstable();
         for (_, index) in order {
             let state = &mut self.states[index];
-            if state.path.detour().is_some() {
+            if state.path.detour().is_some() && !state.path.is_returning() {
                 if allowed == 0 {
                     continue;
                 }
@@ -339,7 +357,7 @@
     fn hasten_return(&mut self, now: Time) {
         self.schedule.returning_until = now + RETURN_TIME;
         for state in &mut self.states {
-            if state.path.detour().is_some() {
+            if state.path.is_lost() {
                 let delay = self.rng.random_range(0..RETURN_SPREAD_MS);
                 state.path.hasten(now + Duration::from_millis(delay));
             }
--- a/crates/peridotdeck-core/src/dispatch/path.rs
+++ b/crates/peridotdeck-core/src/dispatch/path.rs
@@ -90,6 +90,12 @@
         (needed && !self.probing).then_some(self.probe_due)
     }
 
+    /// Returns whether a connection over the own path has opened, but more are needed.
+    #[must_use]
+    pub fn is_returning(&self) -> bool {
+        self.proofs > 0
+    }
+
     /// Marks a probe of the own path as running.
     pub fn start_probe(&mut self) {
         self.probing = true;
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod config;
 mod crashing_parts;
+mod cut_nodes;
 mod departures;
 mod dispatch;
 mod fairness;
--- a/crates/peridotdeck-core/tests/testsuite/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world.rs
@@ -1,7 +1,11 @@
 //! Nodes of three data centres, callers, and endpoints that name rates or run several versions.
 
+mod paths;
+
 use std::{net::Ipv4Addr, time::Duration};
 
+use paths::Event;
+pub use paths::{Cut, Outcome};
 use peridotdeck_core::dispatch::{
     Dispatcher, Key, Node,
     attempt::{Attempt, End, Next, Placement},
@@ -37,6 +41,8 @@
     flight: Flight,
     attempt: Attempt,
     head_read: bool,
+    /// Node whose path the attempt uses.
+    path: usize,
 }
 
 /// What became of the requests.
@@ -63,6 +69,14 @@
     pub counts: Counts,
     /// Changes of the rates that nodes believe in.
     pub rate_changes: usize,
+    /// Nodes whose paths to endpoints are cut.
+    cuts: Vec<(usize, Cut)>,
+    events: Vec<(Duration, usize, Event)>,
+    pub outcomes: Vec<Outcome>,
+    /// Probes of endpoints by all nodes.
+    pub probes: usize,
+    /// Requests that passed through each node for a peer.
+    pub passed: Vec<usize>,
     heartbeats: Vec<(Duration, usize, Beat)>,
     waiting: Vec<(Duration, usize, Flight)>,
     open: Vec<Open>,
@@ -99,6 +113,11 @@
             urgent_share: 0.5,
             counts: Counts::default(),
             rate_changes: 0,
+            cuts: Vec::new(),
+            events: Vec::new(),
+            outcomes: Vec::new(),
+            probes: 0,
+            passed: vec![0; nodes],
             heartbeats: Vec::new(),
             waiting: Vec::new(),
             open: Vec::new(),
@@ -141,6 +160,7 @@
         while self.now < end {
             self.now += STEP;
             self.exchange();
+            self.handle_events();
             self.answer();
             self.retry_waiting();
             self.arrive();
@@ -152,6 +172,7 @@
             if let Some(node) = &mut self.nodes[index] {
                 let due = node.tick(self.now);
                 self.rate_changes += due.rates.len();
+                self.schedule_paths(index, &due);
                 self.send(index, copies(due.heartbeats));
             }
         }
@@ -209,10 +230,12 @@
             }
         }
         let whole = |open: &mut Open| now >= open.attempt.sent() + ANSWER.1;
-        for open in self.open.extract_if(.., whole) {
+        let ended: Vec<Open> = self.open.extract_if(.., whole).collect();
+        for open in ended {
             if let Some(node) = &mut self.nodes[open.node] {
                 node.finish(&open.attempt, End::Finished, &open.flight, now);
             }
+            self.end(open.node, &open.flight, true);
         }
     }
 
@@ -249,6 +272,11 @@
             Placement::Send(assignment) => {
                 self.counts.sent += 1;
                 let attempt = assignment.attempt;
+                if self.fail_if_cut(index, &flight, &attempt) {
+                    return;
+                }
+                let path = Self::path_of(index, &attempt);
+                self.passed[path] += usize::from(path != index);
                 let mut endpoints = self.endpoints.iter_mut();
                 let endpoint = endpoints.find(|one| key(one) == attempt.key());
                 let endpoint = endpoint.expect("only listed endpoints are used");
@@ -258,6 +286,7 @@
                     flight,
                     attempt,
                     head_read: false,
+                    path,
                 });
             }
             Placement::Wait(delay) => {
@@ -267,6 +296,7 @@
             Placement::Refuse(..) => {
                 self.counts.refused += 1;
                 self.counts.refused_urgent += usize::from(flight.rank == 0);
+                self.end(index, &flight, false);
             }
         }
     }
@@ -310,6 +340,7 @@
                         flight,
                         attempt,
                         head_read: true,
+                        path: node,
                     });
                     return Some(version);
                 }
