--- a/crates/peridotdeck-core/tests/testsuite/cut_nodes.rs
+++ b/crates/peridotdeck-core/tests/testsuite/cut_nodes.rs
@@ -27,8 +27,8 @@
     world.run(ms(10_000));
     let what = format!("{nodes} nodes, {} cut, {way:?}", cut.len());
     let is_cut = |node: usize| cut.contains(&node);
-    let (from, to) = (begun + NOTICED, world.now - ms(1_000));
-    let before = world.served(Duration::ZERO, begun - ms(1_000), |_| true);
+    let (from, to) = (begun + NOTICED, world.now.saturating_sub(ms(1_000)));
+    let before = world.served(Duration::ZERO, begun.saturating_sub(ms(1_000)), |_| true);
     let others = world.served(from, to, |node| !is_cut(node));
     let own = world.served(from, to, is_cut);
     assert!(own >= SERVED * others, "{what}: {own} of {others}");
@@ -51,7 +51,7 @@
     }
     let from = world.now;
     world.run(ms(2_000));
-    let served = world.served(from, world.now - ms(1_000), |_| true);
+    let served = world.served(from, world.now.saturating_sub(ms(1_000)), |_| true);
     assert!(served >= 0.99, "{served} after the cut");
 }
 
@@ -115,7 +115,11 @@
             world.heal();
             world.run(ms(6_000));
             let end = world.now;
-            let served = world.served(end - ms(2_000), end - ms(1_000), |_| true);
+            let served = world.served(
+                end.saturating_sub(ms(2_000)),
+                end.saturating_sub(ms(1_000)),
+                |_| true,
+            );
             assert!(served >= SERVED, "{nodes} nodes, {way:?}: {served}");
         }
     }
