Share out the room of brittle endpoints by one node for each

Endpoints that said they were brittle fell over, because nobody read it: each node sent what it believed there was room for, and the sum made them reject more than they survive.

Mechanism: the owner of an endpoint's rate shares out its room too. A grant is a place for one request in progress; nodes report what they hold in absolute numbers, a place passes to the node's next request for a second and is then granted anew, most urgent first. Capacity starts at the slots and is lowered by rejections. The ledger, demands, ranks and majorities of named rates are widened, not written twice.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -31,6 +31,7 @@
 use detours::Schedule;
 use quarantine::{Begun, Suspicion};
 use rand::{SeedableRng, rngs::SmallRng};
+use rates::Grant;
 
 use super::{
     DataCentre, Key, Node,
@@ -118,8 +119,8 @@
     versions: stream::Versions,
     /// Streams whose versions are to be asked for.
     lookups: Vec<stream::Id>,
-    /// Grants that are to be sent, each to a node for an endpoint.
-    grants: Vec<(Node, Key)>,
+    /// Grants that are to be sent.
+    grants: Vec<Grant>,
     suspicions: Vec<Suspicion>,
     begun: Vec<Begun>,
     schedule: Schedule,
@@ -285,6 +286,7 @@
                         self.cache_queries.push(CacheQuery { key, address });
                     }
                     self.states.insert(index, state);
+                    self.presume_terms(key, &endpoint.service, now);
                 }
             }
         }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
@@ -122,6 +122,7 @@
                 _ => {}
             }
         }
+        self.end_place(key, end, now);
         match end {
             End::Unreachable if attempt.detour.is_some() => self.end_detour(key, now),
             End::Unreachable => self.record_unreachable(key, now),
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -36,6 +36,11 @@
 /// Smallest and largest fraction of the target after which another endpoint is tried.
 const HEDGE_TARGET_FRACTIONS: (f64, f64) = (0.5, 1.0);
 
+/// Time after which a request demands a place at a second brittle endpoint too.
+///
+/// Of two places it leaves one unused, which nobody else has for a while.
+const SECOND_DEMAND_DELAY: Duration = Duration::from_millis(100);
+
 impl Dispatcher {
     /// Admits a request: finds its route and organisation and chooses a service.
     ///
@@ -139,13 +144,20 @@
         {
             return Placement::Wait(delay);
         }
+        let since = flight.waiting_since.unwrap_or(now);
+        let waits = now.saturating_sub(since) >= SECOND_DEMAND_DELAY;
+        let demands = 1 + usize::from(waits);
+        let mut full = 0;
         for (key, estimate) in ranked {
             let admitted = self
-                .admit_rate(key, flight, now)
+                .admit_rate(key, flight, full < demands, now)
                 .and_then(|()| self.admit_cold(key, service, now));
             match admitted {
                 Ok(()) => return Placement::Send(self.assign(key, estimate, flight, service, now)),
-                Err(exclusion) => exclusions.push(exclusion),
+                Err(exclusion) => {
+                    full += usize::from(exclusion == Exclusion::Full);
+                    exclusions.push(exclusion);
+                }
             }
         }
         self.wait_or_refuse(flight, exclusions, now)
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/rates.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/rates.rs
@@ -1,4 +1,6 @@
-//! Rates that endpoints name, and the parts of them that this node may spend or grants to others.
+//! What endpoints in need take, and the parts of it that this node may use or grants to others.
+
+use std::time::Duration;
 
 use peridotdeck_wire::beat;
 
@@ -6,14 +8,14 @@
 use crate::{
     dispatch::{
         Key, Node,
-        attempt::Attempt,
+        attempt::{Attempt, End},
         data_centre,
         endpoint::State,
         fleet::{Broadcast, Status},
         flight::Flight,
         key as endpoint_key,
         placement::Exclusion,
-        rate::{Demand, Limit, News, Table},
+        rate::{Demand, Limit, News, Table, Terms},
     },
     id::Time,
     rendezvous,
@@ -30,64 +32,116 @@
 /// Most demands or grants in one message.
 const MAX_ENTRIES: usize = 32;
 
+/// Largest fraction of a brittle endpoint's room that is granted while nodes of its data centre are
+/// out of touch, which may hold places or grant a tenth.
+const INCOMPLETE_FRACTION: f64 = 0.88;
+
+/// Shortest time between two reports of held places.
+const REPORT_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Grant to a node at an endpoint, with its number if it is a place there.
+pub(super) type Grant = (Node, Key, Option<u32>);
+
 /// Start time that stands for all processes of an endpoint, so that a restart keeps the owner.
 const ANY_START: u64 = 0;
 
 impl Dispatcher {
-    /// Records whether an answer named a rate that its endpoint takes from all nodes together.
+    /// Records what an answer said that its endpoint takes from all nodes together.
     ///
     /// Returns the change of the belief, if there is one.
-    pub fn record_rate(&mut self, attempt: &Attempt, rate: Option<f64>, now: Time) -> Option<News> {
+    pub fn record_terms(&mut self, attempt: &Attempt, terms: Terms, now: Time) -> Option<News> {
         if self.find(attempt.key()).is_err() {
             return None;
         }
-        let news = self.rates.note(attempt.key(), rate, attempt.sent(), now)?;
+        let news = self.rates.note(attempt.key(), terms, attempt.sent(), now)?;
         self.fleet.mark_urgent();
         Some(news)
     }
 
-    /// Returns what is known of the rates that endpoints name.
+    /// Returns what is known of the endpoints in need.
     #[must_use]
     pub fn rates(&self) -> &Table {
         &self.rates
     }
 
-    /// Returns whether a request of a rank may be sent to an endpoint within the rate that it names.
+    /// Returns whether a request of a rank may be sent to an endpoint within what it takes.
     pub(super) fn rate_admits(&self, key: Key, rank: u8, now: Time) -> bool {
+        self.is_within_rate(key, rank, now) && self.has_place(key, rank, now)
+    }
+
+    fn is_within_rate(&self, key: Key, rank: u8, now: Time) -> bool {
         let entry = self.rates.get(key);
-        let named = entry.filter(|entry| entry.limit.rate.is_some());
+        let named = entry.filter(|entry| entry.limit.terms.rate.is_some());
         named.is_none_or(|entry| entry.allowance.admits(rank, now))
     }
 
-    /// Counts a request towards the rate of its endpoint, if it names one.
+    fn has_place(&self, key: Key, rank: u8, now: Time) -> bool {
+        let entry = self.rates.get(key);
+        let limited = entry.filter(|entry| entry.needs_place(now));
+        limited.is_none_or(|entry| entry.places.admits(rank, now))
+    }
+
+    /// Counts a request towards what its endpoint takes, if it is in need.
     pub(super) fn spend_rate(&mut self, key: Key, rank: u8, now: Time) {
         if let Some((entry, _)) = self.rates.named_mut(key) {
             entry.allowance.spend(rank, now);
         }
+        if let Some(entry) = self.rates.brittle_mut(key) {
+            entry.places.spend(rank, now);
+        }
     }
 
-    /// Checks that a request may be sent within its endpoint's rate, and demands a part if not.
+    /// Keeps the place that a request has left at a brittle endpoint for the next one.
+    ///
+    /// Nothing is kept after a rejection, as there was no such place, nor without an owner in touch.
+    pub(super) fn end_place(&mut self, key: Key, end: End, now: Time) {
+        let owner = self
+            .state(key)
+            .and_then(|state| self.rate_owner(state, now));
+        let Some(entry) = self.rates.brittle_mut(key) else {
+            return;
+        };
+        if end == End::Rejected {
+            entry.rejected += 1;
+            self.require_places(key, now);
+        } else if owner.is_some_and(|(_, fraction)| fraction > 0.0) {
+            entry.places.release(now);
+        }
+    }
+
+    /// Checks that a request may be sent within what its endpoint takes, and demands a part if not.
+    ///
+    /// `demands_place` says whether it demands a place at a brittle endpoint.
     ///
     /// # Errors
-    /// Returns the reason if the endpoint names a rate of which this node holds no part.
+    /// Returns the reason if the endpoint is in need and this node holds no part of what it takes.
     pub(super) fn admit_rate(
         &mut self,
         key: Key,
         flight: &Flight,
+        demands_place: bool,
         now: Time,
     ) -> Result<(), Exclusion> {
         let rank = flight.rank;
         if self.rate_admits(key, rank, now) {
             return Ok(());
         }
+        let lacks_place = self.is_within_rate(key, rank, now);
+        if lacks_place && !demands_place {
+            return Err(Exclusion::Full);
+        }
         let data_centre = &self.options.data_centre;
         // While an endpoint is cold, only nodes of its own data centre may send to it.
         let may_use = |state: &State| !state.is_cold(now) || state.info.data_centre == *data_centre;
         if !self.state(key).is_some_and(may_use) {
             return Err(Exclusion::RateLimited);
         }
-        if let Some((entry, _)) = self.rates.named_mut(key) {
-            let is_new = flight.waiting_since.is_none();
+        let is_new = flight.waiting_since.is_none();
+        if lacks_place {
+            if let Some(entry) = self.rates.brittle_mut(key) {
+                entry.places.want(rank, is_new, now);
+            }
+        } else if let Some((entry, _)) = self.rates.named_mut(key) {
             entry.allowance.want(rank, is_new, now);
         }
         // The owner's own requests need no message.
@@ -97,7 +151,11 @@
                 return Ok(());
             }
         }
-        Err(Exclusion::RateLimited)
+        Err(if lacks_place {
+            Exclusion::Full
+        } else {
+            Exclusion::RateLimited
+        })
     }
 
     /// Returns the node that shares out an endpoint's rate, and the fraction of it that this node
@@ -124,23 +182,74 @@
         Some((owner(here)?, fraction))
     }
 
-    /// Grants what an endpoint's rate allows by now, if this node shares it out.
+    /// Grants what an endpoint takes by now, if this node shares it out.
     ///
     /// Grants to this node itself count at once, others are queued for a message.
     fn share_out(&mut self, key: Key, now: Time) {
         let owner = self
             .state(key)
             .and_then(|state| self.rate_owner(state, now));
+        let own = owner.filter(|(owner, _)| *owner == self.options.node);
+        if let Some(entry) = self.rates.get_mut(key) {
+            entry.is_owner = own.is_some();
+            if own.is_none() {
+                entry.ledger.reset();
+                entry.room.reset();
+            }
+        }
+        if let Some((_, fraction)) = own {
+            self.share_out_rate(key, fraction, now);
+            self.share_out_room(key, fraction, now);
+        }
+    }
+
+    /// Grants the places that are free at a brittle endpoint.
+    fn share_out_room(&mut self, key: Key, fraction: f64, now: Time) {
+        let Some(state) = self.state(key) else {
+            return;
+        };
+        let (slots, running) = (self.slots(state), state.own_load.running);
+        let fraction = if self.fleet.is_complete(now) {
+            fraction
+        } else {
+            fraction.min(INCOMPLETE_FRACTION)
+        };
         let me = self.options.node;
-        let Some((entry, rate)) = self.rates.named_mut(key) else {
+        let Some(entry) = self.rates.brittle_mut(key) else {
             return;
         };
-        let Some((_, fraction)) = owner.filter(|(owner, _)| *owner == me) else {
-            entry.is_owner = false;
-            entry.ledger.reset();
+        let held = running + entry.places.unused(now);
+        let rejected = std::mem::take(&mut entry.rejected);
+        let seen = entry.seen;
+        entry.room.report(me, held, seen, rejected, now);
+        if let Some(demand) = entry.places.take_demand(now) {
+            entry.room.demand(me, demand, now);
+        }
+        let nodes = entry.room.share_out(slots, fraction, now);
+        for (node, number) in nodes {
+            if node == me {
+                entry.places.deposit(1, now);
+                entry.seen = number;
+            } else {
+                self.grants.push((node, key, Some(number)));
+            }
+        }
+    }
+
+    /// Returns the number of requests that an endpoint runs at once.
+    fn slots(&self, state: &State) -> u32 {
+        let config = self.registry.config();
+        let service = config.and_then(|config| config.service(&state.info.service));
+        let model = service.and_then(|service| service.model);
+        model.map_or(state.info.slots, |model| model.slots)
+    }
+
+    /// Grants what an endpoint's rate allows by now.
+    fn share_out_rate(&mut self, key: Key, fraction: f64, now: Time) {
+        let me = self.options.node;
+        let Some((entry, rate)) = self.rates.named_mut(key) else {
             return;
         };
-        entry.is_owner = true;
         if let Some(demand) = entry.allowance.take_demand(now) {
             entry.ledger.demand(me, demand, now);
         }
@@ -149,7 +258,7 @@
             if node == me {
                 entry.allowance.deposit(1, now);
             } else {
-                self.grants.push((node, key));
+                self.grants.push((node, key, None));
             }
         }
     }
@@ -162,7 +271,10 @@
             }
             let age = Time::from_millis(report.age_ms.into());
             let limit = Limit {
-                rate: report.named.then(|| f64::from(report.millis) / 1e3),
+                terms: Terms {
+                    rate: report.named.then(|| f64::from(report.millis) / 1e3),
+                    rejections: report.is_brittle.then_some(report.rejections),
+                },
                 observed: now.saturating_sub(age),
             };
             if let Some(news) = self.rates.receive(report.endpoint, limit) {
@@ -173,13 +285,29 @@
         for demand in &beat.demands {
             let (key, count) = (demand.endpoint, demand.count);
             let rank = demand.rank;
-            if let Some((entry, _)) = self.rates.named_mut(key) {
-                entry.ledger.demand(node, Demand { rank, count }, now);
+            let request = Demand { rank, count };
+            if demand.places {
+                if let Some(entry) = self.rates.brittle_mut(key) {
+                    entry
+                        .room
+                        .report(node, demand.held, demand.seen, demand.rejected, now);
+                    if count > 0 {
+                        entry.room.demand(node, request, now);
+                    }
+                    self.share_out(key, now);
+                }
+            } else if let Some((entry, _)) = self.rates.named_mut(key) {
+                entry.ledger.demand(node, request, now);
                 self.share_out(key, now);
             }
         }
         for grant in &beat.grants {
-            if let Some((entry, _)) = self.rates.named_mut(grant.endpoint) {
+            if grant.places {
+                if let Some(entry) = self.rates.brittle_mut(grant.endpoint) {
+                    entry.places.deposit(grant.count, now);
+                    entry.seen = grant.number;
+                }
+            } else if let Some((entry, _)) = self.rates.named_mut(grant.endpoint) {
                 entry.allowance.deposit(grant.count, now);
             }
         }
@@ -192,6 +320,7 @@
         for key in keys {
             self.share_out(key, now);
             demands.extend(self.due_demand(key, now));
+            demands.extend(self.due_report(key, now));
         }
         let grants = std::mem::take(&mut self.grants);
         if demands.is_empty() && grants.is_empty() {
@@ -208,13 +337,20 @@
     }
 
     /// Returns the messages that tell other nodes of grants.
-    fn grant_messages(&mut self, mut grants: Vec<(Node, Key)>, status: &Status) -> Vec<Broadcast> {
+    fn grant_messages(&mut self, mut grants: Vec<Grant>, status: &Status) -> Vec<Broadcast> {
         grants.sort_unstable();
-        let equal = grants.chunk_by(|one, other| one == other);
+        let subject = |grant: &Grant| (grant.0, grant.1, grant.2.is_some());
+        let equal = grants.chunk_by(|one, other| subject(one) == subject(other));
         let counted = equal.map(|equal| {
-            let (receiver, endpoint) = equal[0];
+            let (receiver, endpoint, last) = equal[equal.len() - 1];
             let count = equal.len() as u32;
-            (receiver, beat::Grant { endpoint, count })
+            let grant = beat::Grant {
+                endpoint,
+                count,
+                places: last.is_some(),
+                number: last.unwrap_or_default(),
+            };
+            (receiver, grant)
         });
         let mut messages = Vec::new();
         for batch in batch::by_receiver(counted.collect(), MAX_ENTRIES) {
@@ -227,8 +363,8 @@
 
     /// Returns the message that tells a node of its grants, which it has just demanded.
     pub(super) fn grants_to(&mut self, node: Node, now: Time) -> Vec<beat::Beat> {
-        let own = |(receiver, _): &mut (Node, Key)| *receiver == node;
-        let grants: Vec<(Node, Key)> = self.grants.extract_if(.., own).collect();
+        let own = |(receiver, ..): &mut Grant| *receiver == node;
+        let grants: Vec<Grant> = self.grants.extract_if(.., own).collect();
         if grants.is_empty() {
             return Vec::new();
         }
@@ -249,10 +385,88 @@
             endpoint: key,
             rank,
             count,
+            places: false,
+            held: 0,
+            rejected: 0,
+            seen: 0,
         };
         Some((owner, demand))
     }
 
+    /// Returns this node's report of the places that it holds at a brittle endpoint, with its demand,
+    /// and the node that shares out the endpoint's room.
+    fn due_report(&mut self, key: Key, now: Time) -> Option<(Node, beat::Demand)> {
+        let state = self.state(key)?;
+        let running = state.own_load.running;
+        let (owner, _) = self.rate_owner(state, now)?;
+        if owner == self.options.node {
+            return None;
+        }
+        let entry = self.rates.brittle_mut(key)?;
+        let held = running + entry.places.unused(now);
+        let demand = entry.places.take_demand(now);
+        let is_early = |at: Time| now.saturating_sub(at) < REPORT_INTERVAL;
+        let last = entry.reported;
+        // Places that are free are reported at once, as other nodes may wait for them.
+        let is_due = demand.is_some()
+            || last.is_some_and(|(_, count)| count > held)
+            || (last.is_none_or(|(at, _)| !is_early(at))
+                && (held > 0 || last.is_some_and(|(_, count)| count > 0)));
+        if !is_due {
+            return None;
+        }
+        entry.reported = Some((now, held));
+        let Demand { rank, count } = demand.unwrap_or(Demand {
+            rank: u8::MAX,
+            count: 0,
+        });
+        let report = beat::Demand {
+            endpoint: key,
+            rank,
+            count,
+            places: true,
+            held,
+            rejected: std::mem::take(&mut entry.rejected),
+            seen: entry.seen,
+        };
+        Some((owner, report))
+    }
+
+    /// Requires places at once at all endpoints of a service, as a brittle one has rejected a request.
+    ///
+    /// A node that has just started has not heard of them, and would overfill one after the other.
+    fn require_places(&mut self, key: Key, now: Time) {
+        let Some(rejections) = self
+            .rates
+            .get(key)
+            .and_then(|entry| entry.limit.terms.rejections)
+        else {
+            return;
+        };
+        let Some(service) = self.state(key).map(|state| state.info.service.clone()) else {
+            return;
+        };
+        let keys: Vec<Key> = self.endpoints_of(&service).map(|state| state.key).collect();
+        for key in keys {
+            self.rates.require_places(key, rejections, now);
+        }
+    }
+
+    /// Takes an endpoint that has just become known for brittle if others of its service are.
+    pub(super) fn presume_terms(&mut self, key: Key, service: &str, now: Time) {
+        let of_service = |key: Key| {
+            let state = self.state(key);
+            state.is_some_and(|state| state.info.service == service)
+        };
+        let rejections = self.rates.named().find_map(|entry| {
+            let rejections = entry.limit.terms.rejections?;
+            of_service(entry.endpoint).then_some(rejections)
+        });
+        if let Some(rejections) = rejections {
+            self.rates.require_places(key, rejections, now);
+        }
+    }
+
     /// Returns the reports of rates for a heartbeat; `turn` shifts the choice if there are many.
     pub(super) fn rate_reports(&self, turn: usize, now: Time) -> Vec<beat::Rate> {
         /// Number of rates that are sent.
@@ -260,8 +474,10 @@
         let reports = self.rates.reports(MAX_RATES, turn, now).into_iter();
         let reports = reports.map(|(endpoint, limit, age)| beat::Rate {
             endpoint,
-            named: limit.rate.is_some(),
-            millis: (limit.rate.unwrap_or_default() * 1e3).round() as u32,
+            named: limit.terms.rate.is_some(),
+            millis: (limit.terms.rate.unwrap_or_default() * 1e3).round() as u32,
+            is_brittle: limit.terms.rejections.is_some(),
+            rejections: limit.terms.rejections.unwrap_or_default(),
             age_ms: millis(age),
         });
         reports.collect()
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/waiting.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/waiting.rs
@@ -25,6 +25,11 @@
 /// Such a part comes soon, while a caller that is refused comes back much later.
 const RATE_WAIT_TARGET_FRACTION: f64 = 0.6;
 
+/// Fraction of the target for which a request waits for a place at a brittle endpoint.
+///
+/// It would wait for as long in the queue of an endpoint that is not brittle.
+const PLACE_WAIT_TARGET_FRACTION: f64 = 1.0;
+
 /// Shortest time for which a request waits for an eligible endpoint before it is refused.
 const MIN_WAIT: Duration = Duration::from_millis(100);
 
@@ -127,7 +132,9 @@
         exclusions: Vec<Exclusion>,
         now: Time,
     ) -> Placement {
-        let fraction = if exclusions.contains(&Exclusion::RateLimited) {
+        let fraction = if exclusions.contains(&Exclusion::Full) {
+            PLACE_WAIT_TARGET_FRACTION
+        } else if exclusions.contains(&Exclusion::RateLimited) {
             RATE_WAIT_TARGET_FRACTION
         } else {
             WAIT_TARGET_FRACTION
@@ -158,6 +165,7 @@
                     | Exclusion::Cold
                     | Exclusion::ColdElsewhere
                     | Exclusion::RateLimited
+                    | Exclusion::Full
             )
         };
         if exclusions.iter().any(usable) {
--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -349,6 +349,12 @@
         }
     }
 
+    /// Returns whether all nodes that this data centre had lately are in touch with this one.
+    #[must_use]
+    pub fn is_complete(&self, now: Time) -> bool {
+        self.live_nodes(self.data_centre, now).len() >= self.recent_local_size()
+    }
+
     /// Returns whether this node knows of no other node, not even as a seed.
     #[must_use]
     pub fn is_single(&self) -> bool {
--- a/crates/peridotdeck-core/src/dispatch/placement/exclusion.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement/exclusion.rs
@@ -32,4 +32,6 @@
     Cold,
     /// The endpoint names a rate, and this node holds no part of it.
     RateLimited,
+    /// The endpoint is brittle, and this node holds no place there.
+    Full,
 }
--- a/crates/peridotdeck-core/src/dispatch/rate/allowance.rs
+++ b/crates/peridotdeck-core/src/dispatch/rate/allowance.rs
@@ -48,6 +48,19 @@
 }
 
 impl Allowance {
+    /// Returns the number of grants that may still be spent.
+    #[must_use]
+    pub fn unspent(&self, now: Time) -> u32 {
+        self.grants.iter().filter(|end| **end > now).count() as u32
+    }
+
+    /// Adds a grant that ends at a time.
+    pub(super) fn deposit_until(&mut self, end: Time, now: Time) {
+        self.expire(now);
+        self.grants.push(end);
+        self.grants.sort_unstable();
+    }
+
     /// Adds granted requests.
     pub fn deposit(&mut self, count: u32, now: Time) {
         self.expire(now);
@@ -118,7 +131,12 @@
         per_second(&self.sent, now)
     }
 
-    fn expire(&mut self, now: Time) {
+    /// Returns the number of grants that have not been dropped yet.
+    pub(super) fn granted(&self) -> usize {
+        self.grants.len()
+    }
+
+    pub(super) fn expire(&mut self, now: Time) {
         self.grants.retain(|end| *end > now);
         self.sent
             .retain(|sent| now.saturating_sub(*sent) < USE_WINDOW);
--- a/crates/peridotdeck-core/src/dispatch/rate/ledger.rs
+++ b/crates/peridotdeck-core/src/dispatch/rate/ledger.rs
@@ -81,6 +81,17 @@
         let most = (rate * MAX_SAVED.as_secs_f64()).max(MIN_SAVED);
         self.level = (self.level + elapsed.as_secs_f64() * rate).min(most);
         self.filled = Some(now);
+        self.grant_all(now)
+    }
+
+    /// Grants so many requests that are free now; returns a node for each grant.
+    pub fn share_out_free(&mut self, free: f64, now: Time) -> Vec<Node> {
+        self.level = free;
+        self.grant_all(now)
+    }
+
+    /// Grants what the level allows.
+    fn grant_all(&mut self, now: Time) -> Vec<Node> {
         self.requests
             .retain(|request| now.saturating_sub(request.renewed) < DEMAND_LIFETIME);
         let mut nodes = Vec::new();
--- a/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
+++ b/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
@@ -7,6 +7,7 @@
     attempt::{End, Placement},
     data_centre,
     dispatcher::Options,
+    rate::Terms,
     registry::{Area, Endpoint, Fact, Position},
 };
 use peridotdeck_wire::{beat::Beat, pack, unpack};
@@ -260,7 +261,11 @@
     }
     crash_endpoints(node, 20, ms(500));
     for attempt in &attempts[..40] {
-        node.record_rate(attempt, Some(4_000_000.0), ms(500));
+        let terms = Terms {
+            rate: Some(4_000_000.0),
+            rejections: Some(u32::MAX),
+        };
+        node.record_terms(attempt, terms, ms(500));
     }
     for endpoint in &endpoints[..20] {
         node.record_departure(endpoint.key(), ms(500));
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 //! dropped, duplicated and reordered.
 
 mod attempt_ends;
+mod brittle_endpoints;
 mod claims;
 mod config;
 mod crashing_parts;
--- a/crates/peridotdeck-core/tests/testsuite/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world.rs
@@ -1,5 +1,6 @@
 //! Nodes of three data centres, callers, and endpoints that name rates or run several versions.
 
+mod brittle;
 mod paths;
 
 use std::{net::Ipv4Addr, time::Duration};
@@ -10,6 +11,7 @@
     Dispatcher, Key, Node,
     attempt::{Attempt, End, Next, Placement},
     flight::Flight,
+    rate::Terms,
     registry::{self, Area, Fact},
 };
 use peridotdeck_wire::{beat::Beat, pack};
@@ -32,6 +34,13 @@
     pub info: registry::Endpoint,
     /// Requests per second that it names.
     pub rate: Option<f64>,
+    /// Rejections in a second that it survives, if it says that it is brittle.
+    pub brittle: Option<u32>,
+    /// Requests beyond its slots that it lets wait.
+    pub queue: usize,
+    /// Times of its rejections, and of its falls.
+    pub rejected: Vec<Duration>,
+    pub falls: Vec<Duration>,
     /// Requests that it got: when, from which node, and their rank.
     pub got: Vec<(Duration, usize, u8)>,
 }
@@ -101,6 +110,10 @@
         let endpoints = (0..endpoints).map(|index| Endpoint {
             info: endpoint(&format!("e{index}"), "text", data_centre(index)),
             rate: None,
+            brittle: None,
+            queue: usize::MAX,
+            rejected: Vec::new(),
+            falls: Vec::new(),
             got: Vec::new(),
         });
         let mut world = Self {
@@ -223,8 +236,12 @@
                 open.head_read = true;
                 let found = self.endpoints.iter();
                 let mut found = found.filter(|one| key(one) == open.attempt.key());
-                let rate = found.next().and_then(|endpoint| endpoint.rate);
-                let news = node.record_rate(&open.attempt, rate, now);
+                let endpoint = found.next();
+                let terms = Terms {
+                    rate: endpoint.and_then(|endpoint| endpoint.rate),
+                    rejections: endpoint.and_then(|endpoint| endpoint.brittle),
+                };
+                let news = node.record_terms(&open.attempt, terms, now);
                 self.rate_changes += usize::from(news.is_some());
                 node.record_answer_start(&mut open.attempt, false, &open.flight, now);
             }
@@ -249,21 +266,28 @@
 
     fn arrive(&mut self) {
         let (reached, rate) = self.callers.clone();
+        let expected = rate * STEP.as_secs_f64();
         for index in reached {
-            if !self.rng.random_bool((rate * STEP.as_secs_f64()).min(1.0)) {
-                continue;
+            for _ in 0..expected as usize {
+                self.arrive_at(index);
+            }
+            if self.rng.random_bool(expected.fract()) {
+                self.arrive_at(index);
             }
-            let urgent = self.rng.random_bool(self.urgent_share);
-            let request = decoded_request(if urgent { "urgent" } else { "bulk" });
-            let Some(node) = &mut self.nodes[index] else {
-                continue;
-            };
-            let mut flight = node.admit(request, 7, self.now).expect("admitted");
-            flight.rank = u8::from(!urgent);
-            self.place(index, flight);
         }
     }
 
+    fn arrive_at(&mut self, index: usize) {
+        let urgent = self.rng.random_bool(self.urgent_share);
+        let request = decoded_request(if urgent { "urgent" } else { "bulk" });
+        let Some(node) = &mut self.nodes[index] else {
+            return;
+        };
+        let mut flight = node.admit(request, 7, self.now).expect("admitted");
+        flight.rank = u8::from(!urgent);
+        self.place(index, flight);
+    }
+
     fn place(&mut self, index: usize, mut flight: Flight) {
         let Some(node) = &mut self.nodes[index] else {
             return;
@@ -275,6 +299,9 @@
                 if self.fail_if_cut(index, &flight, &attempt) {
                     return;
                 }
+                if self.reject_if_full(index, &flight, &attempt) {
+                    return;
+                }
                 let path = Self::path_of(index, &attempt);
                 self.passed[path] += usize::from(path != index);
                 let mut endpoints = self.endpoints.iter_mut();
@@ -311,6 +338,10 @@
         let listed = infos.into_iter().map(|info| Endpoint {
             info,
             rate: None,
+            brittle: None,
+            queue: usize::MAX,
+            rejected: Vec::new(),
+            falls: Vec::new(),
             got: Vec::new(),
         });
         self.endpoints = listed.collect();
--- a/crates/peridotdeck-relay/src/control.rs
+++ b/crates/peridotdeck-relay/src/control.rs
@@ -222,7 +222,7 @@
             &mut lines,
             format_args!(
                 "endpoint={} key={:08x} service={} software={} place={} draining={} departing={} paused_ms={} \
-                 cold={} resting={} suspected={} lost={} detour={} rate={} own={} running={} unread={} pace={:.2} \
+                 cold={} resting={} suspected={} lost={} detour={} rate={} room={} own={} running={} unread={} pace={:.2} \
                  failure_rate={:.2}",
                 state.info.id,
                 state.key,
@@ -238,6 +238,7 @@
                 state.path.is_lost(),
                 detour_text(state.path.detour()),
                 rate_text(dispatcher.rates().get(state.key), now),
+                room_text(dispatcher.rates().get(state.key), now),
                 state.own_load.running,
                 load.running,
                 load.unread,
@@ -254,7 +255,7 @@
 /// The use is what this node has sent lately and, where it shares out the rate, what it has granted
 /// to all nodes.
 fn rate_text(entry: Option<&Entry>, now: Time) -> String {
-    let named = entry.and_then(|entry| Some((entry, entry.limit.rate?)));
+    let named = entry.and_then(|entry| Some((entry, entry.limit.terms.rate?)));
     let Some((entry, rate)) = named else {
         return "none".to_owned();
     };
@@ -267,6 +268,24 @@
     }
 }
 
+/// Returns the rejections that a brittle endpoint survives, and this node's part of its room.
+///
+/// Where this node shares out the room, the places follow that all nodes hold, and that there are.
+fn room_text(entry: Option<&Entry>, now: Time) -> String {
+    let brittle = entry.and_then(|entry| Some((entry, entry.limit.terms.rejections?)));
+    let Some((entry, rejections)) = brittle else {
+        return "any".to_owned();
+    };
+    let unspent = entry.places.unused(now);
+    let own = format!("brittle:{rejections} places={unspent}");
+    if entry.is_owner {
+        let (held, capacity) = (entry.room.held(), entry.room.capacity());
+        format!("{own} places_held={held} places_known={capacity:.0}")
+    } else {
+        own
+    }
+}
+
 fn push_line(lines: &mut String, line: std::fmt::Arguments<'_>) {
     // Writing to a `String` never fails.
     let _ = writeln!(lines, "{line}");
--- a/crates/peridotdeck-relay/src/ingress.rs
+++ b/crates/peridotdeck-relay/src/ingress.rs
@@ -7,6 +7,7 @@
     Prefix,
     attempt::Assignment,
     flight::{DecodedRequest, Flight},
+    rate::Terms,
     refusal::{Cause, Refusal},
 };
 use strum::{Display, IntoStaticStr};
@@ -38,8 +39,8 @@
     pub leaving: bool,
     /// Time for which the endpoint wants no requests from this node.
     pub pause: Option<Duration>,
-    /// Requests per second that the endpoint takes from all nodes together; none if it names no rate.
-    pub rate: Option<f64>,
+    /// What the endpoint takes from all nodes together, if it is in need.
+    pub terms: Terms,
 }
 
 /// Translation between the headers of one platform and the types of the dispatcher.
--- a/crates/peridotdeck-relay/src/node.rs
+++ b/crates/peridotdeck-relay/src/node.rs
@@ -14,7 +14,7 @@
     Ingress, Publisher, Shared, clock, control, exchange, front, notice,
     peers::Peers,
     server::{self, Limits},
-    shared::{log_path, log_rate},
+    shared::{log_path, log_terms},
     shutdown,
 };
 
@@ -146,7 +146,7 @@
             log::info!("event=peer_silent node={node}");
         }
         for news in due.rates {
-            log_rate(news, "peer");
+            log_terms(news, "peer");
         }
         for news in due.paths {
             log_path(news);
--- a/crates/peridotdeck-relay/src/shared.rs
+++ b/crates/peridotdeck-relay/src/shared.rs
@@ -76,9 +76,9 @@
     /// `id` is the id of the answered request.
     pub fn note_endpoint(&self, attempt: &Attempt, id: &str, notice: Notice) {
         let (key, now) = (attempt.key(), clock::now());
-        let news = self.dispatcher().record_rate(attempt, notice.rate, now);
+        let news = self.dispatcher().record_terms(attempt, notice.terms, now);
         if let Some(news) = news {
-            log_rate(news, id);
+            log_terms(news, id);
         }
         if notice.leaving && self.dispatcher().record_departure(key, now) {
             log::info!("event=endpoint_departing endpoint_key={key:08x} id={id}");
@@ -124,15 +124,30 @@
     }
 }
 
-/// Logs a change of the rate that an endpoint is believed to take, and where it was learned.
-pub(crate) fn log_rate(news: News, source: &str) {
-    let text = |rate: Option<f64>| rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
-    log::info!(
-        "event=endpoint_rate endpoint_key={:08x} rate={} before={} source={source}",
-        news.endpoint,
-        text(news.now),
-        text(news.before),
-    );
+/// Logs a change of what an endpoint is believed to take, and where it was learned.
+pub(crate) fn log_terms(news: News, source: &str) {
+    let (before, now) = (news.before, news.now);
+    if before.rate != now.rate {
+        log::info!(
+            "event=endpoint_rate endpoint_key={:08x} rate={} before={} source={source}",
+            news.endpoint,
+            text(now.rate),
+            text(before.rate),
+        );
+    }
+    if before.rejections != now.rejections {
+        log::info!(
+            "event=endpoint_brittle endpoint_key={:08x} rejections={} before={} source={source}",
+            news.endpoint,
+            text(now.rejections),
+            text(before.rejections),
+        );
+    }
+}
+
+/// Returns a number that an endpoint may name, or `none`.
+fn text(number: Option<impl ToString>) -> String {
+    number.map_or_else(|| "none".to_owned(), |number| number.to_string())
 }
 
 /// Returns the peer through which a request is sent, or `none` for the own path.
--- a/crates/peridotdeck-wire/src/beat.rs
+++ b/crates/peridotdeck-wire/src/beat.rs
@@ -320,18 +320,22 @@
         value.clone()
     }
 }
-///Requests that a node could send to an endpoint which names a rate.
+///Requests that a node could send to an endpoint in need.
 ///
 /// <details><summary>JSON schema</summary>
 ///
 /// ```json
 ///{
-///  "description": "Requests that a node could send to an endpoint which names a rate.",
+///  "description": "Requests that a node could send to an endpoint in need.",
 ///  "type": "object",
 ///  "required": [
 ///    "count",
 ///    "endpoint",
-///    "rank"
+///    "held",
+///    "places",
+///    "rank",
+///    "rejected",
+///    "seen"
 ///  ],
 ///  "properties": {
 ///    "count": {
@@ -346,11 +350,33 @@
 ///      "format": "uint32",
 ///      "minimum": 0.0
 ///    },
+///    "held": {
+///      "description": "Places that the sender holds, with its requests in progress.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "places": {
+///      "description": "Whether places at a brittle endpoint are meant, not requests within a rate.",
+///      "type": "boolean"
+///    },
 ///    "rank": {
 ///      "description": "Rank of the most urgent of the requests; 0 is the first.",
 ///      "type": "integer",
 ///      "format": "uint8",
 ///      "minimum": 0.0
+///    },
+///    "rejected": {
+///      "description": "Requests of the sender that the endpoint has rejected since the last report.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "seen": {
+///      "description": "Number of the receiver's last grant of places that the sender has received.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
 ///    }
 ///  },
 ///  "additionalProperties": false
@@ -364,25 +390,35 @@
     pub count: u32,
     ///Digest of the endpoint's id and start time.
     pub endpoint: u32,
+    ///Places that the sender holds, with its requests in progress.
+    pub held: u32,
+    ///Whether places at a brittle endpoint are meant, not requests within a rate.
+    pub places: bool,
     ///Rank of the most urgent of the requests; 0 is the first.
     pub rank: u8,
+    ///Requests of the sender that the endpoint has rejected since the last report.
+    pub rejected: u32,
+    ///Number of the receiver's last grant of places that the sender has received.
+    pub seen: u32,
 }
 impl ::std::convert::From<&Demand> for Demand {
     fn from(value: &Demand) -> Self {
         value.clone()
     }
 }
-///Requests that a node may send to an endpoint which names a rate.
+///Requests that a node may send to an endpoint in need.
 ///
 /// <details><summary>JSON schema</summary>
 ///
 /// ```json
 ///{
-///  "description": "Requests that a node may send to an endpoint which names a rate.",
+///  "description": "Requests that a node may send to an endpoint in need.",
 ///  "type": "object",
 ///  "required": [
 ///    "count",
-///    "endpoint"
+///    "endpoint",
+///    "number",
+///    "places"
 ///  ],
 ///  "properties": {
 ///    "count": {
@@ -396,6 +432,16 @@
 ///      "type": "integer",
 ///      "format": "uint32",
 ///      "minimum": 0.0
+///    },
+///    "number": {
+///      "description": "Number of the last of these grants, among those of places at the endpoint to this node.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "places": {
+///      "description": "Whether places at a brittle endpoint are meant, not requests within a rate.",
+///      "type": "boolean"
 ///    }
 ///  },
 ///  "additionalProperties": false
@@ -409,6 +455,10 @@
     pub count: u32,
     ///Digest of the endpoint's id and start time.
     pub endpoint: u32,
+    ///Number of the last of these grants, among those of places at the endpoint to this node.
+    pub number: u32,
+    ///Whether places at a brittle endpoint are meant, not requests within a rate.
+    pub places: bool,
 }
 impl ::std::convert::From<&Grant> for Grant {
     fn from(value: &Grant) -> Self {
@@ -748,19 +798,21 @@
         value.clone()
     }
 }
-///Rate that an endpoint takes from all nodes together.
+///What an endpoint in need takes from all nodes together.
 ///
 /// <details><summary>JSON schema</summary>
 ///
 /// ```json
 ///{
-///  "description": "Rate that an endpoint takes from all nodes together.",
+///  "description": "What an endpoint in need takes from all nodes together.",
 ///  "type": "object",
 ///  "required": [
 ///    "age_ms",
 ///    "endpoint",
+///    "is_brittle",
 ///    "millis",
-///    "named"
+///    "named",
+///    "rejections"
 ///  ],
 ///  "properties": {
 ///    "age_ms": {
@@ -775,6 +827,10 @@
 ///      "format": "uint32",
 ///      "minimum": 0.0
 ///    },
+///    "is_brittle": {
+///      "description": "Whether the endpoint says that it is brittle; if not, it no longer does.",
+///      "type": "boolean"
+///    },
 ///    "millis": {
 ///      "description": "Requests in a thousand seconds.",
 ///      "type": "integer",
@@ -784,6 +840,12 @@
 ///    "named": {
 ///      "description": "Whether the endpoint names a rate; if not, it no longer does.",
 ///      "type": "boolean"
+///    },
+///    "rejections": {
+///      "description": "Rejections in a second that a brittle endpoint survives.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
 ///    }
 ///  },
 ///  "additionalProperties": false
@@ -797,10 +859,14 @@
     pub age_ms: u32,
     ///Digest of the endpoint's id and start time.
     pub endpoint: u32,
+    ///Whether the endpoint says that it is brittle; if not, it no longer does.
+    pub is_brittle: bool,
     ///Requests in a thousand seconds.
     pub millis: u32,
     ///Whether the endpoint names a rate; if not, it no longer does.
     pub named: bool,
+    ///Rejections in a second that a brittle endpoint survives.
+    pub rejections: u32,
 }
 impl ::std::convert::From<&Rate> for Rate {
     fn from(value: &Rate) -> Self {
