Prefer other endpoints to one that leaves requests unanswered

It now scores worse for 1.5 s, or until an answer of it begins.

An endpoint whose probe hung, and that goes on answering what it had before, has not restarted and is no longer taken for cold (endpoint_that_goes_on_answering_is_not_cold failed before: 3 s at a cold one's rate).

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -109,7 +109,7 @@
         if let Some(service) = config.service(&state.info.service)
             && service.cold_rate > 0.0
         {
-            state.mark_cold(now + service.cold);
+            state.presume_cold(now + service.cold, now);
         }
     }
 
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
@@ -43,10 +43,11 @@
             ..Load::default()
         };
         attempt.load.unread = 0;
-        let expected = attempt.expected;
+        let (expected, sent) = (attempt.expected, attempt.sent);
         if let Some(state) = self.state_mut(attempt.key) {
             state.own_load.subtract(unread);
             state.record_answer_time(expected, observed);
+            state.confirm_process(sent);
         }
         if is_plain {
             let observed = observed.as_secs_f64() * 1e3;
@@ -106,7 +107,10 @@
         if let Some(state) = self.state_mut(key) {
             state.own_load.subtract(attempt.load);
             match end {
-                End::Finished => state.health.record(true, 1.0, now),
+                End::Finished => {
+                    state.health.record(true, 1.0, now);
+                    state.confirm_process(attempt.sent);
+                }
                 End::Failed => state
                     .health
                     .record(false, (1.0 - usual_failure_rate).max(0.0), now),
@@ -115,6 +119,9 @@
                 End::TimedOut if attempt.load.unread > 0 => state.health.record(false, 1.0, now),
                 _ => {}
             }
+            if end == End::Silent {
+                state.record_silence(now);
+            }
             match end {
                 End::Broken | End::Unconfirmed | End::Silent | End::Unsent => {
                     state.path.suspect(now);
--- a/crates/peridotdeck-core/src/dispatch/endpoint.rs
+++ b/crates/peridotdeck-core/src/dispatch/endpoint.rs
@@ -8,6 +8,9 @@
 /// Time in which the weight of an attempt's outcome falls to a half.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 
+/// Time for which an endpoint counts as silent, unless an answer begins.
+const SILENCE: Duration = Duration::from_millis(1_500);
+
 /// Weight of the newest answer in the moving average of the slowdown.
 const NEWEST_WEIGHT: f64 = 0.1;
 
@@ -112,9 +115,12 @@
     pub path: Path,
     slowdown: f64,
     cold_until: Time,
+    /// Time at which the endpoint was taken for restarted, and the end of its cold time before.
+    presumed: Option<(Time, Time)>,
     cold_bucket: Bucket,
     departing: bool,
     paused_until: Time,
+    silent_until: Time,
 }
 
 impl State {
@@ -134,9 +140,11 @@
             path: Path::default(),
             slowdown: 1.0,
             cold_until,
+            presumed: None,
             cold_bucket: Bucket::full(1.0, now),
             departing: false,
             paused_until: Time::ZERO,
+            silent_until: Time::ZERO,
         }
     }
 
@@ -163,8 +171,20 @@
         self.slowdown
     }
 
+    /// Returns whether a request got no answer lately, and none has begun since.
+    #[must_use]
+    pub fn is_silent(&self, now: Time) -> bool {
+        now < self.silent_until
+    }
+
+    /// Records that a request got no answer in the time in which others do.
+    pub fn record_silence(&mut self, now: Time) {
+        self.silent_until = now + SILENCE;
+    }
+
     /// Updates the slowdown with the time to an answer.
     pub fn record_answer_time(&mut self, expected: Duration, observed: Duration) {
+        self.silent_until = Time::ZERO;
         let ratio = observed.as_secs_f64() / expected.as_secs_f64().max(1e-3);
         let ratio = ratio.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
         self.slowdown += NEWEST_WEIGHT * (ratio - self.slowdown);
@@ -176,11 +196,25 @@
         now < self.cold_until
     }
 
-    /// Treats the endpoint as cold at least until a time.
-    pub fn mark_cold(&mut self, until: Time) {
+    /// Treats the endpoint as cold at least until a time, since it may have restarted.
+    pub fn presume_cold(&mut self, until: Time, now: Time) {
+        let (_, before) = self.presumed.unwrap_or((now, self.cold_until));
+        self.presumed = Some((now, before));
         self.cold_until = self.cold_until.max(until);
     }
 
+    /// Records that the endpoint still answers a request that was sent at a time.
+    ///
+    /// If that was before it was taken for restarted, it has not restarted.
+    pub fn confirm_process(&mut self, sent: Time) {
+        if let Some((at, before)) = self.presumed
+            && sent < at
+        {
+            self.cold_until = before;
+            self.presumed = None;
+        }
+    }
+
     /// Takes a token for one request from this node's share of a cold endpoint's rate.
     ///
     /// `rate` is the share in requests per second.
--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -110,6 +110,9 @@
 /// Score of an endpoint whose connection has just broken without an answer.
 const SUSPECTED_SCORE_MS: f64 = 80.0;
 
+/// Score of an endpoint that has left a request unanswered; one in another region is better.
+const SILENT_SCORE_MS: f64 = 500.0;
+
 /// Inputs of a placement other than the request.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
@@ -191,6 +194,9 @@
         if state.path.is_suspected() {
             estimate.score += SUSPECTED_SCORE_MS;
         }
+        if state.is_silent(self.now) {
+            estimate.score += SILENT_SCORE_MS;
+        }
         estimate
     }
 
--- a/crates/peridotdeck-core/tests/testsuite/shared_bounds.rs
+++ b/crates/peridotdeck-core/tests/testsuite/shared_bounds.rs
@@ -9,7 +9,9 @@
     registry::{Endpoint, Fact},
 };
 
-use crate::dispatch::{admit, copies, decoded_request, dispatcher, endpoint, ms, node, publish};
+use crate::dispatch::{
+    admit, copies, decoded_request, dispatcher, endpoint, expect_sent, ms, node, publish,
+};
 
 const RETRY_BOUND: Bound = Bound {
     ratio: 0.2,
@@ -172,3 +174,18 @@
     let sends = count_cold_sends(std::slice::from_mut(&mut node), 1_900);
     assert_eq!(sends, 200);
 }
+
+/// An endpoint that had been silent for a second counted as restarted, and got few requests for seconds.
+#[test]
+fn endpoint_that_goes_on_answering_is_not_cold() {
+    let mut node = dispatcher(1, "muenchen", &[endpoint("e", "text", "muenchen")]);
+    let mut flight = admit(&mut node, decoded_request("urgent"), ms(0));
+    let mut attempt = expect_sent(node.place(&mut flight, ms(0))).attempt;
+    let key = attempt.key();
+    node.record_probe(key, false, ms(400));
+    node.tick(ms(425));
+    node.record_probe(key, true, ms(1_200));
+    assert!(node.states()[0].is_cold(ms(1_200)));
+    node.record_answer_start(&mut attempt, false, &flight, ms(1_210));
+    assert!(!node.states()[0].is_cold(ms(1_210)));
+}
