Reproduce streams that are taken up after all nodes were killed, with failing tests

Where the old version had just left when all nodes ended, a node that started saw one version only and let old streams go on there, so callers got text of two versions.

Decoded anew, not used yet: the last part of a prompt, which only the request or its session has.

--- a/crates/peridotdeck-core/src/dispatch/flight.rs
+++ b/crates/peridotdeck-core/src/dispatch/flight.rs
@@ -26,6 +26,8 @@
     pub output: u32,
     /// Parts that other prompts may share, sorted from the shortest prefix to the longest.
     pub shared: Vec<Part>,
+    /// Last part, which only this request or its session has.
+    pub own: Option<Prefix>,
 }
 
 /// A request as the ingress decoded it, before admission.
--- a/crates/peridotdeck-core/tests/testsuite/crashing_parts/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/crashing_parts/world.rs
@@ -97,6 +97,7 @@
         tokens: 500 * parts.len() as u32 + 300,
         output: 100,
         shared: parts.iter().enumerate().map(part).collect(),
+        own: None,
     }
 }
 
--- a/crates/peridotdeck-core/tests/testsuite/dispatch.rs
+++ b/crates/peridotdeck-core/tests/testsuite/dispatch.rs
@@ -215,6 +215,7 @@
         tokens: shared.last().map_or(0, |part| part.tokens) + own,
         output: 100,
         shared,
+        own: None,
     }
 }
 
--- a/crates/peridotdeck-core/tests/testsuite/software_versions.rs
+++ b/crates/peridotdeck-core/tests/testsuite/software_versions.rs
@@ -189,3 +189,92 @@
         assert!(went_on.is_some(), "a{at} is known");
     }
 }
+
+fn restart_all(world: &mut World) {
+    for node in 0..world.nodes.len() {
+        world.kill(node);
+    }
+    for node in 0..world.nodes.len() {
+        world.start(node);
+    }
+}
+
+/// After all nodes had ended, no stream went on, though its endpoint still held what it had read.
+#[test]
+fn stream_goes_on_at_the_version_that_cached_it() {
+    let mut world = rollout(7, 5);
+    let mut versions = Vec::new();
+    for at in 0..20 {
+        let begun = world.stream_of(at % 7, &format!("a{at}"), None, Some(100 + at as u64));
+        versions.push(begun.expect("begun"));
+    }
+    restart_all(&mut world);
+    for node in 0..7 {
+        world.list_caches(node);
+    }
+    for (at, version) in versions.iter().enumerate() {
+        let (id, began) = (format!("b{at}"), format!("a{at}"));
+        let own = Some(100 + at as u64);
+        let went_on = world.stream_of((at + 3) % 7, &id, Some(&began), own);
+        assert_eq!(went_on.as_ref(), Some(version), "{id}");
+    }
+}
+
+/// The cached part of a session that both versions had served told a version by chance.
+#[test]
+fn stream_of_a_session_at_both_versions_is_refused() {
+    let mut world = rollout(7, 6);
+    let own = Some(7);
+    let mut versions = Vec::new();
+    for at in 0..40 {
+        versions.extend(world.stream_of(at % 7, &format!("a{at}"), None, own));
+    }
+    versions.sort_unstable();
+    versions.dedup();
+    assert_eq!(versions.len(), 2);
+    restart_all(&mut world);
+    for node in 0..7 {
+        world.list_caches(node);
+    }
+    assert_eq!(world.stream_of(1, "b", Some("a1"), own), None);
+}
+
+/// The old version had just left when all nodes ended, and its streams went on at the new one.
+#[test]
+fn stream_of_a_version_that_has_left_is_refused() {
+    let mut world = rollout(7, 7);
+    let mut old = Vec::new();
+    for at in 0..20 {
+        let version = world.stream(at % 7, &format!("a{at}"), None);
+        old.extend((version.as_deref() == Some("v1")).then_some(at));
+    }
+    assert!(!old.is_empty());
+    world.publish(endpoints(&[(0, "v2"), (1, "v2"), (2, "v2")]));
+    world.run(ms(1_000));
+    restart_all(&mut world);
+    world.run(ms(500));
+    for at in old {
+        let went_on = world.stream(at % 7, &format!("b{at}"), Some(&format!("a{at}")));
+        assert_eq!(went_on, None, "a{at}");
+    }
+}
+
+/// With one version all along, streams that are taken up were refused at nodes that knew no better.
+#[test]
+fn stream_goes_on_in_a_fleet_that_knows_one_version() {
+    let mut world = World::new(7, 6, 8);
+    world.callers.0.clear();
+    world.run(ms(31_000));
+    // One node starts, and learns from the others how long they have listed one version only.
+    world.kill(2);
+    world.start(2);
+    world.run(ms(1_000));
+    assert!(world.stream(2, "b", Some("a")).is_some());
+    // All start: their endpoints may have been replaced just before. Later, no caller has waited so long.
+    restart_all(&mut world);
+    world.run(ms(31_000));
+    for node in 0..7 {
+        let went_on = world.stream(node, &format!("c{node}"), Some(&format!("d{node}")));
+        assert!(went_on.is_some(), "c{node}");
+    }
+}
--- a/crates/peridotdeck-core/tests/testsuite/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world.rs
@@ -8,7 +8,7 @@
 use paths::Event;
 pub use paths::{Cut, Outcome};
 use peridotdeck_core::dispatch::{
-    Dispatcher, Key, Node,
+    Dispatcher, Key, Node, Prefix,
     attempt::{Attempt, End, Next, Placement},
     flight::Flight,
     rate::Terms,
@@ -78,6 +78,8 @@
     pub counts: Counts,
     /// Changes of the rates that nodes believe in.
     pub rate_changes: usize,
+    /// Own parts of prompts, and the endpoints that have cached them.
+    cached: Vec<(Key, Prefix)>,
     /// Nodes whose paths to endpoints are cut.
     cuts: Vec<(usize, Cut)>,
     events: Vec<(Duration, usize, Event)>,
@@ -126,6 +128,7 @@
             urgent_share: 0.5,
             counts: Counts::default(),
             rate_changes: 0,
+            cached: Vec::new(),
             cuts: Vec::new(),
             events: Vec::new(),
             outcomes: Vec::new(),
@@ -146,6 +149,7 @@
         options.node = address(index);
         options.seeds = (0..self.groups.len().min(3)).map(address).collect();
         options.incarnation = self.rng.random();
+        options.is_restart = !self.now.is_zero();
         let infos: Vec<_> = self.endpoints.iter().map(|one| one.info.clone()).collect();
         configure(Dispatcher::new(options, self.now), &infos)
     }
@@ -352,7 +356,19 @@
     /// Returns the version of the endpoint that sends events, or none if the request is refused.
     /// Heartbeats are exchanged while the request waits.
     pub fn stream(&mut self, node: usize, id: &str, began: Option<&str>) -> Option<String> {
+        self.stream_of(node, id, began, None)
+    }
+
+    /// Does the same with a prompt that has a part of its own, which its endpoint caches.
+    pub fn stream_of(
+        &mut self,
+        node: usize,
+        id: &str,
+        began: Option<&str>,
+        own: Option<Prefix>,
+    ) -> Option<String> {
         let mut request = decoded_request("urgent");
+        request.prompt.own = own;
         id.clone_into(&mut request.id);
         request.resumes = began.map(str::to_owned);
         let fingerprint = self.rng.random();
@@ -364,6 +380,7 @@
                 Placement::Send(assignment) => {
                     let version = assignment.version.clone();
                     let mut attempt = assignment.attempt;
+                    self.cached.extend(own.map(|own| (attempt.key(), own)));
                     dispatcher.record_answer_start(&mut attempt, false, &flight, self.now);
                     dispatcher.begin_stream(&attempt, &mut flight, self.now);
                     self.open.push(Open {
@@ -381,6 +398,20 @@
         }
     }
 
+    /// Lists the prompt parts that endpoints have cached, at a node that has started.
+    pub fn list_caches(&mut self, node: usize) {
+        let now = self.now;
+        let Some(dispatcher) = &mut self.nodes[node] else {
+            return;
+        };
+        let keys: Vec<Key> = dispatcher.states().iter().map(|state| state.key).collect();
+        for key in keys {
+            let cached = self.cached.iter().filter(|(holder, _)| *holder == key);
+            let parts: Vec<Prefix> = cached.map(|(_, part)| *part).collect();
+            dispatcher.record_cached(key, &parts, now);
+        }
+    }
+
     /// Breaks the stream of a request, which its node resumes by itself.
     ///
     /// Returns the version of the endpoint that goes on, or none if the request is refused.
