Find the version of streams in the endpoints' caches after all nodes have ended

What tells a stream's version outlives the nodes: the endpoint that ran it has cached the last part of its prompt, and nodes that start list caches anyway. A take-up goes on at the version of the endpoints that hold the part. A node that has started counts a stream that no cache shows as unknown, whatever the list of endpoints says, until it has known all versions for as long as streams can be taken up, or a peer has; where there are more endpoints than it lists it goes by the list, as before.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -117,6 +117,7 @@
     rate_news: Vec<rate::News>,
     streams: stream::Table,
     versions: stream::Versions,
+    listing: stream::Listing,
     /// Streams whose versions are to be asked for.
     lookups: Vec<stream::Id>,
     /// Grants that are to be sent.
@@ -143,6 +144,10 @@
     pub fn new(options: Options, now: Time) -> Self {
         let region = region(&options.regions, &options.data_centre);
         let here = data_centre(&options.data_centre);
+        let mut versions = stream::Versions::default();
+        if options.is_restart {
+            versions.start_history(now);
+        }
         let fleet = Fleet::new(
             options.node,
             here,
@@ -164,7 +169,8 @@
             rate_news: Vec::new(),
             grants: Vec::new(),
             streams: stream::Table::default(),
-            versions: stream::Versions::default(),
+            versions,
+            listing: stream::Listing::default(),
             lookups: Vec::new(),
             suspicions: Vec::new(),
             begun: Vec::new(),
@@ -284,6 +290,7 @@
                     if query_caches {
                         let address = endpoint.address;
                         self.cache_queries.push(CacheQuery { key, address });
+                        self.listing.expect(key);
                     }
                     self.states.insert(index, state);
                     self.presume_terms(key, &endpoint.service, now);
@@ -298,6 +305,7 @@
             self.states.remove(index);
         }
         self.rates.remove(key);
+        self.listing.complete(key);
         self.prefixes.remove_endpoint(key);
     }
 
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -7,6 +7,7 @@
     dispatch::{
         Key, Prefix,
         due::{CacheQuery, Due},
+        endpoint::State,
         fleet::Changes,
     },
     id::Time,
@@ -75,21 +76,31 @@
         let states = queries
             .iter()
             .filter_map(|query| Some((query, self.state(query.key)?)));
-        let mut due: Vec<(bool, CacheQuery)> = states
-            .filter(|(_, state)| {
-                let service = config.service(&state.info.service);
-                service.is_some_and(|service| service.model.is_some())
-            })
+        let has_model = |state: &State| {
+            let service = config.service(&state.info.service);
+            service.is_some_and(|service| service.model.is_some())
+        };
+        let (due, others): (Vec<_>, Vec<_>) = states.partition(|(_, state)| has_model(state));
+        let others: Vec<Key> = others.into_iter().map(|(query, _)| query.key).collect();
+        let mut due: Vec<(bool, CacheQuery)> = due
+            .into_iter()
             .map(|(query, state)| (state.info.data_centre != self.options.data_centre, *query))
             .collect();
         due.sort_by_key(|(is_remote, _)| *is_remote);
-        due.truncate(MAX_CACHE_QUERIES);
+        let surplus = due.split_off(due.len().min(MAX_CACHE_QUERIES));
+        for key in others {
+            self.listing.complete(key);
+        }
+        for (_, query) in surplus {
+            self.listing.skip(query.key);
+        }
         due.into_iter().map(|(_, query)| query).collect()
     }
 
     /// Records the prompt prefixes that an endpoint holds in memory.
     pub fn record_cached(&mut self, key: Key, parts: &[Prefix], now: Time) {
         if self.find(key).is_ok() {
+            self.listing.complete(key);
             for part in parts {
                 self.prefixes.record_use(*part, key, now);
             }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
@@ -215,6 +215,7 @@
             departures: self.departures.recent(now).take(MAX_DEPARTURES).collect(),
             rates: self.rate_reports(turn as usize, now),
             mixed: self.versions.is_any_mixed(),
+            history: self.versions.history(now),
             loads: busy.map(|state| (state.key, state.own_load)).collect(),
             health,
             strikes: crashes.iter().map(strike).collect(),
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -7,7 +7,7 @@
 use super::{Dispatcher, batch, peers::millis, waiting::give_up};
 use crate::{
     dispatch::{
-        DataCentre, Node,
+        DataCentre, Node, Software,
         attempt::{Attempt, Delay, Placement, WaitCause},
         data_centre,
         fleet::Broadcast,
@@ -88,15 +88,26 @@
             flight.software = Some(entry.software);
             return None;
         }
-        if !self.versions.is_mixed(&flight.service, now) {
+        let is_mixed = self.versions.is_mixed(&flight.service, now);
+        if !is_mixed && !self.versions.is_history_short(now) {
             return None;
         }
-        if began.is_empty() || now.saturating_sub(flight.arrived) >= LOOKUP_TIMEOUT {
+        if let Some(software) = self.cached_version(flight) {
+            flight.software = Some(software);
+            return None;
+        }
+        let is_over = now.saturating_sub(flight.arrived) >= LOOKUP_TIMEOUT;
+        let may_list = self.listing.is_pending() && !is_over;
+        if !is_mixed && !may_list && !self.listing.is_whole() {
+            // Nothing shows that another version has left.
+            return None;
+        }
+        if (began.is_empty() && !may_list) || is_over {
             let wait = self.retry_after(flight, now);
             let refusal = give_up(flight, Cause::UnknownStream, Some(wait));
             return Some(Placement::Refuse(refusal, Vec::new()));
         }
-        if !flight.looked_up {
+        if !flight.looked_up && !began.is_empty() {
             flight.looked_up = true;
             if self.lookups.len() < MAX_LOOKUPS {
                 self.lookups.push(stream);
@@ -105,11 +116,31 @@
         Some(Placement::Wait(Delay::poll(WaitCause::Lookup)))
     }
 
+    /// Returns the version of the endpoints that have cached the own part of a request's prompt.
+    ///
+    /// An endpoint that ran the stream has, also after all nodes have ended. If endpoints of several
+    /// versions have, the part belongs to a session, and tells nothing.
+    fn cached_version(&self, flight: &Flight) -> Option<Software> {
+        let holders = self.prefixes.holders(flight.prompt.own?).iter();
+        let mut versions: Vec<Software> = holders
+            .filter_map(|holding| self.state(holding.endpoint))
+            .map(|state| state.software)
+            .collect();
+        versions.sort_unstable();
+        versions.dedup();
+        match versions[..] {
+            [software] => Some(software),
+            _ => None,
+        }
+    }
+
     /// Applies what a peer says of streams, and returns the streams that it asks for.
     pub(super) fn receive_streams(&mut self, beat: &beat::Beat, now: Time) -> Vec<beat::Beat> {
         if beat.mixed {
             self.versions.note_report(now);
         }
+        let history = Duration::from_millis(beat.history_ms.into());
+        self.versions.note_history(history, now);
         for told in &beat.streams {
             self.streams.insert(Entry {
                 stream: told.stream,
--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -138,6 +138,8 @@
     pub rates: Vec<beat::Rate>,
     /// Whether endpoints of several software versions of one service were listed lately.
     pub mixed: bool,
+    /// Time for which all versions have been known to this node, or to one that it has heard from.
+    pub history: Duration,
     /// Endpoints to which this node cannot open connections, up to the number that is listed.
     pub unreached: Vec<Key>,
     /// Whether this node can open connections to less than half of its endpoints.
--- a/crates/peridotdeck-core/src/dispatch/fleet/send.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/send.rs
@@ -318,6 +318,7 @@
             demands: Vec::new(),
             grants: Vec::new(),
             mixed: status.mixed,
+            history_ms: u32::try_from(status.history.as_millis()).unwrap_or(u32::MAX),
             streams: Vec::new(),
             lookups: Vec::new(),
             unreached: Vec::new(),
--- a/crates/peridotdeck-core/src/dispatch/stream.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream.rs
@@ -3,15 +3,18 @@
 //! Endpoints of several software versions may serve side by side, and what two of them write does not
 //! fit together. A node knows the versions of the streams that it forwards ([`Table`]). While a service
 //! has several versions ([`Versions`]), the node also tells a few others, chosen by the stream's digest.
-//! A caller may take its stream up at any node, which asks the same ones.
+//! A caller may take its stream up at any node, which asks the same ones. After all nodes have ended, the
+//! endpoints' caches tell it: one that ran the stream holds the last part of its prompt ([`Listing`]).
 //!
 //! `docs/design/VERSIONS.md` compares the ways to know the version.
 
+mod listing;
 mod table;
 mod versions;
 
 use xxhash_rust::xxh3::xxh3_64;
 
+pub use listing::Listing;
 pub use table::{Entry, Table};
 pub use versions::Versions;
 
--- a/crates/peridotdeck-core/src/dispatch/stream/versions.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/versions.rs
@@ -26,6 +26,9 @@
     known: Vec<Version>,
     /// Time until which peers vouch that a service has several versions.
     reported_until: Time,
+    /// Time since which this node, or one that it has heard from, has known all versions; none if
+    /// there were no streams before.
+    known_since: Option<Time>,
 }
 
 impl Versions {
@@ -52,6 +55,32 @@
             .retain(|version| now.saturating_sub(version.listed) < RETENTION);
     }
 
+    /// Notes that this node starts in a fleet that has run before, and knows nothing of then.
+    pub fn start_history(&mut self, now: Time) {
+        self.known_since = Some(now);
+    }
+
+    /// Returns the time for which all versions have been known, at most the retention.
+    #[must_use]
+    pub fn history(&self, now: Time) -> Duration {
+        let known = |since: Time| now.saturating_sub(since).min(RETENTION);
+        self.known_since.map_or(RETENTION, known)
+    }
+
+    /// Records for how long a peer has known all versions; it vouches that they are not mixed, or
+    /// says that they are.
+    pub fn note_history(&mut self, history: Duration, now: Time) {
+        if let Some(since) = &mut self.known_since {
+            *since = (*since).min(now.saturating_sub(history.min(RETENTION)));
+        }
+    }
+
+    /// Returns whether versions may have left before anyone knew of them, whose streams may be open.
+    #[must_use]
+    pub fn is_history_short(&self, now: Time) -> bool {
+        self.history(now) < RETENTION
+    }
+
     /// Records that a peer has listed several versions of a service lately.
     pub fn note_report(&mut self, now: Time) {
         /// Time for which a report counts; peers repeat it with each heartbeat.
--- a/crates/peridotdeck-core/tests/testsuite/software_versions.rs
+++ b/crates/peridotdeck-core/tests/testsuite/software_versions.rs
@@ -252,6 +252,9 @@
     world.publish(endpoints(&[(0, "v2"), (1, "v2"), (2, "v2")]));
     world.run(ms(1_000));
     restart_all(&mut world);
+    for node in 0..7 {
+        world.list_caches(node);
+    }
     world.run(ms(500));
     for at in old {
         let went_on = world.stream(at % 7, &format!("b{at}"), Some(&format!("a{at}")));
--- a/crates/peridotdeck-wire/src/beat.rs
+++ b/crates/peridotdeck-wire/src/beat.rs
@@ -59,6 +59,7 @@
 ///    "first",
 ///    "grants",
 ///    "health",
+///    "history_ms",
 ///    "holdings",
 ///    "incarnation",
 ///    "joining",
@@ -122,6 +123,12 @@
 ///        "$ref": "#/definitions/Health"
 ///      }
 ///    },
+///    "history_ms": {
+///      "description": "Time for which the sender, or a node that it has heard from, has known all software versions that endpoints run, at most the time for which streams can be taken up.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
 ///    "holdings": {
 ///      "description": "Prompt prefixes that endpoints have prefilled recently.",
 ///      "type": "array",
@@ -272,6 +279,8 @@
     pub grants: ::std::vec::Vec<Grant>,
     ///Outcomes of recent attempts that the sender has seen, by endpoint.
     pub health: ::std::vec::Vec<Health>,
+    ///Time for which the sender, or a node that it has heard from, has known all software versions that endpoints run, at most the time for which streams can be taken up.
+    pub history_ms: u32,
     ///Prompt prefixes that endpoints have prefilled recently.
     pub holdings: ::std::vec::Vec<Holding>,
     ///Random number that identifies the sending process.
