Let an answer clear a whole request at all nodes

Cause: an answer cleared a whole request only at the node where it arrived, and reports of peers brought the crashes back.

--- a/crates/peridotdeck-core/src/dispatch/crashes.rs
+++ b/crates/peridotdeck-core/src/dispatch/crashes.rs
@@ -21,7 +21,7 @@
 use suspect::{MAX_CRASHES_PER_SUSPECT, Suspect};
 
 use super::{Key, Prefix};
-use crate::id::Time;
+use crate::id::{Fingerprint, Time};
 
 /// Number of crashed endpoints after which a subject is quarantined.
 pub const LIMIT: usize = 3;
@@ -57,7 +57,7 @@
     pub idle: Duration,
 }
 
-/// Subjects that crashes are attributed to, and proofs that clear parts.
+/// Subjects that crashes are attributed to, and proofs that clear them.
 #[derive(Clone, Debug, Default)]
 pub struct List {
     /// Suspects, sorted by subject.
@@ -137,20 +137,26 @@
 
     /// Records that an endpoint has answered on a part and is still up at a time.
     pub fn clear_part(&mut self, part: Prefix, at: Time) {
-        let before = self.count(Subject::Part(part));
-        self.proofs.record(part, at);
-        let count = self.count(Subject::Part(part));
-        if before >= LIMIT && count < LIMIT {
-            self.notify(Notice::Released {
-                subject: Subject::Part(part),
-            });
+        self.clear(Subject::Part(part), at);
+    }
+
+    /// Records that an endpoint has run a request to its end at a time.
+    pub fn clear_request(&mut self, fingerprint: Fingerprint, at: Time) {
+        self.clear(Subject::Request(fingerprint), at);
+    }
+
+    /// Records that a peer has announced a proof, of a part or of a request with this digest.
+    pub fn receive_proof(&mut self, id: u64, at: Time) {
+        for subject in [Subject::Part(id), Subject::Request(id)] {
+            self.clear(subject, at);
         }
     }
 
-    /// Forgets a request, because an endpoint has run it to its end.
-    pub fn clear_request(&mut self, subject: Subject) {
-        if let Ok(index) = self.find(subject) {
-            self.suspects.remove(index);
+    fn clear(&mut self, subject: Subject, at: Time) {
+        let before = self.count(subject);
+        self.proofs.record(subject, at);
+        if before >= LIMIT && self.count(subject) < LIMIT {
+            self.notify(Notice::Released { subject });
         }
     }
 
@@ -241,19 +247,22 @@
     }
 
     /// Returns up to `most` proofs against crashes that peers may still count, with their ages.
+    ///
+    /// Those of the subjects with the most crashes come first: they are the closest to a quarantine.
     #[must_use]
-    pub fn proofs(&self, most: usize, now: Time) -> Vec<(Prefix, Duration)> {
-        let parts = self.suspects.iter().filter_map(|suspect| {
-            let Subject::Part(part) = suspect.subject else {
-                return None;
-            };
+    pub fn proofs(&self, most: usize, now: Time) -> Vec<(u64, Duration)> {
+        let recent = self.suspects.iter().filter_map(|suspect| {
             let age = now.saturating_sub(self.proofs.last(suspect.subject)?);
-            (age < CLEARED_RETENTION).then_some((part, age))
+            (age < CLEARED_RETENTION).then_some((suspect, age))
         });
-        let mut proofs: Vec<(Prefix, Duration)> = parts.collect();
-        proofs.sort_unstable_by_key(|(_, age)| *age);
-        proofs.truncate(most);
+        let mut recent: Vec<_> = recent.collect();
+        recent
+            .sort_unstable_by_key(|(suspect, age)| (std::cmp::Reverse(suspect.count(None)), *age));
+        recent.truncate(most);
+        let proofs = recent.iter();
         proofs
+            .map(|(suspect, age)| (suspect.subject.id(), *age))
+            .collect()
     }
 
     /// Takes the notices that have not been logged yet.
--- a/crates/peridotdeck-core/src/dispatch/crashes/proofs.rs
+++ b/crates/peridotdeck-core/src/dispatch/crashes/proofs.rs
@@ -1,28 +1,28 @@
-//! Times at which endpoints have answered on a part of a prompt and stayed up.
+//! Times at which endpoints have answered on a subject and stayed up.
 
 use std::time::Duration;
 
 use super::Subject;
-use crate::{dispatch::Prefix, id::Time};
+use crate::id::Time;
 
 /// Time for which a proof is remembered: longer than any that peers announce.
 const RETENTION: Duration = Duration::from_secs(10);
 
-/// Most parts whose proofs are remembered; beyond it the oldest is forgotten.
+/// Most subjects whose proofs are remembered; beyond it the oldest is forgotten.
 const MAX_PROOFS: usize = 4_096;
 
-/// The last proof of each part, sorted by part.
+/// The last proof of each subject, sorted by the subjects' digests.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Proofs {
-    proofs: Vec<(Prefix, Time)>,
+    proofs: Vec<(u64, Time)>,
 }
 
 impl Proofs {
-    pub(super) fn record(&mut self, part: Prefix, at: Time) {
-        match self.find(part) {
+    pub(super) fn record(&mut self, subject: Subject, at: Time) {
+        match self.find(subject) {
             Ok(index) => self.proofs[index].1 = self.proofs[index].1.max(at),
             Err(index) => {
-                self.proofs.insert(index, (part, at));
+                self.proofs.insert(index, (subject.id(), at));
                 self.evict();
             }
         }
@@ -36,12 +36,9 @@
         }
     }
 
-    /// Returns the time of a subject's last proof, if it is a part and the proof is remembered.
+    /// Returns the time of a subject's last proof, if it is remembered.
     pub(super) fn last(&self, subject: Subject) -> Option<Time> {
-        let Subject::Part(part) = subject else {
-            return None;
-        };
-        let index = self.find(part).ok()?;
+        let index = self.find(subject).ok()?;
         Some(self.proofs[index].1)
     }
 
@@ -50,7 +47,8 @@
             .retain(|(_, at)| now.saturating_sub(*at) < RETENTION);
     }
 
-    fn find(&self, part: Prefix) -> Result<usize, usize> {
-        self.proofs.binary_search_by_key(&part, |(part, _)| *part)
+    fn find(&self, subject: Subject) -> Result<usize, usize> {
+        self.proofs
+            .binary_search_by_key(&subject.id(), |(id, _)| *id)
     }
 }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
@@ -85,7 +85,8 @@
         }
         for proof in &beat.proofs {
             let age = Duration::from_millis(proof.age_ms.into());
-            self.crashes.clear_part(proof.part, now.saturating_sub(age));
+            self.crashes
+                .receive_proof(proof.subject, now.saturating_sub(age));
         }
         for strike in &beat.strikes {
             self.crashes.receive(report(strike), now);
@@ -220,8 +221,8 @@
             health,
             strikes: crashes.iter().map(strike).collect(),
             proofs: proofs
-                .map(|(part, age)| beat::Proof {
-                    part,
+                .map(|(subject, age)| beat::Proof {
+                    subject,
                     age_ms: millis(age),
                 })
                 .collect(),
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/quarantine.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/quarantine.rs
@@ -180,8 +180,7 @@
 
     /// Clears the subjects of a request that an endpoint has run to its end.
     pub(super) fn clear_finished(&mut self, flight: &Flight, now: Time) {
-        self.crashes
-            .clear_request(Subject::Request(flight.fingerprint));
+        self.crashes.clear_request(flight.fingerprint, now);
         for part in &flight.prompt.shared {
             self.crashes.clear_part(part.prefix, now);
         }
--- a/crates/peridotdeck-wire/src/beat.rs
+++ b/crates/peridotdeck-wire/src/beat.rs
@@ -207,7 +207,7 @@
 ///      "$ref": "#/definitions/Position"
 ///    },
 ///    "proofs": {
-///      "description": "Parts of prompts that endpoints have answered on without a crash, among those that crashes are attributed to.",
+///      "description": "Proofs that clear parts of prompts and requests, among those that crashes are attributed to.",
 ///      "type": "array",
 ///      "items": {
 ///        "$ref": "#/definitions/Proof"
@@ -307,7 +307,7 @@
     pub place: u32,
     ///Position of the sender's configuration and closed data centres.
     pub policy: Position,
-    ///Parts of prompts that endpoints have answered on without a crash, among those that crashes are attributed to.
+    ///Proofs that clear parts of prompts and requests, among those that crashes are attributed to.
     pub proofs: ::std::vec::Vec<Proof>,
     ///Rates that endpoints have named in answers, or no longer name.
     pub rates: ::std::vec::Vec<Rate>,
@@ -764,17 +764,17 @@
         value.clone()
     }
 }
-///An endpoint has answered on a part of a prompt and stayed up.
+///An endpoint has answered on a part of a prompt and stayed up, or has run a request to its end.
 ///
 /// <details><summary>JSON schema</summary>
 ///
 /// ```json
 ///{
-///  "description": "An endpoint has answered on a part of a prompt and stayed up.",
+///  "description": "An endpoint has answered on a part of a prompt and stayed up, or has run a request to its end.",
 ///  "type": "object",
 ///  "required": [
 ///    "age_ms",
-///    "part"
+///    "subject"
 ///  ],
 ///  "properties": {
 ///    "age_ms": {
@@ -783,8 +783,8 @@
 ///      "format": "uint32",
 ///      "minimum": 0.0
 ///    },
-///    "part": {
-///      "description": "Digest of the part.",
+///    "subject": {
+///      "description": "Digest of the part or of the request.",
 ///      "type": "integer",
 ///      "format": "uint64",
 ///      "minimum": 0.0
@@ -799,8 +799,8 @@
 pub struct Proof {
     ///Milliseconds since the answer.
     pub age_ms: u32,
-    ///Digest of the part.
-    pub part: u64,
+    ///Digest of the part or of the request.
+    pub subject: u64,
 }
 impl ::std::convert::From<&Proof> for Proof {
     fn from(value: &Proof) -> Self {
