--- a/crates/peridotdeck-core/src/dispatch/detour.rs
+++ b/crates/peridotdeck-core/src/dispatch/detour.rs
@@ -1,6 +1,6 @@
 //! Detours: connections to endpoints that lead through a peer.
 
-use std::{net::SocketAddrV4, time::Duration};
+use std::time::Duration;
 
 use strum::{Display, IntoStaticStr};
 
@@ -59,9 +59,6 @@
     Paused,
 }
 
-/// An endpoint that a peer asks for, and that this node may connect to.
-pub type Target = SocketAddrV4;
-
 /// Time for which an endpoint wants no requests over one node's path.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Pause {
--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -9,9 +9,11 @@
 //! - `pauses`: a stream pauses between events;
 //! - `quarantine`: an endpoint has crashed, or has answered on a prompt;
 //! - `rates`: an endpoint names a rate, or a request needs a part of one;
+//! - `places`: an endpoint is brittle, or a request needs a place there;
 //! - `streams`: a stream begins, or a caller takes one up;
 //! - `peers`: a heartbeat from a peer arrives, or one to a peer is composed;
 //! - `detours`: a path to an endpoint is lost, or works again;
+//! - `probes`: a path needs a connection that only tests it;
 //! - `maintenance`: time passes, or the result of a probe or of a cache query arrives.
 
 mod batch;
@@ -20,7 +22,9 @@
 mod outcomes;
 mod pauses;
 mod peers;
+mod places;
 mod placing;
+mod probes;
 mod quarantine;
 mod rates;
 mod streams;
@@ -28,7 +32,7 @@
 
 use std::time::Duration;
 
-use detours::Schedule;
+use probes::Schedule;
 use quarantine::{Begun, Suspicion};
 use rand::{SeedableRng, rngs::SmallRng};
 use rates::Grant;
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/rates.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/rates.rs
@@ -1,14 +1,12 @@
 //! What endpoints in need take, and the parts of it that this node may use or grants to others.
 
-use std::time::Duration;
-
 use peridotdeck_wire::beat;
 
 use super::{Dispatcher, batch, peers::millis};
 use crate::{
     dispatch::{
         Key, Node,
-        attempt::{Attempt, End},
+        attempt::Attempt,
         data_centre,
         endpoint::State,
         fleet::{Broadcast, Status},
@@ -32,15 +30,22 @@
 /// Most demands or grants in one message.
 const MAX_ENTRIES: usize = 32;
 
-/// Largest fraction of a brittle endpoint's room that is granted while nodes of its data centre are
-/// out of touch, which may hold places or grant a tenth.
-const INCOMPLETE_FRACTION: f64 = 0.88;
-
-/// Shortest time between two reports of held places.
-const REPORT_INTERVAL: Duration = Duration::from_millis(50);
+/// A granted request that is to be told to its node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Grant {
+    pub(super) receiver: Node,
+    pub(super) endpoint: Key,
+    /// Number of the grant, if it is a place at a brittle endpoint.
+    pub(super) number: Option<u32>,
+}
 
-/// Grant to a node at an endpoint, with its number if it is a place there.
-pub(super) type Grant = (Node, Key, Option<u32>);
+impl Grant {
+    /// Returns whether another grant differs in its number at most.
+    fn is_like(&self, other: &Self) -> bool {
+        let subject = |grant: &Self| (grant.receiver, grant.endpoint, grant.number.is_some());
+        subject(self) == subject(other)
+    }
+}
 
 /// Start time that stands for all processes of an endpoint, so that a restart keeps the owner.
 const ANY_START: u64 = 0;
@@ -75,12 +80,6 @@
         named.is_none_or(|entry| entry.allowance.admits(rank, now))
     }
 
-    fn has_place(&self, key: Key, rank: u8, now: Time) -> bool {
-        let entry = self.rates.get(key);
-        let limited = entry.filter(|entry| entry.needs_place(now));
-        limited.is_none_or(|entry| entry.places.admits(rank, now))
-    }
-
     /// Counts a request towards what its endpoint takes, if it is in need.
     pub(super) fn spend_rate(&mut self, key: Key, rank: u8, now: Time) {
         if let Some((entry, _)) = self.rates.named_mut(key) {
@@ -91,24 +90,6 @@
         }
     }
 
-    /// Keeps the place that a request has left at a brittle endpoint for the next one.
-    ///
-    /// Nothing is kept after a rejection, as there was no such place, nor without an owner in touch.
-    pub(super) fn end_place(&mut self, key: Key, end: End, now: Time) {
-        let owner = self
-            .state(key)
-            .and_then(|state| self.rate_owner(state, now));
-        let Some(entry) = self.rates.brittle_mut(key) else {
-            return;
-        };
-        if end == End::Rejected {
-            entry.rejected += 1;
-            self.require_places(key, now);
-        } else if owner.is_some_and(|(_, fraction)| fraction > 0.0) {
-            entry.places.release(now);
-        }
-    }
-
     /// Checks that a request may be sent within what its endpoint takes, and demands a part if not.
     ///
     /// `demands_place` says whether it demands a place at a brittle endpoint.
@@ -163,7 +144,7 @@
     ///
     /// It is a node of the endpoint's data centre. Where no live one is known, each other data
     /// centre has an owner of its own, for a small part.
-    fn rate_owner(&self, state: &State, now: Time) -> Option<(Node, f64)> {
+    pub(super) fn rate_owner(&self, state: &State, now: Time) -> Option<(Node, f64)> {
         let ranking = u64::from(endpoint_key(&state.info.id, ANY_START));
         let owner = |data_centre| {
             let nodes = self.fleet.live_nodes(data_centre, now).into_iter();
@@ -203,47 +184,6 @@
         }
     }
 
-    /// Grants the places that are free at a brittle endpoint.
-    fn share_out_room(&mut self, key: Key, fraction: f64, now: Time) {
-        let Some(state) = self.state(key) else {
-            return;
-        };
-        let (slots, running) = (self.slots(state), state.own_load.running);
-        let fraction = if self.fleet.is_complete(now) {
-            fraction
-        } else {
-            fraction.min(INCOMPLETE_FRACTION)
-        };
-        let me = self.options.node;
-        let Some(entry) = self.rates.brittle_mut(key) else {
-            return;
-        };
-        let held = running + entry.places.unused(now);
-        let rejected = std::mem::take(&mut entry.rejected);
-        let seen = entry.seen;
-        entry.room.report(me, held, seen, rejected, now);
-        if let Some(demand) = entry.places.take_demand(now) {
-            entry.room.demand(me, demand, now);
-        }
-        let nodes = entry.room.share_out(slots, fraction, now);
-        for (node, number) in nodes {
-            if node == me {
-                entry.places.deposit(1, now);
-                entry.seen = number;
-            } else {
-                self.grants.push((node, key, Some(number)));
-            }
-        }
-    }
-
-    /// Returns the number of requests that an endpoint runs at once.
-    fn slots(&self, state: &State) -> u32 {
-        let config = self.registry.config();
-        let service = config.and_then(|config| config.service(&state.info.service));
-        let model = service.and_then(|service| service.model);
-        model.map_or(state.info.slots, |model| model.slots)
-    }
-
     /// Grants what an endpoint's rate allows by now.
     fn share_out_rate(&mut self, key: Key, fraction: f64, now: Time) {
         let me = self.options.node;
@@ -258,7 +198,11 @@
             if node == me {
                 entry.allowance.deposit(1, now);
             } else {
-                self.grants.push((node, key, None));
+                self.grants.push(Grant {
+                    receiver: node,
+                    endpoint: key,
+                    number: None,
+                });
             }
         }
     }
@@ -339,18 +283,16 @@
     /// Returns the messages that tell other nodes of grants.
     fn grant_messages(&mut self, mut grants: Vec<Grant>, status: &Status) -> Vec<Broadcast> {
         grants.sort_unstable();
-        let subject = |grant: &Grant| (grant.0, grant.1, grant.2.is_some());
-        let equal = grants.chunk_by(|one, other| subject(one) == subject(other));
+        let equal = grants.chunk_by(Grant::is_like);
         let counted = equal.map(|equal| {
-            let (receiver, endpoint, last) = equal[equal.len() - 1];
-            let count = equal.len() as u32;
+            let last = equal[equal.len() - 1];
             let grant = beat::Grant {
-                endpoint,
-                count,
-                places: last.is_some(),
-                number: last.unwrap_or_default(),
+                endpoint: last.endpoint,
+                count: equal.len() as u32,
+                places: last.number.is_some(),
+                number: last.number.unwrap_or_default(),
             };
-            (receiver, grant)
+            (last.receiver, grant)
         });
         let mut messages = Vec::new();
         for batch in batch::by_receiver(counted.collect(), MAX_ENTRIES) {
@@ -363,7 +305,7 @@
 
     /// Returns the message that tells a node of its grants, which it has just demanded.
     pub(super) fn grants_to(&mut self, node: Node, now: Time) -> Vec<beat::Beat> {
-        let own = |(receiver, ..): &mut Grant| *receiver == node;
+        let own = |grant: &mut Grant| grant.receiver == node;
         let grants: Vec<Grant> = self.grants.extract_if(.., own).collect();
         if grants.is_empty() {
             return Vec::new();
@@ -393,80 +335,6 @@
         Some((owner, demand))
     }
 
-    /// Returns this node's report of the places that it holds at a brittle endpoint, with its demand,
-    /// and the node that shares out the endpoint's room.
-    fn due_report(&mut self, key: Key, now: Time) -> Option<(Node, beat::Demand)> {
-        let state = self.state(key)?;
-        let running = state.own_load.running;
-        let (owner, _) = self.rate_owner(state, now)?;
-        if owner == self.options.node {
-            return None;
-        }
-        let entry = self.rates.brittle_mut(key)?;
-        let held = running + entry.places.unused(now);
-        let demand = entry.places.take_demand(now);
-        let is_early = |at: Time| now.saturating_sub(at) < REPORT_INTERVAL;
-        let last = entry.reported;
-        // Places that are free are reported at once, as other nodes may wait for them.
-        let is_due = demand.is_some()
-            || last.is_some_and(|(_, count)| count > held)
-            || (last.is_none_or(|(at, _)| !is_early(at))
-                && (held > 0 || last.is_some_and(|(_, count)| count > 0)));
-        if !is_due {
-            return None;
-        }
-        entry.reported = Some((now, held));
-        let Demand { rank, count } = demand.unwrap_or(Demand {
-            rank: u8::MAX,
-            count: 0,
-        });
-        let report = beat::Demand {
-            endpoint: key,
-            rank,
-            count,
-            places: true,
-            held,
-            rejected: std::mem::take(&mut entry.rejected),
-            seen: entry.seen,
-        };
-        Some((owner, report))
-    }
-
-    /// Requires places at once at all endpoints of a service, as a brittle one has rejected a request.
-    ///
-    /// A node that has just started has not heard of them, and would overfill one after the other.
-    fn require_places(&mut self, key: Key, now: Time) {
-        let Some(rejections) = self
-            .rates
-            .get(key)
-            .and_then(|entry| entry.limit.terms.rejections)
-        else {
-            return;
-        };
-        let Some(service) = self.state(key).map(|state| state.info.service.clone()) else {
-            return;
-        };
-        let keys: Vec<Key> = self.endpoints_of(&service).map(|state| state.key).collect();
-        for key in keys {
-            self.rates.require_places(key, rejections, now);
-        }
-    }
-
-    /// Takes an endpoint that has just become known for brittle if others of its service are.
-    pub(super) fn presume_terms(&mut self, key: Key, service: &str, now: Time) {
-        let of_service = |key: Key| {
-            let state = self.state(key);
-            state.is_some_and(|state| state.info.service == service)
-        };
-        let rejections = self.rates.named().find_map(|entry| {
-            let rejections = entry.limit.terms.rejections?;
-            of_service(entry.endpoint).then_some(rejections)
-        });
-        if let Some(rejections) = rejections {
-            self.rates.require_places(key, rejections, now);
-        }
-    }
-
     /// Returns the reports of rates for a heartbeat; `turn` shifts the choice if there are many.
     pub(super) fn rate_reports(&self, turn: usize, now: Time) -> Vec<beat::Rate> {
         /// Number of rates that are sent.
