Use kept connections only for the path that they lead over

After a cut a node went on sending requests through peers: a tunnel that was in use when the own path returned went back to the pool and was taken again and again, and would have broken its requests when the peer stopped. Connections know the peer that they lead through, and are reused only while requests go that way.

callers_of_a_node_with_reset_paths_are_served now keeps four callers at the node while the cut ends and asks that no node carries a tunnel after it: it failed with tunnels=1 before, and passed twice after.

--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -185,10 +185,11 @@
         Kind::NonIdempotent => MAX_IDLE_NON_IDEMPOTENT,
         Kind::Idempotent | Kind::Stream => MAX_IDLE_REPEATABLE,
     };
-    if let Some(connection) = shared.pool.reuse(key, max_idle) {
+    let detour = assignment.attempt.detour();
+    if let Some(connection) = shared.pool.reuse(key, detour, max_idle) {
         return Ok(connection);
     }
-    let dialed = match assignment.attempt.detour() {
+    let dialed = match detour {
         Some(peer) => dial_through(shared, key, peer).await,
         None => dial_endpoint(shared, key, assignment.address).await,
     };
--- a/crates/peridotdeck-relay/src/pool.rs
+++ b/crates/peridotdeck-relay/src/pool.rs
@@ -24,7 +24,10 @@
     client::conn::http1::{self, SendRequest},
     rt::{Read, Write},
 };
-use peridotdeck_core::{dispatch::Key, id::Time};
+use peridotdeck_core::{
+    dispatch::{Key, Node},
+    id::Time,
+};
 use quick_error::quick_error;
 use smol_hyper::rt::FuturesIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -125,6 +128,8 @@
 pub struct Connection {
     /// Sender of requests on this connection.
     pub sender: SendRequest<Full<Bytes>>,
+    /// Peer through which the connection leads, if it is not over the own path.
+    pub detour: Option<Node>,
     in_use: Arc<AtomicBool>,
     _close_on_drop: CloseOnDrop,
 }
@@ -159,15 +164,20 @@
     }
 
     /// Takes the newest connection to an endpoint that has been idle for less than `max_idle`.
+    ///
+    /// It must lead through the peer `detour`, or over the own path. Others are closed when they have
+    /// been idle for too long.
     #[must_use]
-    pub fn reuse(&self, key: Key, max_idle: Duration) -> Option<Connection> {
+    pub fn reuse(&self, key: Key, detour: Option<Node>, max_idle: Duration) -> Option<Connection> {
         let now = clock::now();
         let mut table = self.table();
         let index = table.binary_search_by_key(&key, |(key, _)| *key).ok()?;
         let idle = &mut table[index].1;
         idle.retain(|entry| entry.is_open(now));
         let usable = |entry: &Idle| {
-            entry.connection.sender.is_ready() && now.saturating_sub(entry.since) < max_idle
+            entry.connection.sender.is_ready()
+                && entry.connection.detour == detour
+                && now.saturating_sub(entry.since) < max_idle
         };
         let index = idle.iter().rposition(usable)?;
         let connection = idle.remove(index).connection;
@@ -249,14 +259,18 @@
     // Reset the connection on drop: an orderly close would go on sending undelivered data long
     // after the request was abandoned.
     SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))?;
-    Ok(handshake(FuturesIo::new(stream), on_broken).await?)
+    Ok(handshake(FuturesIo::new(stream), None, on_broken).await?)
 }
 
 /// Sets up the HTTP client, and calls `on_broken` if the connection breaks while no request uses it.
 ///
 /// # Errors
 /// If the client cannot be set up; no request was sent then.
-pub async fn handshake<T, F>(io: T, on_broken: F) -> Result<Connection, hyper::Error>
+pub async fn handshake<T, F>(
+    io: T,
+    detour: Option<Node>,
+    on_broken: F,
+) -> Result<Connection, hyper::Error>
 where
     T: Read + Write + Unpin + Send + 'static,
     F: FnOnce() + Send + 'static,
@@ -282,6 +296,7 @@
     });
     Ok(Connection {
         sender,
+        detour,
         in_use,
         _close_on_drop: CloseOnDrop { _sender: close },
     })
--- a/crates/peridotdeck-relay/src/tunnel.rs
+++ b/crates/peridotdeck-relay/src/tunnel.rs
@@ -85,7 +85,8 @@
     let observer = Arc::clone(shared);
     let open = async {
         let upgraded = request_tunnel(shared, key, peer).await?;
-        Ok(pool::handshake(upgraded, move || observer.suspect(key)).await?)
+        let on_broken = move || observer.suspect(key);
+        Ok(pool::handshake(upgraded, Some(peer), on_broken).await?)
     };
     timeout(OPEN_TIMEOUT, open)
         .await
