Look for the owner of a room only where an endpoint is brittle

The end of every attempt worked out which node shares out its endpoint's room, a pass over the nodes of the fleet, also where no endpoint is brittle; so did the report of places for endpoints that only name a rate. Both ask first now. The tests' endpoint is made in one place. Behaviour is the same; the core's tests pass (185).

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/places.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/places.rs
@@ -31,6 +31,10 @@
     ///
     /// Nothing is kept after a rejection, as there was no such place, nor without an owner in touch.
     pub(super) fn end_place(&mut self, key: Key, end: End, now: Time) {
+        // Finding the owner takes a pass over the fleet, which attempts elsewhere need not pay for.
+        if !self.rates.is_brittle(key) {
+            return;
+        }
         let owner = self
             .state(key)
             .and_then(|state| self.rate_owner(state, now));
@@ -93,6 +97,9 @@
     /// Returns this node's report of the places that it holds at a brittle endpoint, with its demand,
     /// and the node that shares out the endpoint's room.
     pub(super) fn due_report(&mut self, key: Key, now: Time) -> Option<(Node, beat::Demand)> {
+        if !self.rates.is_brittle(key) {
+            return None;
+        }
         let state = self.state(key)?;
         let running = state.own_load.running;
         let (owner, _) = self.rate_owner(state, now)?;
--- a/crates/peridotdeck-core/src/dispatch/rate/table.rs
+++ b/crates/peridotdeck-core/src/dispatch/rate/table.rs
@@ -124,6 +124,13 @@
         Some((entry, rate))
     }
 
+    /// Returns whether an endpoint is brittle.
+    #[must_use]
+    pub fn is_brittle(&self, key: Key) -> bool {
+        let entry = self.get(key);
+        entry.is_some_and(|entry| entry.brittle_since.is_some())
+    }
+
     /// Returns the entry of an endpoint that is brittle.
     pub fn brittle_mut(&mut self, key: Key) -> Option<&mut Entry> {
         let index = self.find(key).ok()?;
--- a/crates/peridotdeck-core/tests/testsuite/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world.rs
@@ -45,6 +45,21 @@
     pub got: Vec<(Duration, usize, u8)>,
 }
 
+impl Endpoint {
+    /// Returns an endpoint that names nothing and lets any number wait.
+    fn new(info: registry::Endpoint) -> Self {
+        Self {
+            info,
+            rate: None,
+            brittle: None,
+            queue: usize::MAX,
+            rejected: Vec::new(),
+            falls: Vec::new(),
+            got: Vec::new(),
+        }
+    }
+}
+
 struct Open {
     node: usize,
     flight: Flight,
@@ -109,15 +124,9 @@
 impl World {
     /// Starts `nodes` nodes and `endpoints` endpoints, spread over the data centres.
     pub fn new(nodes: usize, endpoints: usize, seed: u64) -> Self {
-        let endpoints = (0..endpoints).map(|index| Endpoint {
-            info: endpoint(&format!("e{index}"), "text", data_centre(index)),
-            rate: None,
-            brittle: None,
-            queue: usize::MAX,
-            rejected: Vec::new(),
-            falls: Vec::new(),
-            got: Vec::new(),
-        });
+        let endpoints = (0..endpoints)
+            .map(|index| endpoint(&format!("e{index}"), "text", data_centre(index)))
+            .map(Endpoint::new);
         let mut world = Self {
             now: Duration::ZERO,
             rng: SmallRng::seed_from_u64(seed),
@@ -339,16 +348,7 @@
             let facts = infos.iter().cloned().map(Fact::Endpoint).collect();
             node.apply_report(report(Area::Roster, self.revision, true, facts), self.now);
         }
-        let listed = infos.into_iter().map(|info| Endpoint {
-            info,
-            rate: None,
-            brittle: None,
-            queue: usize::MAX,
-            rejected: Vec::new(),
-            falls: Vec::new(),
-            got: Vec::new(),
-        });
-        self.endpoints = listed.collect();
+        self.endpoints = infos.into_iter().map(Endpoint::new).collect();
     }
 
     /// Begins a stream at a node, or takes up the one that the request `began` began.
