Show that a killed peer lets a cut stream look complete

The orderly close of a peer's connection at its process's end is taken for the end of an answer without framing.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Runs the case; the deploy file's build and review/build.sh come first.
+cd "$(dirname "$0")/../.." || exit 2
+test -x target/release/peridotdeck-node || exit 2
+test -x target/review/standins || exit 2
+exec target/review/standins lost-peer review/5
