Show that streams cannot be taken up for a while after a common restart

Nodes that all started together take each stream that began elsewhere since then for one of a software version that has left. It takes the place of the case of old software versions, which needs engines that change their version under one id.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 test -x target/release/peridotdeck-node || exit 2
 test -x target/review/standins || exit 2
-exec target/review/standins planned-stop review/2
+exec target/review/standins taken-up review/2
--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{BufReader, Write},
     net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
+    ops::RangeInclusive,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -62,13 +63,13 @@
     format!("id: {number}\ndata: {{\"tokens\":6,\"text\":\"six tokens of event {number}\"}}\n\n")
 }
 
-/// Sends a whole stream in chunks, or unframed: with neither a length nor chunks, so that it ends
-/// with its connection. Returns whether the connection stays open.
+/// Sends the events of a stream in chunks, or unframed: with neither a length nor chunks, so that it
+/// ends with its connection. Returns whether the connection stays open.
 pub fn send_stream(
     engine: &Engine,
     exchange: &Exchange,
     is_unframed: bool,
-    events: u32,
+    events: RangeInclusive<u32>,
     gap: Duration,
 ) -> bool {
     let id = exchange.request.id();
@@ -84,7 +85,7 @@
         )
         .as_bytes(),
     );
-    for number in 1..=events {
+    for number in events {
         let mut text = event(number);
         if !is_unframed {
             text = format!("{:x}\r\n{text}\r\n", text.len());
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -46,6 +46,14 @@
     }
 }
 
+/// Forgets a process that has ended, whose id may be given to another one.
+fn forget(process: u32) {
+    RUNNING
+        .lock()
+        .expect("held briefly")
+        .retain(|each| *each != process);
+}
+
 /// Ends this program and all nodes after a while, so that a script cannot hang.
 pub fn start_watchdog() {
     thread::spawn(|| {
@@ -76,17 +84,23 @@
             record: record.clone(),
         };
         for (at, store) in stores.iter().enumerate() {
-            let child = fleet.launch(at, *store);
-            RUNNING.lock().expect("held briefly").push(child.id());
+            let child = fleet.launch(at, *store, true);
             fleet.children.push(child);
         }
         fleet
     }
 
-    fn launch(&self, at: usize, store: SocketAddr) -> Child {
+    /// Starts a node again whose process has ended, as the platform does.
+    pub fn restart(&mut self, at: usize, store: SocketAddr) {
+        let _ = self.children[at].wait();
+        forget(self.children[at].id());
+        self.children[at] = self.launch(at, store, false);
+    }
+
+    fn launch(&self, at: usize, store: SocketAddr, is_first: bool) -> Child {
         let address = self.addresses[at];
         let settings = self.folder.join(format!("{address}.conf"));
-        fs::write(&settings, self.settings(at, store)).expect("written");
+        fs::write(&settings, self.settings(at, store, is_first)).expect("written");
         let log = File::create(self.folder.join(format!("{address}.log"))).expect("a log");
         let errors = log.try_clone().expect("a copy");
         let mut command = Command::new("target/release/peridotdeck-node");
@@ -107,12 +121,13 @@
             kill_all();
             std::process::exit(NOT_RUN);
         });
+        RUNNING.lock().expect("held briefly").push(child.id());
         self.record
             .line(format!("node {at} is process {} at {address}", child.id()));
         child
     }
 
-    fn settings(&self, at: usize, store: SocketAddr) -> String {
+    fn settings(&self, at: usize, store: SocketAddr, is_first: bool) -> String {
         let own = self.addresses[at];
         let (zone, region) = ZONES[at];
         let zones: String = ZONES
@@ -125,7 +140,7 @@
             "node=front-{zone}-1\nrole=router\nmachineClass=front\nserves=front,control\nip={own}\n\
              zone={zone}\nregion={region}\n{zones}listen.front={own}:{FRONT}\n\
              listen.ready={own}:{READY}\nlisten.control={own}:{CONTROL}\n\
-             portRange={},{}\nseeds={}\nbootstrap=true\nlossCounts=false\nlimits.cpuShare=0.25\n\
+             portRange={},{}\nseeds={}\nbootstrap={is_first}\nlossCounts=false\nlimits.cpuShare=0.25\n\
              limits.cores=1\nlimits.memoryMb=260\nlimits.maxFds=4100\nlimits.linkMbps=1000.0\n\
              limits.diskMb=0\ndiscovery=platform\nentry=vip\nheartbeatMs=1200\n\
              contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,places,platform\n\
@@ -152,7 +167,11 @@
 
     /// Returns whether a node's process has ended.
     pub fn has_ended(&mut self, at: usize) -> bool {
-        matches!(self.children[at].try_wait(), Ok(Some(_)))
+        let has_ended = matches!(self.children[at].try_wait(), Ok(Some(_)));
+        if has_ended {
+            forget(self.children[at].id());
+        }
+        has_ended
     }
 
     /// Waits for a node's end until the grace time is over, and kills it then, as the platform does.
@@ -334,6 +353,14 @@
     )
 }
 
+/// Returns a request that takes a stream up after an event.
+pub fn resumption(route: &str, id: &str, began: &str, last: u32, left_ms: u128) -> String {
+    let more = format!("\r\nLast-Event-Id: {last}\r\nResumes: {began}\r\nModel:");
+    let request = stream(route, began, left_ms as u32).replacen("\r\nModel:", &more, 1);
+    let (old, new) = (format!("Request-Id: {began}"), format!("Request-Id: {id}"));
+    request.replacen(&old, &new, 1)
+}
+
 /// Returns a request for a stream.
 pub fn stream(route: &str, id: &str, deadline_ms: u32) -> String {
     format!(
--- a/review/standins/lost_peer.rs
+++ b/review/standins/lost_peer.rs
@@ -119,7 +119,7 @@
             engine,
             exchange,
             exchange.request.id() == UNFRAMED,
-            EVENTS,
+            1..=EVENTS,
             GAP,
         )
     })
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -10,10 +10,10 @@
 mod fleet;
 mod http;
 mod lost_peer;
-mod old_version;
 mod planned_stop;
 mod proxy;
 mod store;
+mod taken_up;
 mod util;
 
 use std::path::Path;
@@ -34,8 +34,8 @@
         "double-run" => double_run::run(&record, has_trouble),
         "endless-head" => endless_head::run(&record, has_trouble),
         "planned-stop" => planned_stop::run(&record, has_trouble),
+        "taken-up" => taken_up::run(&record, has_trouble),
         "lost-peer" => lost_peer::run(&record, has_trouble),
-        "old-version" => old_version::run(&record, has_trouble),
         _ => NOT_RUN,
     };
     record.line(format!("exit code {code}"));
--- a/review/standins/planned_stop.rs
+++ b/review/standins/planned_stop.rs
@@ -84,7 +84,7 @@
             engine,
             exchange,
             exchange.request.id() == UNFRAMED,
-            EVENTS,
+            1..=EVENTS,
             GAP,
         )
     })
