--- a/review/standins/endless_head.rs
+++ b/review/standins/endless_head.rs
@@ -119,7 +119,8 @@
 
 /// Sends bytes that are no answer until the caller closes, at the speed of the sheet's link at most.
 fn pour(engine: &Engine, exchange: &Exchange) {
-    let piece = "HTTP/1.1 100 OK\r\n\r\n".repeat(2_500);
+    let head = format!("HTTP/1.1 103 Early Hints\r\n{}\r\n", "a:\r\n".repeat(20));
+    let piece = head.repeat(500);
     let begun = Instant::now();
     let mut sent: u64 = 0;
     engine.say(exchange, "sends heads without end from now on");
