--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod fleet;
 mod http;
+mod left_version;
 mod lost_peer;
 mod planned_stop;
 mod proxy;
@@ -35,6 +36,7 @@
         "endless-head" => endless_head::run(&record, has_trouble),
         "planned-stop" => planned_stop::run(&record, has_trouble),
         "taken-up" => taken_up::run(&record, has_trouble),
+        "left-version" => left_version::run(&record, has_trouble),
         "lost-peer" => lost_peer::run(&record, has_trouble),
         _ => NOT_RUN,
     };
