Say in the log who ended an answer without framing

What operators saw: the log line of an answer that its endpoint ended with its connection said outcome=answered, and nothing said whether the caller's connection was closed in an orderly way or reset, or how many such answers were open when a node left.

Change: outcome=unconfirmed where the end does not show that the answer is complete (request_ended, requests_total); attempt_ended names the detour and the cause; unframed_closed is one line for each caller's connection that ends such an answer; leaving and stopped count open requests, tunnels and answers without framing; tunnel_ended is logged by the peer at info, with its end and the bytes that the endpoint had sent; the gauge state{of=unframed}.

--- a/crates/peridotdeck-relay/src/control.rs
+++ b/crates/peridotdeck-relay/src/control.rs
@@ -112,6 +112,7 @@
     metrics.set_state("detours", detours as u64);
     let tunnels = shared.tunnels.load(Ordering::Relaxed);
     metrics.set_state("tunnels", tunnels.into());
+    metrics.set_state("unframed", shared.answers.unframed().into());
     metrics.set_state("kept_connections", shared.pool.len() as u64);
 }
 
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -32,6 +32,7 @@
     exchange::{self, Channel, Failure, Message},
     framing::Framing,
     ingress::Reply,
+    shared::detour_text,
     stream::{self, Events, Relay},
 };
 
@@ -161,8 +162,8 @@
                 let framing = channel.framing;
                 self.framing = Some(framing);
                 channel.keep(&self.shared.pool, key);
-                self.finish_attempt(framing.end(), "");
-                self.record_end("answered", response.status().as_u16(), "");
+                self.finish_attempt(framing.end(), framing.cause());
+                self.record_end(framing.outcome(), response.status().as_u16(), "");
                 Ok(Box::new(Outcome::Whole(response, framing)))
             }
             Received::Failed(response, channel) => {
@@ -358,10 +359,12 @@
             .count_attempt(&self.flight.service, end.into());
         if end != End::Finished {
             log::info!(
-                "event=attempt_ended id={} endpoint={} key={:08x} end={end} ms={} cause=\"{cause}\"",
+                "event=attempt_ended id={} endpoint={} key={:08x} detour={} end={end} ms={} \
+                 cause=\"{cause}\"",
                 self.flight.id,
                 self.endpoint,
                 attempt.key(),
+                detour_text(attempt.detour()),
                 now.saturating_sub(attempt.sent()).as_millis(),
             );
         }
--- a/crates/peridotdeck-relay/src/forwarding/logging.rs
+++ b/crates/peridotdeck-relay/src/forwarding/logging.rs
@@ -31,7 +31,7 @@
         self.shared
             .metrics
             .count_request(&flight.route.name, outcome);
-        if outcome == "answered" {
+        if matches!(outcome, "answered" | "unconfirmed") {
             let (class, organisation) = (&flight.route.name, flight.organisation_name());
             self.shared
                 .metrics
--- a/crates/peridotdeck-relay/src/framing.rs
+++ b/crates/peridotdeck-relay/src/framing.rs
@@ -33,6 +33,26 @@
         }
     }
 
+    /// Returns the outcome of a request, for the log, whose answer was read to its end.
+    #[must_use]
+    pub fn outcome(self) -> &'static str {
+        if self.shows_end() {
+            "answered"
+        } else {
+            "unconfirmed"
+        }
+    }
+
+    /// Returns what is known of the end of a body that was read to its end, for the log.
+    #[must_use]
+    pub fn cause(self) -> &'static str {
+        if self.shows_end() {
+            ""
+        } else {
+            "connection closed in an orderly way"
+        }
+    }
+
     /// Returns the framing of an answer whose body has not been read yet.
     #[must_use]
     pub fn of(head: &response::Parts, body: &impl Body) -> Self {
--- a/crates/peridotdeck-relay/src/front.rs
+++ b/crates/peridotdeck-relay/src/front.rs
@@ -95,6 +95,9 @@
             refusal_response(&shared, id.as_deref(), &refusal)
         }
     };
+    if let Some(id) = id {
+        response.extensions_mut().insert(server::Label(id));
+    }
     if shared.dispatcher().fleet().is_leaving() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/peridotdeck-relay/src/node.rs
+++ b/crates/peridotdeck-relay/src/node.rs
@@ -117,7 +117,14 @@
     };
     let state = Arc::clone(shared);
     let serve = move |request| front::serve(Arc::clone(&state), request);
-    task::spawn(server::accept(front, closed.clone(), limits, serve));
+    let answers = Arc::clone(&shared.answers);
+    task::spawn(server::accept(
+        front,
+        closed.clone(),
+        answers,
+        limits,
+        serve,
+    ));
     for address in [options.ready, options.control, options.metrics] {
         let listener = server::listen(address)?;
         let (state, ready) = (Arc::clone(shared), options.ready_path.clone());
@@ -126,7 +133,14 @@
             head_bytes: MAX_CONTROL_HEAD_BYTES,
             idle_timeout: CONTROL_IDLE_TIMEOUT,
         };
-        task::spawn(server::accept(listener, closed.clone(), limits, respond));
+        let answers = Arc::default();
+        task::spawn(server::accept(
+            listener,
+            closed.clone(),
+            answers,
+            limits,
+            respond,
+        ));
     }
     Ok(())
 }
--- a/crates/peridotdeck-relay/src/server.rs
+++ b/crates/peridotdeck-relay/src/server.rs
@@ -11,12 +11,12 @@
     io,
     net::{SocketAddr, TcpListener, TcpStream},
     pin::pin,
-    sync::Arc,
+    sync::{Arc, OnceLock},
     time::Duration,
 };
 
 use activity::Activity;
-pub use activity::Tracked;
+pub use activity::{Answers, Tracked};
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -75,10 +75,11 @@
 /// Accepts connections and answers their requests until the sender of `closing` is dropped.
 ///
 /// Then the listener and idle connections are closed. Other connections are closed after the answer
-/// in progress.
+/// in progress. `answers` counts the answers in progress.
 pub async fn accept<L, F, Fut, B>(
     listener: Async<TcpListener>,
     closing: Receiver<()>,
+    answers: Arc<Answers>,
     limits: L,
     respond: F,
 ) where
@@ -99,8 +100,9 @@
         match accepted {
             Ok((stream, _)) => {
                 let (closing, limits, respond) = (closing.clone(), limits.clone(), respond.clone());
+                let activity = Arc::new(Activity::new(Arc::clone(&answers)));
                 async_std::task::spawn(async move {
-                    if let Err(cause) = serve(stream, closing, limits, respond).await {
+                    if let Err(cause) = serve(stream, closing, activity, limits, respond).await {
                         log::debug!("event=connection_ended cause=\"{cause}\"");
                     }
                 });
@@ -117,6 +119,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Remote(pub(crate) SocketAddr);
 
+/// Id of the answered request for the log, as an extension of a response.
+#[derive(Clone, Debug)]
+pub(crate) struct Label(pub(crate) String);
+
 /// Reason why a connection ends or is shut down.
 enum Stop {
     Ended(Result<(), hyper::Error>),
@@ -128,6 +134,7 @@
 async fn serve<L, F, Fut, B>(
     stream: Async<TcpStream>,
     closing: Receiver<()>,
+    activity: Arc<Activity>,
     limits: L,
     respond: F,
 ) -> Result<(), Box<dyn Error + Send + Sync>>
@@ -141,16 +148,21 @@
     pool::set_options(stream.get_ref())?;
     let remote = Remote(stream.get_ref().peer_addr()?);
     let socket = Socket::new(stream);
-    let activity = Arc::new(Activity::new());
+    let label = OnceLock::new();
     let service = service_fn(|mut request: Request<Incoming>| {
         request.extensions_mut().insert(remote);
         let busy = activity.begin();
         let knows_chunks = request.version() != Version::HTTP_10;
         let response = respond(request);
+        let label = &label;
         async move {
             let response = response.await;
-            let ends_response = !knows_chunks || response.version() == Version::HTTP_10;
-            busy.set_ends_response(ends_response);
+            let is_chunked = knows_chunks && response.version() != Version::HTTP_10;
+            if !is_chunked && response.body().size_hint().exact().is_none() {
+                busy.end_with_connection();
+                let id = response.extensions().get::<Label>();
+                label.get_or_init(|| id.map_or_else(|| "-".to_owned(), |id| id.0.clone()));
+            }
             Ok::<_, std::convert::Infallible>(response.map(|body| Tracked::new(body, busy)))
         }
     });
@@ -182,12 +194,28 @@
         future::or(connection.as_mut(), idle).await
     };
     let result = rest.await;
-    if result.is_err() && activity.ends_response() {
-        socket.reset_on_close()?;
+    if let Some(id) = label.get() {
+        let end = if result.is_err() { "reset" } else { "orderly" };
+        if result.is_err() {
+            socket.reset_on_close()?;
+        }
+        log::info!(
+            "event=unframed_closed id={id} caller={} end={end} cause=\"{}\"",
+            remote.0,
+            result.as_ref().err().map_or_else(String::new, cause_text),
+        );
     }
     Ok(result?)
 }
 
+/// Returns an error and its cause, for the log.
+fn cause_text(error: &hyper::Error) -> String {
+    match error.source() {
+        Some(cause) => format!("{error}: {cause}"),
+        None => error.to_string(),
+    }
+}
+
 /// Waits until a connection has been idle for the configured time.
 async fn wait_idle(activity: &Activity, limits: &impl Fn() -> Limits) {
     loop {
--- a/crates/peridotdeck-relay/src/server/activity.rs
+++ b/crates/peridotdeck-relay/src/server/activity.rs
@@ -4,7 +4,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     task::{Context, Poll},
     time::Duration,
@@ -14,6 +14,21 @@
 
 use crate::clock;
 
+/// Counts of a server's answers in progress, over all its connections.
+#[derive(Debug, Default)]
+pub struct Answers {
+    /// Answers without framing whose connections are open.
+    unframed: AtomicU32,
+}
+
+impl Answers {
+    /// Returns the number of answers without framing whose connections are open.
+    #[must_use]
+    pub fn unframed(&self) -> u32 {
+        self.unframed.load(Ordering::Relaxed)
+    }
+}
+
 /// Counter of a connection's requests in progress, and the end of the last one.
 #[derive(Debug)]
 pub(super) struct Activity {
@@ -23,14 +38,16 @@
     last_ms: AtomicU64,
     /// Whether the connection's end is the end of the response in progress.
     ends_response: AtomicBool,
+    answers: Arc<Answers>,
 }
 
 impl Activity {
-    pub(super) fn new() -> Self {
+    pub(super) fn new(answers: Arc<Answers>) -> Self {
         Self {
             requests: AtomicU64::new(0),
             last_ms: AtomicU64::new(millis()),
             ends_response: AtomicBool::new(false),
+            answers,
         }
     }
 
@@ -55,6 +72,14 @@
     }
 }
 
+impl Drop for Activity {
+    fn drop(&mut self) {
+        if self.ends_response() {
+            self.answers.unframed.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
 fn millis() -> u64 {
     clock::now().as_millis() as u64
 }
@@ -64,9 +89,11 @@
 pub(super) struct Busy(Arc<Activity>);
 
 impl Busy {
-    /// Sets whether the connection's end is the end of the response.
-    pub(super) fn set_ends_response(&self, ends_response: bool) {
-        self.0.ends_response.store(ends_response, Ordering::Relaxed);
+    /// Records that the connection's end is the end of the response, so it has no further one.
+    pub(super) fn end_with_connection(&self) {
+        if !self.0.ends_response.swap(true, Ordering::Relaxed) {
+            self.0.answers.unframed.fetch_add(1, Ordering::Relaxed);
+        }
     }
 }
 
--- a/crates/peridotdeck-relay/src/shared.rs
+++ b/crates/peridotdeck-relay/src/shared.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddrV4,
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU32, Ordering},
     },
     time::Duration,
@@ -17,7 +17,9 @@
     registry::{self, Area, Endpoint, Position, Report},
 };
 
-use crate::{Ingress, clock, ingress::Notice, metrics::Metrics, pool::Pool, publisher::Sink};
+use crate::{
+    Ingress, clock, ingress::Notice, metrics::Metrics, pool::Pool, publisher::Sink, server::Answers,
+};
 
 /// Dispatcher, connections and metrics of one node.
 #[derive(Debug)]
@@ -28,6 +30,8 @@
     pub pool: Pool,
     /// Metrics of this node.
     pub metrics: Metrics,
+    /// Answers in progress on callers' connections.
+    pub answers: Arc<Answers>,
     /// Number of requests in progress.
     pub open_requests: AtomicU32,
     dispatcher: Mutex<Dispatcher>,
@@ -49,6 +53,7 @@
             ingress,
             pool: Pool::default(),
             metrics: Metrics::new(),
+            answers: Arc::default(),
             open_requests: AtomicU32::new(0),
             tunnels: AtomicU32::new(0),
             node,
--- a/crates/peridotdeck-relay/src/shutdown.rs
+++ b/crates/peridotdeck-relay/src/shutdown.rs
@@ -61,7 +61,15 @@
 pub async fn drain<I: Ingress>(shared: &Shared<I>, grace_period: Duration, closing: Sender<()>) {
     let open =
         || shared.open_requests.load(Ordering::Relaxed) + shared.tunnels.load(Ordering::Relaxed);
-    log::info!("event=leaving open={}", open());
+    let count = || {
+        let tunnels = shared.tunnels.load(Ordering::Relaxed);
+        format!(
+            "open={} tunnels={tunnels} unframed={}",
+            open(),
+            shared.answers.unframed()
+        )
+    };
+    log::info!("event=leaving {}", count());
     shared.dispatcher().leave();
     let deadline = clock::now() + grace_period.saturating_sub(SHUTDOWN_MARGIN);
     let mut awake = Awake::new();
@@ -81,7 +89,7 @@
             busy_until = awake.total;
         }
     }
-    log::info!("event=stopped open={}", open());
+    log::info!("event=stopped {}", count());
     // The log writer collects lines for a moment before it writes them.
     Timer::after(2 * POLL_INTERVAL).await;
 }
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -166,11 +166,12 @@
     /// Records the complete stream, keeps its connection, and returns the remaining bytes.
     fn finish(&mut self) -> Option<Bytes> {
         if let Some(channel) = self.channel.take() {
-            let end = channel.framing.end();
+            let framing = channel.framing;
             channel.keep(&self.forwarding.shared.pool, self.key);
-            self.forwarding.finish_attempt(end, "");
+            self.forwarding
+                .finish_attempt(framing.end(), framing.cause());
             self.forwarding.record_stream_end();
-            self.forwarding.record_end("answered", 200, "");
+            self.forwarding.record_end(framing.outcome(), 200, "");
         }
         self.events.take_rest()
     }
--- a/crates/peridotdeck-relay/src/tunnel.rs
+++ b/crates/peridotdeck-relay/src/tunnel.rs
@@ -11,7 +11,10 @@
 use std::{
     io,
     net::{IpAddr, Ipv4Addr, SocketAddrV4, TcpStream},
-    sync::{Arc, atomic::Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -31,6 +34,7 @@
 use rustix::io::Errno;
 use smol_hyper::rt::FuturesIo;
 use socket2::{Domain, SockRef, Type};
+use strum::Display;
 
 use crate::{
     Ingress, Shared, clock,
@@ -223,7 +227,8 @@
 }
 
 /// How a tunnel ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
 enum End {
     /// The endpoint closed its connection in an orderly way.
     Closed,
@@ -250,11 +255,13 @@
         }
     };
     let near = parts.io.into_inner();
-    let ended = join(&near, &parts.read_buf, &far).await;
-    let end = ended.unwrap_or_else(|cause| {
-        log::debug!("event=tunnel_broke peer={peer} cause=\"{cause}\"");
-        End::Broken
-    });
+    let opened = clock::now();
+    let answered = AtomicU64::new(0);
+    let ended = join(&near, &parts.read_buf, &far, &answered).await;
+    let (end, cause) = match ended {
+        Ok(end) => (end, String::new()),
+        Err(cause) => (End::Broken, cause.to_string()),
+    };
     if end != End::Closed {
         // The endpoint stops at once, and the peer sees that the answer broke.
         for reset in [near.reset_on_close(), reset_on_close(&far)] {
@@ -263,7 +270,12 @@
             }
         }
     }
-    log::debug!("event=tunnel_ended peer={peer} endpoint_key={key:08x} end={end:?}");
+    log::info!(
+        "event=tunnel_ended peer={peer} endpoint_key={key:08x} end={end} answered={} ms={} \
+         cause=\"{cause}\"",
+        answered.into_inner(),
+        clock::now().saturating_sub(opened).as_millis(),
+    );
 }
 
 fn reset_on_close(stream: &Async<TcpStream>) -> io::Result<()> {
@@ -271,13 +283,20 @@
 }
 
 /// Passes bytes on in both directions; `early` arrived with the request.
-async fn join(near: &Socket, early: &[u8], far: &Async<TcpStream>) -> io::Result<End> {
+///
+/// `answered` counts the bytes that the endpoint has sent.
+async fn join(
+    near: &Socket,
+    early: &[u8],
+    far: &Async<TcpStream>,
+    answered: &AtomicU64,
+) -> io::Result<End> {
     let (mut from_near, mut to_near) = (near.clone(), near.clone());
     let (mut from_far, mut to_far) = (far, far);
     let forth = async {
         let sent = async {
             to_far.write_all(early).await?;
-            copy(&mut from_near, &mut to_far).await
+            copy(&mut from_near, &mut to_far, &AtomicU64::new(0)).await
         };
         if let Err(cause) = sent.await {
             log::debug!("event=tunnel_peer_left cause=\"{cause}\"");
@@ -285,15 +304,15 @@
         Ok(End::Left)
     };
     let back = async {
-        copy(&mut from_far, &mut to_near).await?;
+        copy(&mut from_far, &mut to_near, answered).await?;
         to_near.close().await?;
         Ok(End::Closed)
     };
     future::or(back, forth).await
 }
 
-/// Passes bytes on until the sender closes its connection in an orderly way.
-async fn copy<R, W>(from: &mut R, to: &mut W) -> io::Result<()>
+/// Passes bytes on, and counts them, until the sender closes its connection in an orderly way.
+async fn copy<R, W>(from: &mut R, to: &mut W, passed: &AtomicU64) -> io::Result<()>
 where
     R: AsyncRead + Unpin,
     W: AsyncWrite + Unpin,
@@ -305,5 +324,6 @@
             return Ok(());
         }
         to.write_all(&buffer[..length]).await?;
+        passed.fetch_add(length as u64, Ordering::Relaxed);
     }
 }
