Count an answer as in progress until its caller's connection has taken it

What callers saw: a stream without framing ended after 4,122,114 of 5,000,000 bytes in an orderly way, so it looked complete, from a node that ran on or left in good time; one with framing was broken.

Cause: a connection was idle, and a leaving node without requests, as soon as hyper had read the body's end. hyper's buffer may then still hold as much as the configured head size, which the kernel takes only as the caller reads. After the idle timeout, or 150 ms after the listeners had closed, the connection was dropped with these bytes. The drop was no error, so no reset was due either.

Change: an answer that is read to its end counts as in progress until hyper flushes the socket, which it does with an empty buffer only; drain() counts it too. A caller that takes nothing is given up by the kernel after 4 s (TCP_USER_TIMEOUT), and at the end of grace.

--- a/crates/peridotdeck-relay/src/server/activity.rs
+++ b/crates/peridotdeck-relay/src/server/activity.rs
@@ -19,6 +19,8 @@
 pub struct Answers {
     /// Answers without framing whose connections are open.
     unframed: AtomicU32,
+    /// Answers that are read to their end and not completely written.
+    unwritten: AtomicU32,
 }
 
 impl Answers {
@@ -27,6 +29,14 @@
     pub fn unframed(&self) -> u32 {
         self.unframed.load(Ordering::Relaxed)
     }
+
+    /// Returns the number of answers that are read to their end and not completely written.
+    ///
+    /// The kernel takes the rest of an answer only as its caller reads.
+    #[must_use]
+    pub fn unwritten(&self) -> u32 {
+        self.unwritten.load(Ordering::Relaxed)
+    }
 }
 
 /// Counter of a connection's requests in progress, and the end of the last one.
@@ -38,6 +48,8 @@
     last_ms: AtomicU64,
     /// Whether the connection's end is the end of the response in progress.
     ends_response: AtomicBool,
+    /// Whether bytes of a response that has been read to its end are still to be written.
+    is_unwritten: AtomicBool,
     answers: Arc<Answers>,
 }
 
@@ -47,6 +59,7 @@
             requests: AtomicU64::new(0),
             last_ms: AtomicU64::new(millis()),
             ends_response: AtomicBool::new(false),
+            is_unwritten: AtomicBool::new(false),
             answers,
         }
     }
@@ -57,14 +70,23 @@
         Busy(Arc::clone(self))
     }
 
+    /// Records that everything has been written that hyper has to write.
+    pub(super) fn record_flush(&self) {
+        if self.is_unwritten.swap(false, Ordering::Relaxed) {
+            self.answers.unwritten.fetch_sub(1, Ordering::Relaxed);
+            self.last_ms.store(millis(), Ordering::Relaxed);
+        }
+    }
+
     /// Returns whether the connection's end is the end of the response in progress.
     pub(super) fn ends_response(&self) -> bool {
         self.ends_response.load(Ordering::Relaxed)
     }
 
-    /// Returns the time since the last request ended, or none while one is in progress.
+    /// Returns the time since the last answer was written, or none while a request is in progress.
     pub(super) fn idle(&self) -> Option<Duration> {
-        if self.requests.load(Ordering::Relaxed) > 0 {
+        let is_unwritten = self.is_unwritten.load(Ordering::Relaxed);
+        if is_unwritten || self.requests.load(Ordering::Relaxed) > 0 {
             return None;
         }
         let last = self.last_ms.load(Ordering::Relaxed);
@@ -74,6 +96,7 @@
 
 impl Drop for Activity {
     fn drop(&mut self) {
+        self.record_flush();
         if self.ends_response() {
             self.answers.unframed.fetch_sub(1, Ordering::Relaxed);
         }
@@ -95,6 +118,13 @@
             self.0.answers.unframed.fetch_add(1, Ordering::Relaxed);
         }
     }
+
+    /// Records that the response's body was read to its end.
+    fn record_read(&self) {
+        if !self.0.is_unwritten.swap(true, Ordering::Relaxed) {
+            self.0.answers.unwritten.fetch_add(1, Ordering::Relaxed);
+        }
+    }
 }
 
 impl Drop for Busy {
@@ -108,14 +138,17 @@
 #[derive(Debug)]
 pub struct Tracked<B> {
     body: Pin<Box<B>>,
-    _busy: Busy,
+    busy: Busy,
 }
 
-impl<B> Tracked<B> {
+impl<B: Body> Tracked<B> {
     pub(super) fn new(body: B, busy: Busy) -> Self {
+        if body.is_end_stream() {
+            busy.record_read();
+        }
         Self {
             body: Box::pin(body),
-            _busy: busy,
+            busy,
         }
     }
 }
@@ -128,7 +161,13 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        self.body.as_mut().poll_frame(context)
+        let polled = self.body.as_mut().poll_frame(context);
+        let is_error = matches!(polled, Poll::Ready(Some(Err(_))));
+        let is_end = matches!(polled, Poll::Ready(None));
+        if is_end || (!is_error && self.body.is_end_stream()) {
+            self.busy.record_read();
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/peridotdeck-relay/src/server/socket.rs
+++ b/crates/peridotdeck-relay/src/server/socket.rs
@@ -13,18 +13,26 @@
 use futures_lite::{AsyncRead, AsyncWrite};
 use socket2::SockRef;
 
+use super::activity::Activity;
+
 /// A socket that stays accessible while hyper reads and writes it.
 #[derive(Clone, Debug)]
-pub(crate) struct Socket(Arc<Async<TcpStream>>);
+pub(crate) struct Socket {
+    stream: Arc<Async<TcpStream>>,
+    activity: Arc<Activity>,
+}
 
 impl Socket {
-    pub(super) fn new(stream: Async<TcpStream>) -> Self {
-        Self(Arc::new(stream))
+    pub(super) fn new(stream: Async<TcpStream>, activity: Arc<Activity>) -> Self {
+        Self {
+            stream: Arc::new(stream),
+            activity,
+        }
     }
 
     /// Makes the close of the connection a reset.
     pub(crate) fn reset_on_close(&self) -> io::Result<()> {
-        SockRef::from(self.0.get_ref()).set_linger(Some(Duration::ZERO))
+        SockRef::from(self.stream.get_ref()).set_linger(Some(Duration::ZERO))
     }
 }
 
@@ -34,7 +42,7 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut &*self.0).poll_read(context, buffer)
+        Pin::new(&mut &*self.stream).poll_read(context, buffer)
     }
 }
 
@@ -44,7 +52,7 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut &*self.0).poll_write(context, buffer)
+        Pin::new(&mut &*self.stream).poll_write(context, buffer)
     }
 
     fn poll_write_vectored(
@@ -52,14 +60,16 @@
         context: &mut Context<'_>,
         buffers: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut &*self.0).poll_write_vectored(context, buffers)
+        Pin::new(&mut &*self.stream).poll_write_vectored(context, buffers)
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut &*self.0).poll_flush(context)
+        // hyper flushes the socket when it has nothing left to write.
+        self.activity.record_flush();
+        Pin::new(&mut &*self.stream).poll_flush(context)
     }
 
     fn poll_close(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut &*self.0).poll_close(context)
+        Pin::new(&mut &*self.stream).poll_close(context)
     }
 }
--- a/crates/peridotdeck-relay/src/shutdown.rs
+++ b/crates/peridotdeck-relay/src/shutdown.rs
@@ -25,7 +25,7 @@
 
 /// Time without an open request after which a node ends.
 ///
-/// Requests that the kernel has received are read, and answers are written, within it.
+/// Requests that the kernel has received are read within it.
 const QUIET_TIME: Duration = Duration::from_millis(150);
 
 /// Time before the end of the grace period at which requests still in progress are cut.
@@ -59,8 +59,11 @@
 /// The listeners and idle connections are closed when `closing` is dropped. Requests that are open
 /// shortly before the end of the grace period are cut.
 pub async fn drain<I: Ingress>(shared: &Shared<I>, grace_period: Duration, closing: Sender<()>) {
-    let open =
-        || shared.open_requests.load(Ordering::Relaxed) + shared.tunnels.load(Ordering::Relaxed);
+    let open = || {
+        shared.open_requests.load(Ordering::Relaxed)
+            + shared.tunnels.load(Ordering::Relaxed)
+            + shared.answers.unwritten()
+    };
     let count = || {
         let tunnels = shared.tunnels.load(Ordering::Relaxed);
         format!(
