--- a/crates/peridotdeck-relay/src/server/activity.rs
+++ b/crates/peridotdeck-relay/src/server/activity.rs
@@ -4,7 +4,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     task::{Context, Poll},
     time::Duration,
@@ -14,6 +14,31 @@
 
 use crate::clock;
 
+/// Counts of a server's answers in progress, over all its connections.
+#[derive(Debug, Default)]
+pub struct Answers {
+    /// Answers without framing whose connections are open.
+    unframed: AtomicU32,
+    /// Answers that are read to their end and not completely written.
+    unwritten: AtomicU32,
+}
+
+impl Answers {
+    /// Returns the number of answers without framing whose connections are open.
+    #[must_use]
+    pub fn unframed(&self) -> u32 {
+        self.unframed.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of answers that are read to their end and not completely written.
+    ///
+    /// The kernel takes the rest of an answer only as its caller reads.
+    #[must_use]
+    pub fn unwritten(&self) -> u32 {
+        self.unwritten.load(Ordering::Relaxed)
+    }
+}
+
 /// Counter of a connection's requests in progress, and the end of the last one.
 #[derive(Debug)]
 pub(super) struct Activity {
@@ -23,14 +48,19 @@
     last_ms: AtomicU64,
     /// Whether the connection's end is the end of the response in progress.
     ends_response: AtomicBool,
+    /// Whether bytes of a response that has been read to its end are still to be written.
+    is_unwritten: AtomicBool,
+    answers: Arc<Answers>,
 }
 
 impl Activity {
-    pub(super) fn new() -> Self {
+    pub(super) fn new(answers: Arc<Answers>) -> Self {
         Self {
             requests: AtomicU64::new(0),
             last_ms: AtomicU64::new(millis()),
             ends_response: AtomicBool::new(false),
+            is_unwritten: AtomicBool::new(false),
+            answers,
         }
     }
 
@@ -40,14 +70,23 @@
         Busy(Arc::clone(self))
     }
 
+    /// Records that everything has been written that hyper has to write.
+    pub(super) fn record_flush(&self) {
+        if self.is_unwritten.swap(false, Ordering::Relaxed) {
+            self.answers.unwritten.fetch_sub(1, Ordering::Relaxed);
+            self.last_ms.store(millis(), Ordering::Relaxed);
+        }
+    }
+
     /// Returns whether the connection's end is the end of the response in progress.
     pub(super) fn ends_response(&self) -> bool {
         self.ends_response.load(Ordering::Relaxed)
     }
 
-    /// Returns the time since the last request ended, or none while one is in progress.
+    /// Returns the time since the last answer was written, or none while a request is in progress.
     pub(super) fn idle(&self) -> Option<Duration> {
-        if self.requests.load(Ordering::Relaxed) > 0 {
+        let is_unwritten = self.is_unwritten.load(Ordering::Relaxed);
+        if is_unwritten || self.requests.load(Ordering::Relaxed) > 0 {
             return None;
         }
         let last = self.last_ms.load(Ordering::Relaxed);
@@ -55,6 +94,15 @@
     }
 }
 
+impl Drop for Activity {
+    fn drop(&mut self) {
+        self.record_flush();
+        if self.ends_response() {
+            self.answers.unframed.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
 fn millis() -> u64 {
     clock::now().as_millis() as u64
 }
@@ -64,9 +112,18 @@
 pub(super) struct Busy(Arc<Activity>);
 
 impl Busy {
-    /// Sets whether the connection's end is the end of the response.
-    pub(super) fn set_ends_response(&self, ends_response: bool) {
-        self.0.ends_response.store(ends_response, Ordering::Relaxed);
+    /// Records that the connection's end is the end of the response, so it has no further one.
+    pub(super) fn end_with_connection(&self) {
+        if !self.0.ends_response.swap(true, Ordering::Relaxed) {
+            self.0.answers.unframed.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Records that the response's body was read to its end.
+    fn record_read(&self) {
+        if !self.0.is_unwritten.swap(true, Ordering::Relaxed) {
+            self.0.answers.unwritten.fetch_add(1, Ordering::Relaxed);
+        }
     }
 }
 
@@ -81,14 +138,17 @@
 #[derive(Debug)]
 pub struct Tracked<B> {
     body: Pin<Box<B>>,
-    _busy: Busy,
+    busy: Busy,
 }
 
-impl<B> Tracked<B> {
+impl<B: Body> Tracked<B> {
     pub(super) fn new(body: B, busy: Busy) -> Self {
+        if body.is_end_stream() {
+            busy.record_read();
+        }
         Self {
             body: Box::pin(body),
-            _busy: busy,
+            busy,
         }
     }
 }
@@ -101,7 +161,13 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        self.body.as_mut().poll_frame(context)
+        let polled = self.body.as_mut().poll_frame(context);
+        let is_error = matches!(polled, Poll::Ready(Some(Err(_))));
+        let is_end = matches!(polled, Poll::Ready(None));
+        if is_end || (!is_error && self.body.is_end_stream()) {
+            self.busy.record_read();
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
