Tell others of streams also while nobody knows what ran before

Cause: a node that knows nothing of before refuses streams that it has not been told of, but the node that began them told others only while a service had several versions. Now it also does while its history is short. What is refused and what is told follow the same two conditions.

common_restarts::stream_from_after_a_restart_goes_on_elsewhere (core, 3, 7 and 60 nodes) failed before ("3 nodes, a0") and passes.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -170,7 +170,9 @@
     /// Returns the messages that tell other nodes of new streams, or ask for unknown ones.
     pub(super) fn stream_messages(&mut self, now: Time) -> Vec<Broadcast> {
         let lookups = std::mem::take(&mut self.lookups);
-        let untold = if self.versions.is_any_mixed() {
+        // A node that knows nothing of before refuses what it has not been told of.
+        let may_ask = self.versions.is_any_mixed() || self.versions.is_history_short(now);
+        let untold = if may_ask {
             self.streams.take_untold(MAX_TOLD)
         } else {
             Vec::new()
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod attempt_ends;
 mod brittle_endpoints;
 mod claims;
+mod common_restarts;
 mod config;
 mod crashing_parts;
 mod cut_nodes;
--- a/crates/peridotdeck-core/tests/testsuite/software_versions.rs
+++ b/crates/peridotdeck-core/tests/testsuite/software_versions.rs
@@ -190,15 +190,6 @@
     }
 }
 
-fn restart_all(world: &mut World) {
-    for node in 0..world.nodes.len() {
-        world.kill(node);
-    }
-    for node in 0..world.nodes.len() {
-        world.start(node);
-    }
-}
-
 /// After all nodes had ended, no stream went on, though its endpoint still held what it had read.
 #[test]
 fn stream_goes_on_at_the_version_that_cached_it() {
@@ -208,7 +199,7 @@
         let begun = world.stream_of(at % 7, &format!("a{at}"), None, Some(100 + at as u64));
         versions.push(begun.expect("begun"));
     }
-    restart_all(&mut world);
+    world.restart_all();
     for node in 0..7 {
         world.list_caches(node);
     }
@@ -232,7 +223,7 @@
     versions.sort_unstable();
     versions.dedup();
     assert_eq!(versions.len(), 2);
-    restart_all(&mut world);
+    world.restart_all();
     for node in 0..7 {
         world.list_caches(node);
     }
@@ -251,7 +242,7 @@
     assert!(!old.is_empty());
     world.publish(endpoints(&[(0, "v2"), (1, "v2"), (2, "v2")]));
     world.run(ms(1_000));
-    restart_all(&mut world);
+    world.restart_all();
     for node in 0..7 {
         world.list_caches(node);
     }
@@ -274,7 +265,7 @@
     world.run(ms(1_000));
     assert!(world.stream(2, "b", Some("a")).is_some());
     // All start: their endpoints may have been replaced just before. Later, no caller has waited so long.
-    restart_all(&mut world);
+    world.restart_all();
     world.run(ms(31_000));
     for node in 0..7 {
         let went_on = world.stream(node, &format!("c{node}"), Some(&format!("d{node}")));
--- a/crates/peridotdeck-core/tests/testsuite/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world.rs
@@ -181,6 +181,16 @@
         }
     }
 
+    /// Ends all nodes at once and starts them again.
+    pub fn restart_all(&mut self) {
+        for node in 0..self.nodes.len() {
+            self.kill(node);
+        }
+        for node in 0..self.nodes.len() {
+            self.start(node);
+        }
+    }
+
     pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
         while self.now < end {
