Believe peers that have known one version, also just after a boot

A node that started within 30 s of its VM's boot took streams that it did not know for those of a version that has left, although its peers had known for 30 s that there is one version only, and refused them (LOST).

Cause: what a peer vouches for was kept as the time since which versions are known. The clock begins at the boot, so a time before it became the boot.

stream_of_an_only_version_goes_on_anywhere started all nodes at the same moment and wanted unknown streams to go on there; nobody can know then that no version has just left, and the streams went on only because the simulation never listed a cache. It now starts one node after the other and wants more: that every stream goes on at once, without a question. It failed before the change (the first stream was refused), at 2 to 7 s of the simulation's clock. The simulation no longer hands heartbeats of before a restart to the new process.

--- a/crates/peridotdeck-core/src/dispatch/stream/versions.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/versions.rs
@@ -70,8 +70,11 @@
     /// Records for how long a peer has known all versions; it vouches that they are not mixed, or
     /// says that they are.
     pub fn note_history(&mut self, history: Duration, now: Time) {
-        if let Some(since) = &mut self.known_since {
-            *since = (*since).min(now.saturating_sub(history.min(RETENTION)));
+        if history >= RETENTION {
+            // The clock may have started later than that.
+            self.known_since = None;
+        } else if let Some(since) = &mut self.known_since {
+            *since = (*since).min(now.saturating_sub(history));
         }
     }
 
--- a/crates/peridotdeck-core/tests/testsuite/software_versions.rs
+++ b/crates/peridotdeck-core/tests/testsuite/software_versions.rs
@@ -125,7 +125,7 @@
     }
 }
 
-/// With one version there is no question, and no stream may be lost to one.
+/// Guards against questions, and refusals, in a fleet that has only ever seen one version.
 #[test]
 fn stream_of_an_only_version_goes_on_anywhere() {
     let mut world = World::new(7, 6, 5);
@@ -133,11 +133,14 @@
     for node in 0..7 {
         world.kill(node);
         world.start(node);
+        world.run(ms(700));
     }
+    let now = world.now;
     for at in 0..20 {
         let taken_up = world.stream(at % 7, &format!("b{at}"), Some("unknown"));
         assert_eq!(taken_up.as_deref(), Some("v1"));
     }
+    assert_eq!(world.now, now, "nobody was asked");
 }
 
 /// The second version appeared, and the first one left, while streams were open.
--- a/crates/peridotdeck-core/tests/testsuite/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world.rs
@@ -166,6 +166,7 @@
     /// Ends a node without a word; its requests end with it.
     pub fn kill(&mut self, index: usize) {
         self.nodes[index] = None;
+        self.heartbeats.retain(|(_, to, _)| *to != index);
         self.open.retain(|open| open.node != index);
         self.waiting.retain(|(_, node, _)| *node != index);
     }
