Refuse unknown streams also where one node cannot list all caches

Cause: a node that could not list all caches took an unknown stream for one of the listed version, since nothing showed another. Nothing showed that there had been none, either: a stream that neither nodes nor caches know is now refused whatever was listed, until the versions of the last 30 s are known.

Nodes no longer list the same 16 endpoints, but those of their data centre for which they rank highest, and tell the holders of each part's digest which version has cached it, 1 s and 4 s after the first list, by the messages that tell of streams. A node that takes a stream up asks for both digests. All that holders were told counts: a part at two versions belongs to a session and tells nothing, so a caller's stream waits for the 250 ms of a lookup before a cache decides, also since a session may have moved on after the list. Nothing is told by nodes of up to 16 endpoints, or once a peer vouches for the versions.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -294,7 +294,6 @@
                     if query_caches {
                         let address = endpoint.address;
                         self.cache_queries.push(CacheQuery { key, address });
-                        self.listing.expect(key);
                     }
                     self.states.insert(index, state);
                     self.presume_terms(key, &endpoint.service, now);
@@ -309,7 +308,6 @@
             self.states.remove(index);
         }
         self.rates.remove(key);
-        self.listing.complete(key);
         self.prefixes.remove_endpoint(key);
     }
 
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -1,6 +1,6 @@
 //! Periodic work, and the results of cache queries.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use super::Dispatcher;
 use crate::{
@@ -11,6 +11,7 @@
         fleet::Changes,
     },
     id::Time,
+    rendezvous,
 };
 
 /// Time between two clean-ups of prefixes, crashes and suspicions, which expire slowly.
@@ -67,7 +68,8 @@
     ///
     /// Only endpoints whose service has a model in the configuration can list their memory. The
     /// list delays an endpoint, so a node queries only some of many endpoints. Those of its own
-    /// data centre come first.
+    /// data centre come first, and of these the ones for which it ranks highest, so that all nodes
+    /// together list all.
     fn cache_queries(&mut self) -> Vec<CacheQuery> {
         let Some(config) = self.registry.config() else {
             return Vec::new();
@@ -80,19 +82,19 @@
             let service = config.service(&state.info.service);
             service.is_some_and(|service| service.model.is_some())
         };
-        let (due, others): (Vec<_>, Vec<_>) = states.partition(|(_, state)| has_model(state));
-        let others: Vec<Key> = others.into_iter().map(|(query, _)| query.key).collect();
-        let mut due: Vec<(bool, CacheQuery)> = due
-            .into_iter()
-            .map(|(query, state)| (state.info.data_centre != self.options.data_centre, *query))
+        let rank = |query: &CacheQuery, state: &State| {
+            let is_remote = state.info.data_centre != self.options.data_centre;
+            let weight = rendezvous::weight(query.key.into(), self.options.node.into());
+            (is_remote, Reverse(weight))
+        };
+        let mut due: Vec<_> = states
+            .filter(|(_, state)| has_model(state))
+            .map(|(query, state)| (rank(query, state), *query))
             .collect();
-        due.sort_by_key(|(is_remote, _)| *is_remote);
-        let surplus = due.split_off(due.len().min(MAX_CACHE_QUERIES));
-        for key in others {
-            self.listing.complete(key);
-        }
-        for (_, query) in surplus {
-            self.listing.skip(query.key);
+        due.sort_by_key(|(rank, _)| *rank);
+        if due.len() > MAX_CACHE_QUERIES {
+            due.truncate(MAX_CACHE_QUERIES);
+            self.listing.skip();
         }
         due.into_iter().map(|(_, query)| query).collect()
     }
@@ -100,7 +102,7 @@
     /// Records the prompt prefixes that an endpoint holds in memory.
     pub fn record_cached(&mut self, key: Key, parts: &[Prefix], now: Time) {
         if self.find(key).is_ok() {
-            self.listing.complete(key);
+            self.listing.add(key, parts, now);
             for part in parts {
                 self.prefixes.record_use(*part, key, now);
             }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -36,6 +36,9 @@
 /// Other data centres whose nodes are told of a stream.
 const REMOTE_DATA_CENTRES: usize = 2;
 
+/// Nodes of a data centre that tell others of the parts that an endpoint has cached.
+const LISTERS: usize = 2;
+
 /// Most streams or lookups in one message, so that it fits a datagram.
 const MAX_ENTRIES: usize = 48;
 
@@ -83,37 +86,44 @@
             return None;
         }
         let began = flight.resumes.as_deref()?;
-        let stream = stream::id(began);
-        if let Some(entry) = self.streams.get(stream).filter(|_| !began.is_empty()) {
-            flight.software = Some(entry.software);
+        let stream = (!began.is_empty()).then(|| stream::id(began));
+        if let Some(software) = stream.and_then(|stream| self.streams.version(stream)) {
+            flight.software = Some(software);
             return None;
         }
-        let is_mixed = self.versions.is_mixed(&flight.service, now);
-        if !is_mixed && !self.versions.is_history_short(now) {
+        if self.is_only_version(&flight.service, now) {
             return None;
         }
+        let is_over = now.saturating_sub(flight.arrived) >= LOOKUP_TIMEOUT;
+        if !is_over && self.ask(flight, stream, now) {
+            return Some(Placement::Wait(Delay::poll(WaitCause::Lookup)));
+        }
         if let Some(software) = self.cached_version(flight) {
             flight.software = Some(software);
             return None;
         }
-        let is_over = now.saturating_sub(flight.arrived) >= LOOKUP_TIMEOUT;
-        let may_list = self.listing.is_pending() && !is_over;
-        if !is_mixed && !may_list && !self.listing.is_whole() {
-            // Nothing shows that another version has left.
-            return None;
-        }
-        if (began.is_empty() && !may_list) || is_over {
-            let wait = self.retry_after(flight, now);
-            let refusal = give_up(flight, Cause::UnknownStream, Some(wait));
-            return Some(Placement::Refuse(refusal, Vec::new()));
-        }
-        if !flight.looked_up && !began.is_empty() {
-            flight.looked_up = true;
-            if self.lookups.len() < MAX_LOOKUPS {
-                self.lookups.push(stream);
-            }
+        let wait = self.retry_after(flight, now);
+        let refusal = give_up(flight, Cause::UnknownStream, Some(wait));
+        Some(Placement::Refuse(refusal, Vec::new()))
+    }
+
+    /// Returns whether all streams of a service were certainly begun by its only version.
+    fn is_only_version(&self, service: &str, now: Time) -> bool {
+        !self.versions.is_mixed(service, now) && !self.versions.is_history_short(now)
+    }
+
+    /// Asks others, once, for the version of a stream that this node does not know.
+    ///
+    /// While nobody knows what ran before, it also asks which version has cached the own part of
+    /// the prompt. Returns whether there is anything to ask for.
+    fn ask(&mut self, flight: &mut Flight, stream: Option<stream::Id>, now: Time) -> bool {
+        let own = flight.prompt.own.map(stream::part);
+        let part = own.filter(|_| self.versions.is_history_short(now));
+        if !flight.looked_up && self.lookups.len() < MAX_LOOKUPS {
+            self.lookups.extend(stream.into_iter().chain(part));
         }
-        Some(Placement::Wait(Delay::poll(WaitCause::Lookup)))
+        flight.looked_up = true;
+        stream.is_some() || part.is_some()
     }
 
     /// Returns the version of the endpoints that have cached the own part of a request's prompt.
@@ -121,10 +131,13 @@
     /// An endpoint that ran the stream has, also after all nodes have ended. If endpoints of several
     /// versions have, the part belongs to a session, and tells nothing.
     fn cached_version(&self, flight: &Flight) -> Option<Software> {
-        let holders = self.prefixes.holders(flight.prompt.own?).iter();
-        let mut versions: Vec<Software> = holders
-            .filter_map(|holding| self.state(holding.endpoint))
+        let own = flight.prompt.own?;
+        let holders = self.prefixes.holders(own).iter();
+        let listed = holders.filter_map(|holding| self.state(holding.endpoint));
+        let told = self.streams.get(stream::part(own)).iter();
+        let mut versions: Vec<Software> = listed
             .map(|state| state.software)
+            .chain(told.map(|entry| entry.software))
             .collect();
         versions.sort_unstable();
         versions.dedup();
@@ -134,6 +147,30 @@
         }
     }
 
+    /// Remembers the parts that endpoints have cached, to tell others of them, if that is due.
+    ///
+    /// The nodes that rank first for an endpoint tell, as several may have listed it.
+    fn share_listing(&mut self, now: Time) {
+        let due = self.listing.take_due(now);
+        if !self.versions.is_history_short(now) {
+            return;
+        }
+        let until = now + self.versions.history_left(now);
+        for (key, parts) in due {
+            let Some(software) = self.state(key).map(|state| state.software) else {
+                continue;
+            };
+            let told = !self.fleet.is_among_first(LISTERS, key, now);
+            let entries = parts.into_iter().map(|part| Entry {
+                stream: stream::part(part),
+                software,
+                until,
+                told,
+            });
+            self.streams.extend(entries);
+        }
+    }
+
     /// Applies what a peer says of streams, and returns the streams that it asks for.
     pub(super) fn receive_streams(&mut self, beat: &beat::Beat, now: Time) -> Vec<beat::Beat> {
         if beat.mixed {
@@ -151,7 +188,7 @@
         }
         let asked = beat.lookups.iter();
         let known: Vec<beat::Stream> = asked
-            .filter_map(|asked| self.streams.get(*asked))
+            .flat_map(|asked| self.streams.get(*asked))
             .map(|entry| to_message(entry, now))
             .collect();
         if known.is_empty() {
@@ -169,6 +206,7 @@
 
     /// Returns the messages that tell other nodes of new streams, or ask for unknown ones.
     pub(super) fn stream_messages(&mut self, now: Time) -> Vec<Broadcast> {
+        self.share_listing(now);
         let lookups = std::mem::take(&mut self.lookups);
         // A node that knows nothing of before refuses what it has not been told of.
         let may_ask = self.versions.is_any_mixed() || self.versions.is_history_short(now);
--- a/crates/peridotdeck-core/src/dispatch/stream.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream.rs
@@ -14,6 +14,8 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::Prefix;
+
 pub use listing::Listing;
 pub use table::{Entry, Table};
 pub use versions::Versions;
@@ -26,3 +28,9 @@
 pub fn id(request: &str) -> Id {
     xxh3_64(request.as_bytes())
 }
+
+/// Returns the digest under which nodes tell each other which version has cached a part of a prompt.
+#[must_use]
+pub fn part(prefix: Prefix) -> Id {
+    xxh3_64(&prefix.to_le_bytes())
+}
--- a/crates/peridotdeck-core/src/dispatch/stream/listing.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/listing.rs
@@ -1,48 +1,57 @@
 //! Lists of endpoints' caches, which a node asks for when it starts.
+//!
+//! Where there are too many endpoints for one node, each node lists some of them and tells others of
+//! the parts, by the parts' digests. So the list of all is shared out, and a node that needs to know
+//! who holds a part asks the same nodes.
 
-use crate::dispatch::Key;
+use std::time::Duration;
 
-/// The endpoints whose caches a node that has started lists, and what it has learnt from them.
-///
-/// Only where all have answered is a part that none of them holds certainly in no cache.
+use crate::{
+    dispatch::{Key, Prefix},
+    id::Time,
+};
+
+/// Times after the first list at which other nodes are told: peers that start together know each other
+/// at the first one, and later ones have started by the second one.
+const TURNS: [Duration; 2] = [Duration::from_millis(1_000), Duration::from_millis(4_000)];
+
+/// The caches that a node has listed since its start, while others need to be told of them.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
-    pending: Vec<Key>,
-    is_started: bool,
     is_partial: bool,
+    begun: Option<Time>,
+    turns: usize,
+    parts: Vec<(Key, Vec<Prefix>)>,
 }
 
 impl Listing {
-    /// Adds an endpoint whose cache is to be listed.
-    pub fn expect(&mut self, key: Key) {
-        self.is_started = true;
-        if let Err(index) = self.pending.binary_search(&key) {
-            self.pending.insert(index, key);
-        }
-    }
-
-    /// Records that an endpoint has listed its cache, or has none.
-    pub fn complete(&mut self, key: Key) {
-        if let Ok(index) = self.pending.binary_search(&key) {
-            self.pending.remove(index);
-        }
-    }
-
-    /// Records that an endpoint is not asked, since there are too many.
-    pub fn skip(&mut self, key: Key) {
-        self.complete(key);
+    /// Records that an endpoint is not asked by this node, since there are too many.
+    pub fn skip(&mut self) {
         self.is_partial = true;
     }
 
-    /// Returns whether lists of endpoints that were asked are still to come.
-    #[must_use]
-    pub fn is_pending(&self) -> bool {
-        !self.pending.is_empty()
+    /// Keeps the parts that an endpoint has cached, if other nodes need to be told of them.
+    pub fn add(&mut self, key: Key, parts: &[Prefix], now: Time) {
+        if self.is_partial && self.turns < TURNS.len() {
+            self.begun.get_or_insert(now);
+            self.parts.push((key, parts.to_vec()));
+        }
     }
 
-    /// Returns whether all endpoints have listed their caches.
-    #[must_use]
-    pub fn is_whole(&self) -> bool {
-        self.is_started && !self.is_partial && !self.is_pending()
+    /// Returns the parts of each endpoint that others are to be told of now, if it is time to.
+    pub fn take_due(&mut self, now: Time) -> Vec<(Key, Vec<Prefix>)> {
+        let Some(begun) = self.begun else {
+            return Vec::new();
+        };
+        let is_due = |turn: &Duration| now.saturating_sub(begun) >= *turn;
+        if !TURNS.get(self.turns).is_some_and(is_due) {
+            return Vec::new();
+        }
+        self.turns += 1;
+        if self.turns == TURNS.len() {
+            std::mem::take(&mut self.parts)
+        } else {
+            self.parts.clone()
+        }
     }
 }
--- a/crates/peridotdeck-core/src/dispatch/stream/table.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/table.rs
@@ -3,15 +3,15 @@
 use super::Id;
 use crate::{dispatch::Software, id::Time};
 
-/// Most streams that are remembered; beyond it the one that ends first is forgotten.
+/// Most streams that are remembered; beyond it those that end first are forgotten.
 const MAX_STREAMS: usize = 32_768;
 
 /// A stream and the software version that began it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Entry {
-    /// Digest of the id of the request that began the stream.
+    /// Digest of the id of the request that began the stream, or of a cached part of a prompt.
     pub stream: Id,
-    /// Software version of the endpoint that sent the first event.
+    /// Software version of the endpoint that sent the first event, or that has cached the part.
     pub software: Software,
     /// Time until which the caller may take the stream up.
     pub until: Time,
@@ -19,7 +19,13 @@
     pub told: bool,
 }
 
-/// Streams, sorted by their digests.
+impl Entry {
+    fn key(&self) -> (Id, Software) {
+        (self.stream, self.software)
+    }
+}
+
+/// Streams, sorted by their digests and versions.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     entries: Vec<Entry>,
@@ -29,21 +35,42 @@
 impl Table {
     /// Adds a stream, unless it is known.
     pub fn insert(&mut self, entry: Entry) {
-        let Err(index) = self.find(entry.stream) else {
+        let Err(index) = self.find(&entry) else {
             return;
         };
         self.entries.insert(index, entry);
         self.untold += usize::from(!entry.told);
-        if self.entries.len() > MAX_STREAMS {
-            self.remove_earliest();
-        }
+        self.forget_earliest();
+    }
+
+    /// Adds many streams; others are told of them again, even if they are known.
+    pub fn extend(&mut self, entries: impl IntoIterator<Item = Entry>) {
+        self.entries.extend(entries);
+        // Of two entries of one stream, the one that others are still to be told of comes first.
+        self.entries
+            .sort_unstable_by_key(|entry| (entry.key(), entry.told));
+        self.entries
+            .dedup_by(|later, first| later.key() == first.key());
+        self.forget_earliest();
+        self.count_untold();
+    }
+
+    /// Returns what is known of a stream: one entry for each version that is said to have begun it.
+    #[must_use]
+    pub fn get(&self, stream: Id) -> &[Entry] {
+        let begin = self.entries.partition_point(|entry| entry.stream < stream);
+        let rest = &self.entries[begin..];
+        let count = rest.partition_point(|entry| entry.stream == stream);
+        &rest[..count]
     }
 
-    /// Returns what is known of a stream.
+    /// Returns the version that began a stream, if it is known for certain.
     #[must_use]
-    pub fn get(&self, stream: Id) -> Option<&Entry> {
-        let index = self.find(stream).ok()?;
-        Some(&self.entries[index])
+    pub fn version(&self, stream: Id) -> Option<Software> {
+        match self.get(stream) {
+            [entry] => Some(entry.software),
+            _ => None,
+        }
     }
 
     /// Marks up to `most` streams as told and returns them.
@@ -64,7 +91,7 @@
     /// Forgets the streams that no caller may take up any more.
     pub fn expire(&mut self, now: Time) {
         self.entries.retain(|entry| entry.until > now);
-        self.untold = self.entries.iter().filter(|entry| !entry.told).count();
+        self.count_untold();
     }
 
     /// Returns the number of streams.
@@ -79,17 +106,29 @@
         self.entries.is_empty()
     }
 
-    fn remove_earliest(&mut self) {
-        let ends = self.entries.iter().enumerate();
-        let earliest = ends.min_by_key(|(_, entry)| entry.until);
-        if let Some(index) = earliest.map(|(index, _)| index) {
-            let removed = self.entries.remove(index);
-            self.untold -= usize::from(!removed.told);
+    /// Forgets those that end first, with room for some more, if there are too many.
+    fn forget_earliest(&mut self) {
+        const ROOM: usize = MAX_STREAMS / 16;
+        let surplus = self.entries.len().saturating_sub(MAX_STREAMS);
+        if surplus == 0 {
+            return;
         }
+        let mut ends: Vec<Time> = self.entries.iter().map(|entry| entry.until).collect();
+        let mut left = surplus + ROOM;
+        let (_, last, _) = ends.select_nth_unstable(left - 1);
+        self.entries.retain(|entry| {
+            let goes = entry.until <= *last && left > 0;
+            left -= usize::from(goes);
+            !goes
+        });
+        self.count_untold();
     }
 
-    fn find(&self, stream: Id) -> Result<usize, usize> {
-        self.entries
-            .binary_search_by_key(&stream, |entry| entry.stream)
+    fn count_untold(&mut self) {
+        self.untold = self.entries.iter().filter(|entry| !entry.told).count();
+    }
+
+    fn find(&self, entry: &Entry) -> Result<usize, usize> {
+        self.entries.binary_search_by_key(&entry.key(), Entry::key)
     }
 }
--- a/crates/peridotdeck-core/src/dispatch/stream/versions.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/versions.rs
@@ -67,6 +67,12 @@
         self.known_since.map_or(RETENTION, known)
     }
 
+    /// Returns the time until all versions whose streams may be open are known.
+    #[must_use]
+    pub fn history_left(&self, now: Time) -> Duration {
+        RETENTION.saturating_sub(self.history(now))
+    }
+
     /// Records for how long a peer has known all versions; it vouches that they are not mixed, or
     /// says that they are.
     pub fn note_history(&mut self, history: Duration, now: Time) {
--- a/crates/peridotdeck-core/tests/testsuite/common_restarts.rs
+++ b/crates/peridotdeck-core/tests/testsuite/common_restarts.rs
@@ -3,7 +3,7 @@
 //! Nobody is left who knows the software versions of before. A node that refuses what it does not know
 //! loses streams, and one that guesses joins events of two versions.
 
-use crate::{dispatch::ms, world::World};
+use crate::{dispatch::ms, software_versions::endpoints, world::World};
 
 /// Returns nodes before endpoints of one version, which have all ended and started again.
 fn restarted(nodes: usize, endpoints: usize, seed: u64) -> World {
@@ -37,3 +37,95 @@
         }
     }
 }
+
+/// Publishes a service of many endpoints, of which `old` run the first version and come last.
+fn large_service(world: &mut World, old: usize, new: usize) {
+    let listed: Vec<(usize, &str)> = (0..new)
+        .map(|at| (at % 3, "v2"))
+        .chain((0..old).map(|at| (at % 3, "v1")))
+        .collect();
+    world.publish(endpoints(&listed));
+    world.run(ms(500));
+}
+
+/// Begins streams, each with a part of its own, and returns the number and the version of each.
+fn begin(world: &mut World, streams: usize) -> Vec<(usize, String)> {
+    let mut begun = Vec::new();
+    for at in 0..streams {
+        let node = at % world.nodes.len();
+        let version = world.stream_of(node, &format!("a{at}"), None, Some(100 + at as u64));
+        begun.push((at, version.expect("begun")));
+    }
+    begun
+}
+
+/// Takes streams up at other nodes, and returns the version at which each goes on, if it does.
+fn take_up(world: &mut World, streams: &[(usize, String)]) -> Vec<Option<String>> {
+    let nodes = world.nodes.len();
+    let mut versions = Vec::new();
+    for (at, _) in streams {
+        let (id, began) = (format!("b{at}"), format!("a{at}"));
+        let own = Some(100 + *at as u64);
+        versions.push(world.stream_of((at * 5 + 3) % nodes, &id, Some(&began), own));
+    }
+    versions
+}
+
+/// Guards against streams that go on at another version, where a node cannot list all endpoints.
+#[test]
+fn stream_of_a_version_that_left_a_large_service_is_refused() {
+    for nodes in [3, 7, 60] {
+        let mut world = World::new(nodes, 3, 2);
+        world.callers.0.clear();
+        large_service(&mut world, 3, 24);
+        let mut streams = begin(&mut world, 200);
+        streams.retain(|(_, version)| version == "v1");
+        assert!(streams.len() > 5, "{} streams", streams.len());
+        large_service(&mut world, 0, 24);
+        world.restart_all();
+        world.run(ms(600));
+        let went_on = take_up(&mut world, &streams);
+        assert!(
+            went_on.iter().all(Option::is_none),
+            "{nodes} nodes, {went_on:?}"
+        );
+    }
+}
+
+/// Guards against refusals of streams whose endpoint is still there, but listed by other nodes only.
+#[test]
+fn streams_of_a_large_service_go_on_after_a_restart() {
+    for (nodes, old, new) in [(3, 9, 9), (7, 20, 20), (60, 30, 50), (120, 100, 156)] {
+        let mut world = World::new(nodes, 3, 3);
+        world.callers.0.clear();
+        large_service(&mut world, old, new);
+        let streams = begin(&mut world, 60);
+        world.restart_all();
+        world.run(ms(2_000));
+        let went_on = take_up(&mut world, &streams);
+        let mut going = 0;
+        for ((at, version), went_on) in streams.iter().zip(&went_on) {
+            let is_wrong = went_on.as_ref().is_some_and(|other| other != version);
+            assert!(!is_wrong, "{nodes} nodes, a{at} went on at {went_on:?}");
+            going += usize::from(went_on.is_some());
+        }
+        assert!(going >= 54, "{nodes} nodes, {going} of 60 go on");
+    }
+}
+
+/// Guards against a version that is told by chance, where two nodes have listed one of two each.
+#[test]
+fn session_at_both_versions_of_a_large_service_is_refused() {
+    let mut world = World::new(7, 3, 4);
+    world.callers.0.clear();
+    large_service(&mut world, 20, 20);
+    for at in 0..60 {
+        world.stream_of(at % 7, &format!("a{at}"), None, Some(7));
+    }
+    world.restart_all();
+    world.run(ms(2_000));
+    for node in 0..7 {
+        let went_on = world.stream_of(node, &format!("b{node}"), Some("a1"), Some(7));
+        assert_eq!(went_on, None, "node {node}");
+    }
+}
--- a/crates/peridotdeck-core/tests/testsuite/software_versions.rs
+++ b/crates/peridotdeck-core/tests/testsuite/software_versions.rs
@@ -11,7 +11,7 @@
 };
 
 /// Returns endpoints of the service, each with its data centre's number and its version.
-fn endpoints(listed: &[(usize, &str)]) -> Vec<Endpoint> {
+pub fn endpoints(listed: &[(usize, &str)]) -> Vec<Endpoint> {
     let data_centres = ["augsburg", "muenchen", "nuernberg"];
     let listed = listed.iter().enumerate();
     let listed = listed.map(|(index, (data_centre, version))| Endpoint {
--- a/crates/peridotdeck-core/tests/testsuite/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world.rs
@@ -208,9 +208,11 @@
         for index in 0..self.nodes.len() {
             if let Some(node) = &mut self.nodes[index] {
                 let due = node.tick(self.now);
+                let queried: Vec<Key> = due.cache_queries.iter().map(|query| query.key).collect();
                 self.rate_changes += due.rates.len();
                 self.schedule_paths(index, &due);
                 self.send(index, copies(due.heartbeats));
+                self.answer_queries(index, &queried);
             }
         }
         let now = self.now;
@@ -411,15 +413,23 @@
 
     /// Lists the prompt parts that endpoints have cached, at a node that has started.
     pub fn list_caches(&mut self, node: usize) {
+        let Some(dispatcher) = &self.nodes[node] else {
+            return;
+        };
+        let keys: Vec<Key> = dispatcher.states().iter().map(|state| state.key).collect();
+        self.answer_queries(node, &keys);
+    }
+
+    /// Lists the prompt parts that some endpoints have cached at a node.
+    fn answer_queries(&mut self, node: usize, keys: &[Key]) {
         let now = self.now;
         let Some(dispatcher) = &mut self.nodes[node] else {
             return;
         };
-        let keys: Vec<Key> = dispatcher.states().iter().map(|state| state.key).collect();
         for key in keys {
-            let cached = self.cached.iter().filter(|(holder, _)| *holder == key);
+            let cached = self.cached.iter().filter(|(holder, _)| holder == key);
             let parts: Vec<Prefix> = cached.map(|(_, part)| *part).collect();
-            dispatcher.record_cached(key, &parts, now);
+            dispatcher.record_cached(*key, &parts, now);
         }
     }
 
