Do not trust one version because of peers that have seen several

A node that started heard from its peers that they had known all versions for 30 s, and that there were several. The second half was forgotten 5 s after the last of these peers had ended, and streams of the version that had left went on at the other one (ORDER).

Cause: two statements of one heartbeat with two lifetimes. A peer that has seen several versions lately no longer vouches; the node stays in doubt for 30 s of its own, or until a peer has seen one version for as long.

common_restarts::versions_that_a_peer_knew_outlive_it failed before (the first stream of the old version went on at the new one) and passes.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -175,9 +175,10 @@
     pub(super) fn receive_streams(&mut self, beat: &beat::Beat, now: Time) -> Vec<beat::Beat> {
         if beat.mixed {
             self.versions.note_report(now);
+        } else {
+            let history = Duration::from_millis(beat.history_ms.into());
+            self.versions.note_history(history, now);
         }
-        let history = Duration::from_millis(beat.history_ms.into());
-        self.versions.note_history(history, now);
         for told in &beat.streams {
             self.streams.insert(Entry {
                 stream: told.stream,
--- a/crates/peridotdeck-core/tests/testsuite/common_restarts.rs
+++ b/crates/peridotdeck-core/tests/testsuite/common_restarts.rs
@@ -129,3 +129,27 @@
         assert_eq!(went_on, None, "node {node}");
     }
 }
+
+/// Guards against a node that trusts the one version it sees, since those who knew better have ended.
+#[test]
+fn versions_that_a_peer_knew_outlive_it() {
+    let mut world = World::new(3, 3, 5);
+    world.callers.0.clear();
+    large_service(&mut world, 1, 2);
+    let streams = begin(&mut world, 40);
+    let old = streams.iter().filter(|(_, version)| version == "v1").count();
+    assert!(old > 0);
+    large_service(&mut world, 0, 2);
+    world.kill(0);
+    world.start(0);
+    world.run(ms(1_000));
+    for node in [1, 2] {
+        world.kill(node);
+        world.start(node);
+    }
+    world.run(ms(6_000));
+    for (at, version) in streams {
+        let went_on = world.stream(at % 3, &format!("c{at}"), Some(&format!("a{at}")));
+        assert!(went_on.is_none_or(|other| other == version), "a{at}");
+    }
+}
