Let a build say something new that nodes of the build before skip

What was missing: a datagram was one message and nothing else. A byte more and the whole heartbeat was dropped (Error::Trailing), a field more and it was misread, another version byte and the two parts of a fleet no longer heard of each other, which was counted with the garbled ones. So nothing could be added to heartbeats or envelopes while nodes of two builds run.

Change: a receiver skips well-formed extensions (a number of the kind and bytes) behind a known message, on both interfaces; any other bytes are still an error, and the test of that stays as it was.

Tests: codec::extensions_are_skipped (cut at every byte), versions, other_versions on the platform's interface.

--- a/crates/peridotdeck-relay/src/peers.rs
+++ b/crates/peridotdeck-relay/src/peers.rs
@@ -14,7 +14,9 @@
     due::SnapshotRequest,
     registry::{Area, Position, Snapshot},
 };
-use peridotdeck_wire::{MAX_DATAGRAM, beat::Beat, pack, unpack};
+use peridotdeck_wire::{
+    Error as WireError, MAX_DATAGRAM, VERSION, Versions, beat::Beat, pack, unpack,
+};
 use quick_error::quick_error;
 
 use crate::{
@@ -72,9 +74,11 @@
 
     /// Receives heartbeats until the process ends.
     ///
-    /// A heartbeat is dropped, and counted as foreign, if its node is not the address that sent it.
+    /// A heartbeat is dropped and counted if its node is not the address that sent it, or if it has
+    /// another protocol version.
     pub async fn receive_heartbeats<I: Ingress>(self, shared: Arc<Shared<I>>) {
         let mut buffer = [0; MAX_DATAGRAM];
+        let mut versions = Versions::default();
         loop {
             let (length, from) = match self.socket.recv_from(&mut buffer).await {
                 Ok(received) => received,
@@ -86,9 +90,14 @@
             };
             match unpack::<Beat>(&buffer[..length]) {
                 Ok(heartbeat) if from.ip() == Node::from(heartbeat.node) => {
+                    note_version(&mut versions, from, VERSION);
                     self.handle_heartbeat(&shared, &heartbeat).await;
                 }
                 Ok(_) => shared.metrics.count_peer_messages("foreign", 1),
+                Err(WireError::Version(version)) => {
+                    shared.metrics.count_peer_messages("other-version", 1);
+                    note_version(&mut versions, from, version);
+                }
                 Err(cause) => {
                     shared.metrics.count_peer_messages("malformed", 1);
                     log::debug!("event=peer_malformed from={from} cause=\"{cause}\"");
@@ -168,3 +177,11 @@
         Ok(postcard::from_bytes(response.body())?)
     }
 }
+
+/// Logs the protocol version of a datagram if its sender spoke another one before.
+fn note_version(versions: &mut Versions, from: SocketAddr, version: u8) {
+    if versions.record(from.ip(), version) {
+        let node = from.ip();
+        log::warn!("event=peer_version node={node} version={version} own={VERSION}");
+    }
+}
--- a/crates/peridotdeck-router/src/peers.rs
+++ b/crates/peridotdeck-router/src/peers.rs
@@ -17,7 +17,9 @@
 use jsonrpsee_types::{Id, Request as RpcRequest, Response, ResponsePayload};
 use peridotdeck_http::client;
 use peridotdeck_policy::digest_name;
-use peridotdeck_wire::{Body, Envelope, Error, MAX_DATAGRAM, Member, decode, encode};
+use peridotdeck_wire::{
+    Body, Envelope, Error, MAX_DATAGRAM, Member, VERSION, Versions, decode, encode,
+};
 use serde_json::value::RawValue;
 
 use crate::{
@@ -191,9 +193,11 @@
 
 /// Receives datagrams until the task is cancelled.
 ///
-/// Datagrams that cannot be decoded are counted and dropped.
+/// Datagrams that cannot be decoded are counted and dropped, those of another protocol version
+/// by themselves.
 pub async fn receive(socket: Arc<UdpSocket>, handle: Handle, metrics: Arc<Metrics>) {
     let mut buffer = vec![0; MAX_DATAGRAM + 1];
+    let mut versions = Versions::default();
     loop {
         let (size, from) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
@@ -206,8 +210,13 @@
         match decode(&buffer[..size]) {
             Ok(envelope) => {
                 metrics.count_message("in", kind(&envelope.body), size);
+                note_version(&mut versions, from, VERSION);
                 handle.send_input(Input::Message(envelope, from.ip())).await;
             }
+            Err(Error::Version(version)) => {
+                metrics.count_message("in", "other-version", size);
+                note_version(&mut versions, from, version);
+            }
             Err(cause) => {
                 metrics.count_message("in", "malformed", size);
                 log::debug!("event=malformed_message peer={from} cause=\"{cause}\"");
@@ -216,6 +225,14 @@
     }
 }
 
+/// Logs the protocol version of a datagram if its sender spoke another one before.
+fn note_version(versions: &mut Versions, from: SocketAddr, version: u8) {
+    if versions.record(from.ip(), version) {
+        let node = from.ip();
+        log::warn!("event=peer_version node={node} version={version} own={VERSION}");
+    }
+}
+
 /// Handles a peer's JSON-RPC request and returns the text of the response.
 pub async fn answer_rpc(text: &[u8], from: IpAddr, handle: &Handle, metrics: &Metrics) -> String {
     let Ok(request) = serde_json::from_slice::<RpcRequest<'_>>(text) else {
--- a/crates/peridotdeck-wire/src/codec.rs
+++ b/crates/peridotdeck-wire/src/codec.rs
@@ -1,7 +1,7 @@
 //! Binary encoding of messages in datagrams.
 
 use quick_error::quick_error;
-use serde::{Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::Envelope;
 
@@ -24,9 +24,9 @@
             from()
             source(cause)
         }
-        /// Bytes follow the message.
+        /// Bytes that are no [`Extension`] follow the message.
         Trailing(count: usize) {
-            display("{count} bytes follow the message")
+            display("{count} bytes that are no extension follow the message")
         }
         /// The sender uses another protocol version.
         Version(version: u8) {
@@ -39,6 +39,18 @@
     }
 }
 
+/// Something that a later build says after a message of this protocol.
+///
+/// A receiver skips the kinds that it does not know. This build knows none. See
+/// `docs/design/BUILDS.md`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Extension<'a> {
+    /// Number of the kind, which is never used for anything else.
+    pub kind: u16,
+    /// Content in the encoding of the kind.
+    pub bytes: &'a [u8],
+}
+
 /// Encodes an envelope for a datagram.
 ///
 /// # Errors
@@ -50,8 +62,8 @@
 /// Decodes a datagram that holds an envelope.
 ///
 /// # Errors
-/// If the input is malformed, too large, followed by more bytes or of another protocol version. No
-/// input causes a panic.
+/// If the input is malformed, too large, followed by bytes that are no [`Extension`], or of another
+/// protocol version. No input causes a panic.
 pub fn decode(bytes: &[u8]) -> Result<Envelope, Error> {
     unpack(bytes)
 }
@@ -71,8 +83,8 @@
 /// Decodes a datagram that holds a message of any type of this crate.
 ///
 /// # Errors
-/// If the input is malformed, too large, followed by more bytes or of another protocol version. No
-/// input causes a panic.
+/// If the input is malformed, too large, followed by bytes that are no [`Extension`], or of another
+/// protocol version. No input causes a panic.
 pub fn unpack<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
     if bytes.len() > MAX_DATAGRAM {
         return Err(Error::TooLarge(bytes.len()));
@@ -84,8 +96,14 @@
         return Err(Error::Version(version));
     }
     let (decoded, rest) = postcard::take_from_bytes(message)?;
-    if !rest.is_empty() {
-        return Err(Error::Trailing(rest.len()));
-    }
+    skip_extensions(rest)?;
     Ok(decoded)
 }
+
+fn skip_extensions(mut rest: &[u8]) -> Result<(), Error> {
+    while !rest.is_empty() {
+        let extension = postcard::take_from_bytes::<Extension<'_>>(rest);
+        (_, rest) = extension.map_err(|_| Error::Trailing(rest.len()))?;
+    }
+    Ok(())
+}
--- a/crates/peridotdeck-wire/src/lib.rs
+++ b/crates/peridotdeck-wire/src/lib.rs
@@ -10,10 +10,12 @@
 mod codec;
 #[rustfmt::skip]
 mod generated;
+mod versions;
 
-pub use codec::{Error, MAX_DATAGRAM, VERSION, decode, encode, pack, unpack};
+pub use codec::{Error, Extension, MAX_DATAGRAM, VERSION, decode, encode, pack, unpack};
 pub use generated::{
     Answer, Ask, Beat, Body, Claim, Claims, Delta, Deny, Done, Entry, Envelope, Fetch, Gossip,
     Grant, Handover, Held, Holding, Member, Outcome, Part, Phase, Preempt, Queued, Reason, Settle,
     Strike, Summary, Sync, Trust, Vote,
 };
+pub use versions::Versions;
--- a/crates/peridotdeck-wire/tests/testsuite/main.rs
+++ b/crates/peridotdeck-wire/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the datagram encoding.
 
 mod codec;
+mod versions;
