Reset the callers' connections of answers without framing that a node's end cuts

What callers saw: a part of an answer with neither a length nor chunks, and then an orderly close, which is how a whole one ends.

Cause: the kernel closes the connections of a process that ends. The close of a caller's connection was made a reset only where a body failed while the program ran.

Change: the socket is marked (SO_LINGER with 0 s) before the first byte of an answer that ends with its connection, and the mark is taken back only where hyper closes it after the body's end, with nothing left to write. So every end that the program does not choose is a reset. An answer with a length for a caller of HTTP/1.0 is framed and is not marked. Chunks for all callers of HTTP/1.1, without the last one where nothing confirms the end, were weighed: each whole answer without framing would look broken.

--- a/crates/peridotdeck-relay/src/server.rs
+++ b/crates/peridotdeck-relay/src/server.rs
@@ -1,7 +1,8 @@
 //! An HTTP/1 server with limits for each connection and a graceful shutdown.
 //!
-//! A response whose end is not known may end with its connection, see [`end_with_connection`]. If
-//! its body fails, the connection is reset, because an orderly close would look like its end.
+//! A response whose end is not known may end with its connection, see [`end_with_connection`]. The
+//! connection is closed in an orderly way only when the body has ended and is written. Any other end
+//! is a reset, also the end of the process, because an orderly close would look like the body's end.
 
 mod activity;
 mod socket;
@@ -154,16 +155,17 @@
         let busy = activity.begin();
         let knows_chunks = request.version() != Version::HTTP_10;
         let response = respond(request);
-        let label = &label;
+        let (label, socket) = (&label, &socket);
         async move {
             let response = response.await;
             let is_chunked = knows_chunks && response.version() != Version::HTTP_10;
             if !is_chunked && response.body().size_hint().exact().is_none() {
+                socket.reset_on_close()?;
                 busy.end_with_connection();
                 let id = response.extensions().get::<Label>();
                 label.get_or_init(|| id.map_or_else(|| "-".to_owned(), |id| id.0.clone()));
             }
-            Ok::<_, std::convert::Infallible>(response.map(|body| Tracked::new(body, busy)))
+            Ok::<_, io::Error>(response.map(|body| Tracked::new(body, busy)))
         }
     });
     let connection = http1::Builder::new()
@@ -195,10 +197,11 @@
     };
     let result = rest.await;
     if let Some(id) = label.get() {
-        let end = if result.is_err() { "reset" } else { "orderly" };
-        if result.is_err() {
-            socket.reset_on_close()?;
-        }
+        let end = if activity.is_closed() {
+            "orderly"
+        } else {
+            "reset"
+        };
         log::info!(
             "event=unframed_closed id={id} caller={} end={end} cause=\"{}\"",
             remote.0,
--- a/crates/peridotdeck-relay/src/server/activity.rs
+++ b/crates/peridotdeck-relay/src/server/activity.rs
@@ -48,8 +48,12 @@
     last_ms: AtomicU64,
     /// Whether the connection's end is the end of the response in progress.
     ends_response: AtomicBool,
+    /// Whether the body of the last response was read to its end.
+    is_read: AtomicBool,
     /// Whether bytes of a response that has been read to its end are still to be written.
     is_unwritten: AtomicBool,
+    /// Whether this end of the connection was closed in an orderly way.
+    is_closed: AtomicBool,
     answers: Arc<Answers>,
 }
 
@@ -59,7 +63,9 @@
             requests: AtomicU64::new(0),
             last_ms: AtomicU64::new(millis()),
             ends_response: AtomicBool::new(false),
+            is_read: AtomicBool::new(false),
             is_unwritten: AtomicBool::new(false),
+            is_closed: AtomicBool::new(false),
             answers,
         }
     }
@@ -67,6 +73,7 @@
     /// Marks the connection as busy until the guard is dropped.
     pub(super) fn begin(self: &Arc<Self>) -> Busy {
         self.requests.fetch_add(1, Ordering::Relaxed);
+        self.is_read.store(false, Ordering::Relaxed);
         Busy(Arc::clone(self))
     }
 
@@ -78,6 +85,24 @@
         }
     }
 
+    /// Returns whether an orderly close of the connection says what is true.
+    ///
+    /// It says that the response in progress is complete, if the response has no framing.
+    pub(super) fn may_close(&self) -> bool {
+        let is_written = !self.is_unwritten.load(Ordering::Relaxed);
+        !self.ends_response() || (self.is_read.load(Ordering::Relaxed) && is_written)
+    }
+
+    /// Records that this end of the connection was closed in an orderly way.
+    pub(super) fn record_close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether this end of the connection was closed in an orderly way.
+    pub(super) fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the connection's end is the end of the response in progress.
     pub(super) fn ends_response(&self) -> bool {
         self.ends_response.load(Ordering::Relaxed)
@@ -121,6 +146,7 @@
 
     /// Records that the response's body was read to its end.
     fn record_read(&self) {
+        self.0.is_read.store(true, Ordering::Relaxed);
         if !self.0.is_unwritten.swap(true, Ordering::Relaxed) {
             self.0.answers.unwritten.fetch_add(1, Ordering::Relaxed);
         }
--- a/crates/peridotdeck-relay/src/server/socket.rs
+++ b/crates/peridotdeck-relay/src/server/socket.rs
@@ -1,4 +1,6 @@
 //! A connection's socket, shared by hyper and the server.
+//!
+//! The kernel closes the sockets of a process that ends. It resets those that are marked for it.
 
 use std::{
     io::{self, IoSlice},
@@ -30,7 +32,9 @@
         }
     }
 
-    /// Makes the close of the connection a reset.
+    /// Makes each close of the connection a reset, also by the end of the process.
+    ///
+    /// Only `AsyncWrite::poll_close` closes the connection in an orderly way from then on.
     pub(crate) fn reset_on_close(&self) -> io::Result<()> {
         SockRef::from(self.stream.get_ref()).set_linger(Some(Duration::ZERO))
     }
@@ -69,7 +73,13 @@
         Pin::new(&mut &*self.stream).poll_flush(context)
     }
 
+    /// Closes this end in an orderly way, unless that would end a response too early.
     fn poll_close(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if !self.activity.may_close() {
+            return Poll::Ready(Ok(()));
+        }
+        SockRef::from(self.stream.get_ref()).set_linger(None)?;
+        self.activity.record_close();
         Pin::new(&mut &*self.stream).poll_close(context)
     }
 }
