Reset the connections between nodes that end with the peer's process

A booking came as 200 with a part of its body.

Cause: an orderly close of a tunnel means that the endpoint has closed its connection. The kernel of a peer whose process ends closes the tunnel in the same way.

Change: the peer marks its end of a tunnel for a reset at once, and takes the mark back only when the endpoint's orderly end is passed on with everything before it. It says so by the version of the protocol that the upgrade agrees on (tcp/2; a node offers "tcp/2, tcp"). Through a peer that accepts tcp, as builds before this one do, the end of an answer without framing proves nothing: the attempt ends as unconfirmed, a plain answer is refused as may_have_run, a stream goes on elsewhere or is cut. An end that is said in the bytes (chunks on the tunnel) was weighed: it would also stand against devices between the nodes that close in an orderly way, of which none is known, and it costs a second framing of every byte.

--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -65,6 +65,18 @@
 }
 
 impl Channel {
+    /// Checks that the end of the body is the endpoint's, or shows that the answer is complete.
+    ///
+    /// # Errors
+    /// If the body ended with a connection that someone else may have closed.
+    pub fn check_end(&self) -> Result<(), Failure> {
+        if self.framing.shows_end() || self.connection.path.shows_end {
+            return Ok(());
+        }
+        let cause = "connection ended, and the peer does not say that the endpoint closed it";
+        Err(Failure::new(End::Unconfirmed, cause))
+    }
+
     /// Keeps the connection for later requests, after a complete answer.
     pub fn keep(self, pool: &Pool, key: Key) {
         pool.keep(key, self.connection, self.keep_alive);
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -234,6 +234,7 @@
             }
             Reply::Answer | Reply::Failure => {
                 let body = read_body(body, flight).await?;
+                channel.check_end()?;
                 let response = Response::from_parts(head, body);
                 return Ok(if answer.reply == Reply::Answer {
                     Received::Complete(response, channel)
--- a/crates/peridotdeck-relay/src/pool.rs
+++ b/crates/peridotdeck-relay/src/pool.rs
@@ -123,13 +123,30 @@
     _sender: async_channel::Sender<()>,
 }
 
+/// How a connection leads to its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Path {
+    /// Peer through which the connection leads, if it is not over the own path.
+    pub detour: Option<Node>,
+    /// Whether an orderly end of the connection shows that the endpoint has closed it.
+    pub shows_end: bool,
+}
+
+impl Path {
+    /// The own path, on which there is nobody but the endpoint.
+    pub const OWN: Self = Self {
+        detour: None,
+        shows_end: true,
+    };
+}
+
 /// An open connection to an endpoint, either idle or used by one exchange.
 #[derive(Debug)]
 pub struct Connection {
     /// Sender of requests on this connection.
     pub sender: SendRequest<Full<Bytes>>,
-    /// Peer through which the connection leads, if it is not over the own path.
-    pub detour: Option<Node>,
+    /// How the connection leads to the endpoint.
+    pub path: Path,
     in_use: Arc<AtomicBool>,
     _close_on_drop: CloseOnDrop,
 }
@@ -176,7 +193,7 @@
         idle.retain(|entry| entry.is_open(now));
         let usable = |entry: &Idle| {
             entry.connection.sender.is_ready()
-                && entry.connection.detour == detour
+                && entry.connection.path.detour == detour
                 && now.saturating_sub(entry.since) < max_idle
         };
         let index = idle.iter().rposition(usable)?;
@@ -259,18 +276,14 @@
     // Reset the connection on drop: an orderly close would go on sending undelivered data long
     // after the request was abandoned.
     SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))?;
-    Ok(handshake(FuturesIo::new(stream), None, on_broken).await?)
+    Ok(handshake(FuturesIo::new(stream), Path::OWN, on_broken).await?)
 }
 
 /// Sets up the HTTP client, and calls `on_broken` if the connection breaks while no request uses it.
 ///
 /// # Errors
 /// If the client cannot be set up; no request was sent then.
-pub async fn handshake<T, F>(
-    io: T,
-    detour: Option<Node>,
-    on_broken: F,
-) -> Result<Connection, hyper::Error>
+pub async fn handshake<T, F>(io: T, path: Path, on_broken: F) -> Result<Connection, hyper::Error>
 where
     T: Read + Write + Unpin + Send + 'static,
     F: FnOnce() + Send + 'static,
@@ -296,7 +309,7 @@
     });
     Ok(Connection {
         sender,
-        detour,
+        path,
         in_use,
         _close_on_drop: CloseOnDrop { _sender: close },
     })
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -155,8 +155,11 @@
     fn check_end(&self) -> Result<(), Failure> {
         self.events.check_end()?;
         // The channel is gone after the end has been recorded.
-        let channel = self.channel.as_ref();
-        if self.framed && channel.is_some_and(|channel| !channel.framing.shows_end()) {
+        let Some(channel) = &self.channel else {
+            return Ok(());
+        };
+        channel.check_end()?;
+        if self.framed && !channel.framing.shows_end() {
             let cause = "connection ended where the stream may be complete";
             return Err(Failure::new(End::Unconfirmed, cause));
         }
--- a/crates/peridotdeck-relay/src/tunnel.rs
+++ b/crates/peridotdeck-relay/src/tunnel.rs
@@ -3,7 +3,11 @@
 //! A node that lost its own path to an endpoint asks a peer to connect to it, by an HTTP upgrade at
 //! the peer's control address. From then on the peer passes bytes on and decides nothing: framing,
 //! ends, cancellation and keep-alive concern the node and the endpoint only. An orderly close passes
-//! as such and a break as a reset, so that a broken answer never looks complete.
+//! as such and a break as a reset, so that a broken answer never looks complete. Any other end of the
+//! peer's connection is a reset too, also the end of its process.
+//!
+//! Peers of older builds do not keep the last rule. They are told by the version of the protocol that
+//! they accept, and an orderly end of a connection through them proves nothing.
 //!
 //! Only nodes of the fleet may ask, known by their addresses as with heartbeats, and only for
 //! endpoints that the peer lists. A peer uses its own path only, so there are no circles.
@@ -23,7 +27,7 @@
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, future};
 use http_body_util::Full;
 use hyper::{
-    Request, Response, StatusCode,
+    HeaderMap, Request, Response, StatusCode,
     body::{Bytes, Incoming},
     client::conn::http1,
     header::{CONNECTION, HOST, HeaderValue, UPGRADE},
@@ -38,15 +42,21 @@
 
 use crate::{
     Ingress, Shared, clock,
-    pool::{self, CONNECT_TIMEOUT, Connection},
+    pool::{self, CONNECT_TIMEOUT, Connection, Path},
     server::{Remote, Socket},
 };
 
-/// Path at the control address that opens a connection to an endpoint.
+/// Target at the control address that opens a connection to an endpoint.
 pub const PATH: &str = "/fleet/tunnel";
 
-/// Protocol that the connection is upgraded to.
-const PROTOCOL: HeaderValue = HeaderValue::from_static("tcp");
+/// Protocol in which the peer closes in an orderly way only where the endpoint has done so.
+const PROTOCOL: &str = "tcp/2";
+
+/// Protocol of builds whose connections also close in an orderly way when their process ends.
+const OLD_PROTOCOL: &str = "tcp";
+
+/// Protocols that a node offers, by preference.
+const OFFER: HeaderValue = HeaderValue::from_static("tcp/2, tcp");
 
 /// Longest time to open a connection through a peer, which connects to the endpoint meanwhile.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(900);
@@ -88,21 +98,27 @@
 ) -> Result<Connection, pool::Error> {
     let observer = Arc::clone(shared);
     let open = async {
-        let upgraded = request_tunnel(shared, key, peer).await?;
+        let (upgraded, shows_end) = request_tunnel(shared, key, peer).await?;
+        let path = Path {
+            detour: Some(peer),
+            shows_end,
+        };
         let on_broken = move || observer.suspect(key);
-        Ok(pool::handshake(upgraded, Some(peer), on_broken).await?)
+        Ok(pool::handshake(upgraded, path, on_broken).await?)
     };
     timeout(OPEN_TIMEOUT, open)
         .await
         .unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut).into()))
 }
 
-/// Asks a peer to connect to an endpoint, and returns the bytes' way to and from it.
+/// Asks a peer to connect to an endpoint.
+///
+/// Returns the bytes' way to and from it, and whether its orderly end is the endpoint's.
 async fn request_tunnel<I: Ingress>(
     shared: &Shared<I>,
     key: Key,
     peer: Node,
-) -> Result<Upgraded, Error> {
+) -> Result<(Upgraded, bool), Error> {
     let address = SocketAddrV4::new(peer, shared.control_port);
     let stream = connect_from(shared.node, address).await?;
     SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))?;
@@ -119,14 +135,24 @@
     let headers = request.headers_mut();
     headers.insert(HOST, host);
     headers.insert(CONNECTION, HeaderValue::from_static("upgrade"));
-    headers.insert(UPGRADE, PROTOCOL);
+    headers.insert(UPGRADE, OFFER);
     let response = sender.send_request(request).await?;
+    let shows_end = names_protocol(response.headers());
     match response.status() {
-        StatusCode::SWITCHING_PROTOCOLS => Ok(upgrade::on(response).await?),
+        StatusCode::SWITCHING_PROTOCOLS => Ok((upgrade::on(response).await?, shows_end)),
         status => Err(Error::Refused(status)),
     }
 }
 
+/// Returns whether [`PROTOCOL`] is among the protocols that a head names.
+fn names_protocol(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(UPGRADE).iter();
+    let mut names = values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','));
+    names.any(|name| name.trim() == PROTOCOL)
+}
+
 /// Opens a connection to a peer from this node's own address, by which the peer knows it.
 async fn connect_from(node: Node, address: SocketAddrV4) -> io::Result<Async<TcpStream>> {
     let socket = socket2::Socket::new(Domain::IPV4, Type::STREAM, None)?;
@@ -180,9 +206,14 @@
     match opened {
         Ok((key, far)) => {
             let upgraded = upgrade::on(&mut request);
+            let protocol = if names_protocol(request.headers()) {
+                PROTOCOL
+            } else {
+                OLD_PROTOCOL
+            };
             let counted = Counted::new(shared);
             task::spawn(async move { pass(upgraded, far, peer, key, counted).await });
-            switch_protocols()
+            switch_protocols(protocol)
         }
         Err(denial) => {
             log::info!("event=tunnel_refused peer={peer} cause={denial}");
@@ -209,12 +240,12 @@
     })
 }
 
-fn switch_protocols() -> Response<Full<Bytes>> {
+fn switch_protocols(protocol: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = StatusCode::SWITCHING_PROTOCOLS;
     let headers = response.headers_mut();
     headers.insert(CONNECTION, HeaderValue::from_static("upgrade"));
-    headers.insert(UPGRADE, PROTOCOL);
+    headers.insert(UPGRADE, HeaderValue::from_static(protocol));
     response
 }
 
@@ -255,6 +286,10 @@
         }
     };
     let near = parts.io.into_inner();
+    if let Err(cause) = near.reset_on_close() {
+        log::warn!("event=tunnel_unused peer={peer} cause=\"{cause}\"");
+        return;
+    }
     let opened = clock::now();
     let answered = AtomicU64::new(0);
     let ended = join(&near, &parts.read_buf, &far, &answered).await;
@@ -264,10 +299,8 @@
     };
     if end != End::Closed {
         // The endpoint stops at once, and the peer sees that the answer broke.
-        for reset in [near.reset_on_close(), reset_on_close(&far)] {
-            if let Err(cause) = reset {
-                log::debug!("event=tunnel_reset_failed peer={peer} cause=\"{cause}\"");
-            }
+        if let Err(cause) = reset_on_close(&far) {
+            log::debug!("event=tunnel_reset_failed peer={peer} cause=\"{cause}\"");
         }
     }
     log::info!(
@@ -305,6 +338,7 @@
     };
     let back = async {
         copy(&mut from_far, &mut to_near, answered).await?;
+        // Everything that the endpoint sent is written.
         to_near.close().await?;
         Ok(End::Closed)
     };
