Believe in a single version only in step with the fleet

While endpoints of a new version joined, a node that stood still, or was cut off, listed the old version only. Streams that began at the new one through other nodes were taken up there and went on at the old one (ORDER).

Cause: a node with one version in its list does not ask which one began a stream, and nothing told it how old its list was: heartbeats that had waited during a pause confirm it.

Now the list is believed only if no peer has announced a change that is missing, and either more than half of the fleet's recent nodes were heard in the last second, after the last pause of the process and 250 ms for what had waited, or a read of the publisher that began in the last second has shown all changes. Else a take-up that the node does not know asks the holders, makes the node read the publisher and fetch announced changes at once, waits 250 ms at most and is refused. So does one whose version is known but not listed. Lookups are repeated after 100 ms: a node that wakes takes its peers for dead and asked nobody. What a report lists counts even if the same report removes it. No message has a new field.

Other side: in step nobody is asked and nothing waits, also without the publisher (2 to 300 nodes, 0 reads); without peers one read serves all take-ups of a second.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -47,7 +47,7 @@
     mean,
     prefix::Index,
     rate,
-    registry::{self, Change, Position, Registry, Report},
+    registry::{self, Change, Fact, Position, Registry, Report},
     stream,
 };
 use crate::id::Time;
@@ -122,6 +122,7 @@
     streams: stream::Table,
     versions: stream::Versions,
     listing: stream::Listing,
+    step: stream::Step,
     /// Streams whose versions are to be asked for.
     lookups: Vec<stream::Id>,
     /// Grants that are to be sent.
@@ -175,6 +176,7 @@
             streams: stream::Table::default(),
             versions,
             listing: stream::Listing::default(),
+            step: stream::Step::default(),
             lookups: Vec::new(),
             suspicions: Vec::new(),
             begun: Vec::new(),
@@ -257,11 +259,19 @@
 
     /// Applies a report of the publisher and returns what it changed.
     pub fn apply_report(&mut self, report: Report, now: Time) -> Change {
+        // Also what has come and gone since the last report.
+        let listed = report.facts.iter().filter_map(Fact::endpoint_entry);
+        self.versions.observe(listed, now);
         let change = self.registry.apply(report, now);
         self.apply_change(&change, now);
         change
     }
 
+    /// Records that a read of the publisher has reported all changes up to the time at which it began.
+    pub fn record_confirmation(&mut self, begun: Time) {
+        self.step.confirm(begun);
+    }
+
     /// Adopts a snapshot that a peer sent and returns what it changed.
     pub fn adopt(&mut self, snapshot: registry::Snapshot, now: Time) -> Change {
         let change = self.registry.adopt(snapshot, now);
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -23,6 +23,7 @@
 impl Dispatcher {
     /// Performs the periodic work and returns the actions that are due.
     pub fn tick(&mut self, now: Time) -> Due {
+        self.fleet.note_tick(now);
         let mut due = Due {
             change: self.registry.expire(now),
             ..Due::default()
@@ -49,6 +50,7 @@
         due.paths = std::mem::take(&mut self.path_news);
         due.cache_queries = self.cache_queries();
         due.snapshot_requests = self.snapshot_requests(now);
+        due.confirmation = self.step.begin_read(now);
         due.crashes = self.crashes.take_notices();
         if now >= self.clean_up_due {
             self.clean_up_due = now + CLEAN_UP_INTERVAL;
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
@@ -146,6 +146,9 @@
                 version,
                 is_local,
             };
+            if area == Area::Roster {
+                self.step.announce(position, now);
+            }
             if !self.is_newer(&announced) {
                 continue;
             }
@@ -216,7 +219,7 @@
             departures: self.departures.recent(now).take(MAX_DEPARTURES).collect(),
             rates: self.rate_reports(turn as usize, now),
             mixed: self.versions.is_any_mixed(),
-            history: self.versions.history(now),
+            history: self.known_history(now),
             loads: busy.map(|state| (state.key, state.own_load)).collect(),
             health,
             strikes: crashes.iter().map(strike).collect(),
@@ -236,6 +239,7 @@
         if self.newer_states.is_empty() {
             return Vec::new();
         }
+        let is_urgent = self.step.is_read_wanted();
         let base_delay = if self.is_watcher(now) {
             WATCHER_FETCH_DELAY
         } else {
@@ -247,7 +251,7 @@
             } else {
                 base_delay.max(REMOTE_FETCH_DELAY)
             };
-            now.saturating_sub(*since) >= delay
+            is_urgent || now.saturating_sub(*since) >= delay
         };
         let due: Vec<(NewerState, Time)> = self.newer_states.extract_if(.., is_due).collect();
         let newer = due.into_iter().map(|(newer, _)| newer);
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -13,7 +13,8 @@
         fleet::Broadcast,
         flight::Flight,
         refusal::Cause,
-        stream::{self, Entry, Table},
+        registry::Area,
+        stream::{self, Entry, Table, step::CONFIRMED},
     },
     id::Time,
     rendezvous,
@@ -25,6 +26,9 @@
 /// Longest wait for other nodes to say which version began a stream.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time after which other nodes are asked again, since messages may be lost.
+const LOOKUP_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Nodes of the own data centre that are told of a stream, and those that are asked.
 ///
 /// One more is asked, since the one that ranked first may just have joined.
@@ -98,7 +102,9 @@
         if !is_over && self.ask(flight, stream, now) {
             return Some(Placement::Wait(Delay::poll(WaitCause::Lookup)));
         }
-        if let Some(software) = self.cached_version(flight) {
+        if self.may_trust_caches(flight, now)
+            && let Some(software) = self.cached_version(flight)
+        {
             flight.software = Some(software);
             return None;
         }
@@ -108,21 +114,67 @@
     }
 
     /// Returns whether all streams of a service were certainly begun by its only version.
-    fn is_only_version(&self, service: &str, now: Time) -> bool {
-        !self.versions.is_mixed(service, now) && !self.versions.is_history_short(now)
+    ///
+    /// If nothing shows that the endpoint list is complete, a read of the publisher is asked for.
+    fn is_only_version(&mut self, service: &str, now: Time) -> bool {
+        if self.versions.is_mixed(service, now) || self.versions.is_history_short(now) {
+            return false;
+        }
+        let is_in_step = self.is_in_step(now);
+        if !is_in_step {
+            self.step.want_read();
+        }
+        is_in_step
+    }
+
+    /// Returns whether this node's endpoint list holds all that others may have used.
+    fn is_in_step(&self, now: Time) -> bool {
+        let known = self.registry.progress(Area::Roster).changed;
+        if self.step.lacks_change(known, now) {
+            return false;
+        }
+        let running = self.fleet.running_since(CONFIRMED, now);
+        running.is_some_and(|since| self.step.is_confirmed_since(since))
+            || self.fleet.is_in_touch(now)
+    }
+
+    /// Returns whether endpoints of a stream's version may be listed soon, as this node is out of step.
+    pub(super) fn may_list_version(&mut self, flight: &Flight, now: Time) -> bool {
+        if flight.software.is_none() || self.is_in_step(now) {
+            return false;
+        }
+        self.step.want_read();
+        now.saturating_sub(flight.arrived) < LOOKUP_TIMEOUT
+    }
+
+    /// Returns the time for which all versions have been known; zero if this node may be cut off.
+    pub(super) fn known_history(&self, now: Time) -> Duration {
+        if self.is_in_step(now) {
+            self.versions.history(now)
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    /// Returns whether caches that were listed at the start show the version of an unknown stream.
+    ///
+    /// At a node out of step they are those of versions that it knows.
+    fn may_trust_caches(&self, flight: &Flight, now: Time) -> bool {
+        self.versions.is_mixed(&flight.service, now) || self.versions.is_history_short(now)
     }
 
-    /// Asks others, once, for the version of a stream that this node does not know.
+    /// Asks others for the version of a stream that this node does not know.
     ///
     /// While nobody knows what ran before, it also asks which version has cached the own part of
     /// the prompt. Returns whether there is anything to ask for.
     fn ask(&mut self, flight: &mut Flight, stream: Option<stream::Id>, now: Time) -> bool {
         let own = flight.prompt.own.map(stream::part);
         let part = own.filter(|_| self.versions.is_history_short(now));
-        if !flight.looked_up && self.lookups.len() < MAX_LOOKUPS {
+        let is_asked = |at: Time| now.saturating_sub(at) < LOOKUP_INTERVAL;
+        if !flight.looked_up.is_some_and(is_asked) && self.lookups.len() < MAX_LOOKUPS {
             self.lookups.extend(stream.into_iter().chain(part));
+            flight.looked_up = Some(now);
         }
-        flight.looked_up = true;
         stream.is_some() || part.is_some()
     }
 
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/waiting.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/waiting.rs
@@ -141,8 +141,9 @@
         };
         let max_wait = flight.route.target.mul_f64(fraction).max(MIN_WAIT);
         let since = *flight.waiting_since.get_or_insert(now);
-        let is_hopeless =
-            !exclusions.is_empty() && exclusions.iter().all(|exclusion| lasts(*exclusion, flight));
+        let is_hopeless = !exclusions.is_empty()
+            && exclusions.iter().all(|exclusion| lasts(*exclusion, flight))
+            && !self.may_list_version(flight, now);
         let waited = now.saturating_sub(since);
         let left = max_wait.min(flight.time_left(now)).saturating_sub(waited);
         let pause = self.pause_left(flight, &exclusions, now);
--- a/crates/peridotdeck-core/src/dispatch/due.rs
+++ b/crates/peridotdeck-core/src/dispatch/due.rs
@@ -41,6 +41,8 @@
     pub cache_queries: Vec<CacheQuery>,
     /// Endpoints whose kept connections lead through peers that are of no use any more.
     pub closed: Vec<Key>,
+    /// Whether to read the publisher, to confirm that the endpoint list is complete.
+    pub confirmation: bool,
     /// Changes since the last tick of what is blamed for crashes.
     pub crashes: Vec<Notice>,
     /// Heartbeats to send, each with the peers that receive it.
--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -11,11 +11,13 @@
 
 mod receive;
 mod send;
+mod touch;
 
 use std::{cmp::Ordering, time::Duration};
 
 use peridotdeck_wire::beat;
 use send::round_time;
+use touch::Pulse;
 
 use super::{DataCentre, Key, Node, Prefix, endpoint::Load, registry::Position};
 use crate::{id::Time, rendezvous};
@@ -188,6 +190,7 @@
     round: usize,
     sizes: Vec<(Time, usize)>,
     local_sizes: Vec<(Time, usize)>,
+    pulse: Pulse,
 }
 
 impl Fleet {
@@ -224,6 +227,7 @@
             round: 0,
             sizes: Vec::new(),
             local_sizes: Vec::new(),
+            pulse: Pulse::new(now),
         };
         fleet.set_seeds(seeds, now);
         fleet
--- a/crates/peridotdeck-core/src/dispatch/flight.rs
+++ b/crates/peridotdeck-core/src/dispatch/flight.rs
@@ -64,8 +64,8 @@
     pub resumes: Option<String>,
     /// Software version at which the stream must go on, once it is known.
     pub software: Option<Software>,
-    /// Whether other nodes have been asked for that version.
-    pub looked_up: bool,
+    /// Time at which other nodes were last asked for that version.
+    pub looked_up: Option<Time>,
     /// Urgency among all requests; 0 is served first.
     pub rank: u8,
     /// Whether it is one of the most urgent streams of its service.
@@ -103,7 +103,7 @@
             organisation: None,
             resumes: None,
             software: None,
-            looked_up: false,
+            looked_up: None,
             rank: route.priority,
             urgent: false,
             version,
--- a/crates/peridotdeck-core/src/dispatch/registry/report.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry/report.rs
@@ -40,6 +40,14 @@
         }
     }
 
+    /// Returns the endpoint that the fact lists, if any.
+    pub(in crate::dispatch) fn endpoint_entry(&self) -> Option<&Endpoint> {
+        match self {
+            Self::Endpoint(endpoint) => Some(endpoint),
+            _ => None,
+        }
+    }
+
     /// Returns the id of the endpoint that the fact lists or removes, if any.
     pub(super) fn endpoint(&self) -> Option<&str> {
         match self {
--- a/crates/peridotdeck-core/src/dispatch/stream.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream.rs
@@ -6,9 +6,13 @@
 //! A caller may take its stream up at any node, which asks the same ones. After all nodes have ended, the
 //! endpoints' caches tell it: one that ran the stream holds the last part of its prompt ([`Listing`]).
 //!
+//! A node that stood still or is cut off may not know that there are several versions. It trusts its
+//! list only if most peers have been heard lately, or the publisher was read ([`Step`]).
+//!
 //! `docs/design/VERSIONS.md` compares the ways to know the version.
 
 mod listing;
+pub(super) mod step;
 mod table;
 mod versions;
 
@@ -17,6 +21,7 @@
 use super::Prefix;
 
 pub use listing::Listing;
+pub use step::Step;
 pub use table::{Entry, Table};
 pub use versions::Versions;
 
--- a/crates/peridotdeck-core/src/dispatch/stream/listing.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/listing.rs
@@ -13,7 +13,7 @@
 
 /// Times after the first list at which other nodes are told: peers that start together know each other
 /// at the first one, and later ones have started by the second one.
-const TURNS: [Duration; 2] = [Duration::from_millis(1_000), Duration::from_millis(4_000)];
+const TURNS: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(4)];
 
 /// The caches that a node has listed since its start, while others need to be told of them.
 #[derive(Clone, Debug, Default)]
--- a/crates/peridotdeck-core/tests/testsuite/common_restarts.rs
+++ b/crates/peridotdeck-core/tests/testsuite/common_restarts.rs
@@ -137,7 +137,10 @@
     world.callers.0.clear();
     large_service(&mut world, 1, 2);
     let streams = begin(&mut world, 40);
-    let old = streams.iter().filter(|(_, version)| version == "v1").count();
+    let old = streams
+        .iter()
+        .filter(|(_, version)| version == "v1")
+        .count();
     assert!(old > 0);
     large_service(&mut world, 0, 2);
     world.kill(0);
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod membership;
 mod named_rates;
 mod numbering;
+mod out_of_step;
 mod overload_waits;
 mod poison;
 mod preemption;
--- a/crates/peridotdeck-core/tests/testsuite/software_versions.rs
+++ b/crates/peridotdeck-core/tests/testsuite/software_versions.rs
@@ -137,10 +137,11 @@
     }
     let now = world.now;
     for at in 0..20 {
-        let taken_up = world.stream(at % 7, &format!("b{at}"), Some("unknown"));
+        let taken_up = world.stream(at % 7, &format!("b{at}"), Some(&format!("u{at}")));
         assert_eq!(taken_up.as_deref(), Some("v1"));
     }
     assert_eq!(world.now, now, "nobody was asked");
+    assert_eq!(world.read_count, 0, "nor the publisher");
 }
 
 /// The second version appeared, and the first one left, while streams were open.
--- a/crates/peridotdeck-core/tests/testsuite/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world.rs
@@ -2,6 +2,7 @@
 
 mod brittle;
 mod paths;
+mod publisher;
 
 use std::{net::Ipv4Addr, time::Duration};
 
@@ -12,12 +13,12 @@
     attempt::{Attempt, End, Next, Placement},
     flight::Flight,
     rate::Terms,
-    registry::{self, Area, Fact},
+    registry,
 };
 use peridotdeck_wire::{beat::Beat, pack};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::dispatch::{REGIONS, configure, copies, decoded_request, endpoint, ms, options, report};
+use crate::dispatch::{REGIONS, configure, copies, decoded_request, endpoint, ms, options};
 
 /// Span in which the requests at an endpoint are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -107,6 +108,12 @@
     waiting: Vec<(Duration, usize, Flight)>,
     open: Vec<Open>,
     revision: u64,
+    /// Nodes that stand still, and those that do not reach the publisher.
+    pub stopped: Vec<usize>,
+    pub deaf: Vec<usize>,
+    /// Reads of the publisher on behalf of streams: when one began, and the node.
+    reads: Vec<(Duration, usize)>,
+    pub read_count: usize,
 }
 
 fn address(index: usize) -> Node {
@@ -147,6 +154,10 @@
             waiting: Vec::new(),
             open: Vec::new(),
             revision: 1,
+            stopped: Vec::new(),
+            deaf: Vec::new(),
+            reads: Vec::new(),
+            read_count: 0,
         };
         world.nodes = (0..nodes).map(|index| Some(world.node(index))).collect();
         world.run(ms(2_000));
@@ -174,12 +185,7 @@
     /// Starts a node, which knows only what the publisher says.
     pub fn start(&mut self, index: usize) {
         self.nodes[index] = Some(self.node(index));
-        let infos: Vec<_> = self.endpoints.iter().map(|one| one.info.clone()).collect();
-        let facts = infos.into_iter().map(Fact::Endpoint).collect();
-        let report = report(Area::Roster, self.revision, true, facts);
-        if let Some(node) = &mut self.nodes[index] {
-            node.apply_report(report, self.now);
-        }
+        self.report_to(index);
     }
 
     /// Ends all nodes at once and starts them again.
@@ -205,7 +211,11 @@
     }
 
     fn exchange(&mut self) {
+        self.answer_reads();
         for index in 0..self.nodes.len() {
+            if self.stopped.contains(&index) {
+                continue;
+            }
             if let Some(node) = &mut self.nodes[index] {
                 let due = node.tick(self.now);
                 let queried: Vec<Key> = due.cache_queries.iter().map(|query| query.key).collect();
@@ -213,12 +223,15 @@
                 self.schedule_paths(index, &due);
                 self.send(index, copies(due.heartbeats));
                 self.answer_queries(index, &queried);
+                self.fetch(index, &due.snapshot_requests);
+                self.reads
+                    .extend(due.confirmation.then_some((self.now, index)));
             }
         }
         let now = self.now;
         let arrived: Vec<_> = self
             .heartbeats
-            .extract_if(.., |(at, ..)| *at <= now)
+            .extract_if(.., |(at, to, _)| *at <= now && !self.stopped.contains(to))
             .collect();
         for (_, to, beat) in arrived {
             let Some(node) = &mut self.nodes[to] else {
@@ -354,16 +367,6 @@
         }
     }
 
-    /// Replaces the listed endpoints at all nodes; those that are not given are gone.
-    pub fn publish(&mut self, infos: Vec<registry::Endpoint>) {
-        self.revision += 1;
-        for node in self.nodes.iter_mut().flatten() {
-            let facts = infos.iter().cloned().map(Fact::Endpoint).collect();
-            node.apply_report(report(Area::Roster, self.revision, true, facts), self.now);
-        }
-        self.endpoints = infos.into_iter().map(Endpoint::new).collect();
-    }
-
     /// Begins a stream at a node, or takes up the one that the request `began` began.
     ///
     /// Returns the version of the endpoint that sends events, or none if the request is refused.
--- a/crates/peridotdeck-relay/src/node.rs
+++ b/crates/peridotdeck-relay/src/node.rs
@@ -6,7 +6,7 @@
 use async_io::Timer;
 use async_std::task;
 use futures_lite::{StreamExt, future};
-use peridotdeck_core::dispatch::{Dispatcher, Node, dispatcher};
+use peridotdeck_core::dispatch::{Dispatcher, Node, dispatcher, registry::Area};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_async_std::Signals;
 
@@ -75,7 +75,7 @@
         options.dispatch.node,
         options.control.port(),
     ));
-    task::spawn(publisher.follow(Arc::clone(&shared)));
+    task::spawn(publisher.clone().follow(Arc::clone(&shared)));
     let (closing, closed) = async_channel::bounded::<()>(1);
     listen(&options, &shared, &closed)?;
     let peers = Peers::bind(options.peers, options.control.port()).await?;
@@ -96,7 +96,7 @@
         wait_for_signal(signals, &state, reload).await;
         shutdown::drain(&state, options.grace_period, closing).await;
     });
-    future::or(shutdown, run_ticks(&shared, &peers)).await;
+    future::or(shutdown, run_ticks(&shared, &peers, &publisher)).await;
     Ok(())
 }
 
@@ -132,7 +132,11 @@
 }
 
 /// Carries out the dispatcher's due actions at every tick, without end.
-async fn run_ticks<I: Ingress>(shared: &Arc<Shared<I>>, peers: &Peers) {
+async fn run_ticks<I: Ingress, P: Publisher>(
+    shared: &Arc<Shared<I>>,
+    peers: &Peers,
+    publisher: &P,
+) {
     let mut count: u32 = 0;
     loop {
         Timer::after(TICK).await;
@@ -166,6 +170,10 @@
             let (shared, peers) = (Arc::clone(shared), peers.clone());
             task::spawn(async move { peers.fetch_snapshot(&shared, request).await });
         }
+        if due.confirmation {
+            let (shared, publisher) = (Arc::clone(shared), publisher.clone());
+            task::spawn(async move { confirm_roster(&shared, &publisher).await });
+        }
         for query in due.cache_queries {
             let shared = Arc::clone(shared);
             task::spawn(async move { exchange::fetch_cache_list(&shared, query).await });
@@ -181,6 +189,18 @@
     }
 }
 
+/// Reads the changes of the endpoint list from the publisher, since peers do not confirm it.
+async fn confirm_roster<I: Ingress, P: Publisher>(shared: &Arc<Shared<I>>, publisher: &P) {
+    let begun = clock::now();
+    match publisher.catch_up(Area::Roster, Arc::clone(shared)).await {
+        Ok(()) => {
+            shared.dispatcher().record_confirmation(begun);
+            log::info!("event=roster_confirmed");
+        }
+        Err(cause) => log::info!("event=roster_unconfirmed cause=\"{cause}\""),
+    }
+}
+
 /// Waits for a termination signal; until then, applies changes of the seeds.
 async fn wait_for_signal<I: Ingress, R>(mut signals: Signals, shared: &Shared<I>, reload: R)
 where
--- a/crates/peridotdeck-relay/src/publisher.rs
+++ b/crates/peridotdeck-relay/src/publisher.rs
@@ -25,7 +25,16 @@
 }
 
 /// Source of a site's configuration and endpoint list.
-pub trait Publisher: Send + Sync + 'static {
+pub trait Publisher: Clone + Send + Sync + 'static {
     /// Reports the current state and every later change to the sink, until the process ends.
     fn follow<S: Sink>(self, sink: Arc<S>) -> impl Future<Output = ()> + Send;
+
+    /// Reports the changes of an area since the sink's position, without waiting for any.
+    ///
+    /// Returns the cause if they cannot be read.
+    fn catch_up<S: Sink>(
+        &self,
+        area: Area,
+        sink: Arc<S>,
+    ) -> impl Future<Output = Result<(), String>> + Send;
 }
