--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod named_rates;
 mod numbering;
 mod older_bytes;
+mod out_of_step;
 mod overload_waits;
 mod poison;
 mod preemption;
