Keep generated message types in a folder of their own

src/beat.rs looked like a module written by hand. The types, paths of callers and the encoding are as before; the schema crate's test compares the files.

--- a/crates/peridotdeck-schema/src/lib.rs
+++ b/crates/peridotdeck-schema/src/lib.rs
@@ -15,7 +15,10 @@
 
 /// Pairs of a schema file and its generated module, relative to the repository's root.
 pub const TARGETS: [(&str, &str); 4] = [
-    ("schema/beat.json", "crates/peridotdeck-wire/src/beat.rs"),
+    (
+        "schema/beat.json",
+        "crates/peridotdeck-wire/src/generated/beat.rs",
+    ),
     (
         "schema/config.json",
         "crates/peridotdeck-policy/src/generated.rs",
@@ -26,7 +29,7 @@
     ),
     (
         "schema/wire.json",
-        "crates/peridotdeck-wire/src/generated.rs",
+        "crates/peridotdeck-wire/src/generated/wire.rs",
     ),
 ];
 
--- a/crates/peridotdeck-wire/src/lib.rs
+++ b/crates/peridotdeck-wire/src/lib.rs
@@ -5,17 +5,17 @@
 //! datagram. Messages that do not fit a datagram are sent as JSON-RPC requests with the same types.
 //! See `docs/ARCHITECTURE.md`, section "Between routers".
 
-#[rustfmt::skip]
-pub mod beat;
 mod codec;
-#[rustfmt::skip]
 mod generated;
 mod versions;
 
 pub use codec::{Error, Extension, MAX_DATAGRAM, VERSION, decode, encode, pack, unpack};
 pub use generated::{
-    Answer, Ask, Beat, Body, Claim, Claims, Delta, Deny, Done, Entry, Envelope, Fetch, Gossip,
-    Grant, Handover, Held, Holding, Member, Outcome, Part, Phase, Preempt, Queued, Reason, Settle,
-    Strike, Summary, Sync, Trust, Vote,
+    beat,
+    wire::{
+        Answer, Ask, Beat, Body, Claim, Claims, Delta, Deny, Done, Entry, Envelope, Fetch, Gossip,
+        Grant, Handover, Held, Holding, Member, Outcome, Part, Phase, Preempt, Queued, Reason,
+        Settle, Strike, Summary, Sync, Trust, Vote,
+    },
 };
 pub use versions::Versions;
