--- a/crates/peridotdeck-core/src/pool.rs
+++ b/crates/peridotdeck-core/src/pool.rs
@@ -6,19 +6,24 @@
 //! settles, that is, it waits for these reports before it trusts its own count.
 //! `docs/design/POOLS.md` compares the alternatives.
 
+mod denial;
 mod handover;
 mod placement;
 mod preemption;
+mod run;
+
+pub use denial::queue_timeout;
 
 use std::{sync::Arc, time::Duration};
 
-use peridotdeck_policy::{Class, Pool, Snapshot};
-use peridotdeck_wire::{Ask, Body, Deny, Done, Grant, Held, Outcome, Queued, Reason, Summary};
+use denial::{MAX_QUEUED_BULK, deny};
+use peridotdeck_policy::{Pool, Snapshot};
+use peridotdeck_wire::{Ask, Body, Done, Grant, Outcome, Queued, Reason, Summary};
+use run::Run;
 
 use crate::{
     engine, id,
     mean::Mean,
-    quarantine,
     queue::{Entry, Queue},
     strategy::Strategy,
 };
@@ -34,9 +39,6 @@
 /// time if their entry node is silent.
 const HOLDER_TIMEOUT: Duration = Duration::from_secs(12);
 
-/// Most bulk requests that wait in one pool; further ones are denied on arrival.
-const MAX_QUEUED_BULK: usize = 10_000;
-
 /// Time after an interactive request for which slots are reserved for the next one.
 const INTERACTIVE_RESERVE_TIME: Duration = Duration::from_secs(10);
 
@@ -49,36 +51,6 @@
 /// Message and the node that receives it: an entry node or the next owner.
 pub type Message = (id::Node, Body);
 
-/// One slot in use and the attempt that runs in it.
-#[derive(Clone, Debug)]
-struct Run {
-    attempt: id::Attempt,
-    endpoint: id::Endpoint,
-    node: id::Node,
-    class: String,
-    bulk: bool,
-    fingerprint: id::Fingerprint,
-    /// Whether the request was running at an endpoint that crashed.
-    crash_suspect: bool,
-    /// When the slot was granted, or reported to this owner.
-    started: id::Time,
-    /// When the entry node last reported that it holds the slot.
-    confirmed: id::Time,
-    /// Whether the entry node was sent a preemption and has not returned the slot yet.
-    stopping: bool,
-}
-
-impl Run {
-    fn to_held(&self) -> Held {
-        Held {
-            attempt: self.attempt,
-            endpoint: self.endpoint,
-            class: self.class.clone(),
-            fingerprint: self.fingerprint,
-        }
-    }
-}
-
 /// Counts for metrics and checks; `shed_for_bulk` must stay 0.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -242,96 +214,6 @@
         })
     }
 
-    /// Returns the denial of a request that cannot be served in time.
-    ///
-    /// A denial on arrival costs less than a later one.
-    fn refusal_on_arrival(&mut self, entry: &Entry, now: id::Time) -> Option<Body> {
-        if usize::from(entry.crashes) >= quarantine::CRASH_LIMIT {
-            return Some(deny(entry.attempt, Reason::Quarantined, Duration::ZERO));
-        }
-        if self
-            .engines
-            .iter()
-            .all(|state| state.limit(now, false) == 0)
-        {
-            return Some(deny(entry.attempt, Reason::NoEndpoint, Duration::ZERO));
-        }
-        if self.strategy.is_baseline() {
-            return None;
-        }
-        if entry.bulk {
-            let waiting = self
-                .queue
-                .entries()
-                .iter()
-                .filter(|entry| entry.bulk)
-                .count();
-            let retry = Duration::from_secs(60);
-            return (waiting >= MAX_QUEUED_BULK)
-                .then(|| deny(entry.attempt, Reason::Overload, retry));
-        }
-        let class = self.snapshot.class(&entry.class)?;
-        let wait = self.expected_wait(entry.tier, now);
-        let waited = now.saturating_sub(entry.arrived);
-        // With a free or preemptible slot a request is never denied, however long it has waited.
-        if wait.is_zero() || waited + wait <= queue_timeout(class) {
-            return None;
-        }
-        // The expected wait counts preemptible bulk as free, so nothing is shed to spare bulk and
-        // this adds 0.
-        self.counts.shed_for_bulk +=
-            u64::from(self.preemptible_count() > self.queued_interactive());
-        Some(deny(entry.attempt, Reason::Overload, wait))
-    }
-
-    /// Returns the expected wait for a slot of one more interactive request of a tier.
-    fn expected_wait(&self, tier: u8, now: id::Time) -> Duration {
-        /// Service time in milliseconds that is assumed before the first sample.
-        const DEFAULT_SERVICE_MS: f64 = 500.0;
-        let limit = self.total_limit(now);
-        let free = self.total_free(now);
-        let ahead = self
-            .queue
-            .entries()
-            .iter()
-            .filter(|entry| !entry.bulk && entry.tier <= tier)
-            .count();
-        let available = free as usize + self.preemptible_count();
-        if ahead < available {
-            return Duration::ZERO;
-        }
-        let service_ms = self.service_time.value().unwrap_or(DEFAULT_SERVICE_MS);
-        let rounds = (ahead - available + 1) as f64 / f64::from(limit.max(1));
-        Duration::from_secs_f64(rounds * service_ms / 1e3)
-    }
-
-    /// Returns how many requests all endpoints together may run now.
-    fn total_limit(&self, now: id::Time) -> u32 {
-        let settling = self.is_settling(now);
-        self.engines
-            .iter()
-            .map(|state| state.limit(now, settling))
-            .sum()
-    }
-
-    /// Returns the free slots of all endpoints.
-    fn total_free(&self, now: id::Time) -> u32 {
-        let settling = self.is_settling(now);
-        self.engines
-            .iter()
-            .map(|state| state.free(now, settling))
-            .sum()
-    }
-
-    /// Returns the number of waiting interactive requests.
-    fn queued_interactive(&self) -> usize {
-        self.queue
-            .entries()
-            .iter()
-            .filter(|entry| !entry.bulk)
-            .count()
-    }
-
     fn is_settling(&self, now: id::Time) -> bool {
         now < self.settled_at
     }
@@ -414,43 +296,6 @@
         self.deny_overdue(now, out);
     }
 
-    /// Denies interactive requests that have exceeded their queue timeout.
-    ///
-    /// Serving them would make others late too. This runs after all grants and preemptions, so the
-    /// requests that still wait found neither a free slot nor bulk to preempt.
-    fn deny_overdue(&mut self, now: id::Time, out: &mut Vec<Message>) {
-        let pending = self.runs.iter().any(|run| run.stopping);
-        if self.strategy.is_baseline() || pending || self.preemptible_count() > 0 {
-            return;
-        }
-        let snapshot = Arc::clone(&self.snapshot);
-        let is_late = |entry: &Entry| {
-            let class = snapshot.class(&entry.class);
-            !entry.bulk
-                && class
-                    .is_some_and(|class| now.saturating_sub(entry.arrived) > queue_timeout(class))
-        };
-        for entry in self.queue.drain(is_late) {
-            let retry = self.expected_wait(entry.tier, now);
-            out.push((entry.node, deny(entry.attempt, Reason::Overload, retry)));
-        }
-    }
-
-    /// Denies all waiting requests when no endpoint is open, so that they go to other pools.
-    ///
-    /// This happens when operators take a data centre out of service.
-    fn deny_unservable(&mut self, now: id::Time, out: &mut Vec<Message>) {
-        if self.engines.iter().any(|state| state.limit(now, false) > 0) {
-            return;
-        }
-        for entry in self.queue.drain(|_| true) {
-            out.push((
-                entry.node,
-                deny(entry.attempt, Reason::NoEndpoint, Duration::ZERO),
-            ));
-        }
-    }
-
     /// Returns the summary of the pool that is sent to other nodes by gossip.
     ///
     /// `stamp` is the owner's heartbeat counter.
@@ -503,25 +348,3 @@
         );
     }
 }
-
-/// Returns the time for which a request of an interactive class may wait for a slot.
-#[must_use]
-pub fn queue_timeout(class: &Class) -> Duration {
-    /// Divisor of the target for a whole answer: a longer wait would make the answer miss it.
-    const WHOLE_ANSWER_DIVISOR: u32 = 2;
-    let target = if class.first_token_ms > 0 {
-        class.first_token_ms
-    } else {
-        class.whole_ms / WHOLE_ANSWER_DIVISOR
-    };
-    Duration::from_millis(target.into())
-}
-
-fn deny(attempt: id::Attempt, reason: Reason, retry: Duration) -> Body {
-    Deny {
-        attempt,
-        reason,
-        retry_ms: retry.as_millis() as u32,
-    }
-    .into()
-}
