--- a/crates/peridotdeck-core/src/membership.rs
+++ b/crates/peridotdeck-core/src/membership.rs
@@ -6,11 +6,14 @@
 //! elsewhere do not replace its nodes, and only its own nodes own its pools.
 //! `docs/design/MEMBERSHIP.md` gives the calculations.
 
+mod gossip;
+mod summaries;
+
 use std::time::Duration;
 
-use peridotdeck_policy::{Pool, Snapshot, digest_name};
-use peridotdeck_wire::{Beat, Member, Summary};
-use rand::{Rng, rngs::SmallRng, seq::IndexedRandom};
+use peridotdeck_policy::{Pool, digest_name};
+use peridotdeck_wire::{Beat, Member};
+use summaries::PoolState;
 
 use crate::{id, rendezvous};
 
@@ -26,21 +29,6 @@
 /// Time for which a starting node waits for messages from its peers before it may own pools.
 const STARTUP_WAIT: Duration = Duration::from_secs(2);
 
-/// Time without a message after which a live peer of the same data centre is probed.
-const PROBE_AFTER: Duration = Duration::from_secs(1);
-
-/// Peers of the same data centre that a node sends its digest to in each round of gossip.
-const GOSSIP_FANOUT: usize = 1;
-
-/// Most heartbeats of peers in the sender's data centre in one message; the newest are sent.
-const MAX_LOCAL_HEARTBEATS: usize = 48;
-
-/// Most heartbeats of peers in other data centres in one message; the newest are sent.
-const MAX_REMOTE_HEARTBEATS: usize = 8;
-
-/// Most pool summaries in one message; the newest are sent.
-const MAX_SUMMARIES: usize = 12;
-
 /// Nodes of each data centre that watch the configuration service.
 const WATCHERS_PER_DATA_CENTRE: usize = 2;
 
@@ -53,12 +41,6 @@
     last_received: id::Time,
 }
 
-#[derive(Clone, Debug)]
-struct PoolState {
-    summary: Summary,
-    received: id::Time,
-}
-
 /// A node's view of the fleet: VM list, heartbeats and pool summaries.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -231,47 +213,6 @@
         index.ok().map(|index| self.peers[index].last_received)
     }
 
-    /// Stores newer summaries of pools.
-    ///
-    /// A summary older than [`REMOTE_TIMEOUT`] is replaced whatever the stamps are.
-    pub fn receive_summaries(&mut self, summaries: &[Summary], now: id::Time) {
-        for summary in summaries {
-            match self
-                .summaries
-                .binary_search_by_key(&summary.pool, |state| state.summary.pool)
-            {
-                Ok(index) => {
-                    let state = &mut self.summaries[index];
-                    let is_stale = now.saturating_sub(state.received) > REMOTE_TIMEOUT;
-                    if is_stale || summary.stamp > state.summary.stamp {
-                        *state = PoolState {
-                            summary: summary.clone(),
-                            received: now,
-                        };
-                    }
-                }
-                Err(index) => self.summaries.insert(
-                    index,
-                    PoolState {
-                        summary: summary.clone(),
-                        received: now,
-                    },
-                ),
-            }
-        }
-    }
-
-    /// Returns the last summary of a pool, unless it is older than [`REMOTE_TIMEOUT`].
-    #[must_use]
-    pub fn summary(&self, pool: id::Pool, now: id::Time) -> Option<&Summary> {
-        let index = self
-            .summaries
-            .binary_search_by_key(&pool, |state| state.summary.pool)
-            .ok()?;
-        let state = &self.summaries[index];
-        (now.saturating_sub(state.received) <= REMOTE_TIMEOUT).then_some(&state.summary)
-    }
-
     /// Returns whether a node is alive and not shutting down.
     #[must_use]
     pub fn is_live(&self, node: id::Node, now: id::Time) -> bool {
@@ -374,44 +315,6 @@
             .any(|&node| node == self.local_node)
     }
 
-    /// Counts one heartbeat and returns the peers to gossip with and the peer to probe.
-    ///
-    /// Gossip goes to random peers. Dead ones are included, so that a repaired connection is
-    /// noticed. Gossip alone leaves a long tail of late heartbeats, so the live peer that has been
-    /// silent longest is probed and answers with its own. On average one node of a data centre
-    /// sends to one node of each other data centre in a round.
-    pub fn start_gossip_round(
-        &mut self,
-        now: id::Time,
-        rng: &mut SmallRng,
-    ) -> (Vec<id::Node>, Option<id::Node>) {
-        self.heartbeat_count += 1;
-        let local: Vec<id::Node> = self.others_in(&self.data_centre).collect();
-        let mut targets: Vec<id::Node> =
-            local.choose_multiple(rng, GOSSIP_FANOUT).copied().collect();
-        let live_local = self.live_nodes(&self.data_centre).len().max(1);
-        for data_centre in self.other_data_centres() {
-            if rng.random_ratio(1, live_local as u32) {
-                let remote: Vec<id::Node> = self.others_in(&data_centre).collect();
-                targets.extend(remote.choose(rng));
-            }
-        }
-        let probed = self
-            .longest_silent(now)
-            .filter(|node| !targets.contains(node));
-        (targets, probed)
-    }
-
-    /// Returns the live peer of this data centre that has been silent longest, if it is overdue.
-    fn longest_silent(&self, now: id::Time) -> Option<id::Node> {
-        let is_overdue = |peer: &&Peer| now.saturating_sub(peer.last_received) > PROBE_AFTER;
-        let is_local = |peer: &&Peer| self.live_nodes(&self.data_centre).contains(&peer.beat.node);
-        let overdue = self.peers.iter().filter(is_overdue).filter(is_local);
-        overdue
-            .min_by_key(|peer| peer.last_received)
-            .map(|peer| peer.beat.node)
-    }
-
     fn others_in<'a>(&'a self, data_centre: &'a str) -> impl Iterator<Item = id::Node> + 'a {
         self.others()
             .filter(move |member| member.place == data_centre)
@@ -423,71 +326,6 @@
             .iter()
             .filter(|member| member.node != self.local_node)
     }
-
-    fn other_data_centres(&self) -> Vec<String> {
-        let mut data_centres: Vec<String> = self
-            .others()
-            .filter(|member| member.place != self.data_centre)
-            .map(|member| member.place.clone())
-            .collect();
-        data_centres.sort_unstable();
-        data_centres.dedup();
-        data_centres
-    }
-
-    /// Returns the heartbeats to send to peers, this node's own first.
-    #[must_use]
-    pub fn heartbeats(&self) -> Vec<Beat> {
-        let mut beats = vec![Beat {
-            node: self.local_node,
-            incarnation: self.incarnation,
-            counter: self.heartbeat_count,
-            leaving: self.leaving,
-        }];
-        let mut newest: Vec<&Peer> = self.peers.iter().collect();
-        newest.sort_by_key(|peer| std::cmp::Reverse(peer.last_received));
-        let is_local = |peer: &Peer| {
-            self.member(peer.beat.node)
-                .is_some_and(|member| member.place == self.data_centre)
-        };
-        let local = newest
-            .iter()
-            .filter(|peer| is_local(peer))
-            .take(MAX_LOCAL_HEARTBEATS);
-        let remote = newest
-            .iter()
-            .filter(|peer| !is_local(peer))
-            .take(MAX_REMOTE_HEARTBEATS);
-        beats.extend(local.chain(remote).map(|peer| peer.beat.clone()));
-        beats
-    }
-
-    /// Returns the newest pool summaries of this data centre to send to peers.
-    #[must_use]
-    pub fn summaries(&self, snapshot: &Snapshot, now: id::Time) -> Vec<Summary> {
-        let mut newest: Vec<&PoolState> = self
-            .summaries
-            .iter()
-            .filter(|state| now.saturating_sub(state.received) < LOCAL_TIMEOUT)
-            .filter(|state| {
-                snapshot
-                    .pool(state.summary.pool)
-                    .is_some_and(|pool| pool.place == self.data_centre)
-            })
-            .collect();
-        newest.sort_by_key(|state| std::cmp::Reverse(state.received));
-        newest
-            .into_iter()
-            .take(MAX_SUMMARIES)
-            .map(|state| state.summary.clone())
-            .collect()
-    }
-
-    /// Removes the summaries of pools that the configuration no longer contains.
-    pub fn remove_unconfigured_pools(&mut self, snapshot: &Snapshot) {
-        self.summaries
-            .retain(|state| snapshot.pool(state.summary.pool).is_some());
-    }
 }
 
 /// Adds a node to the sorted list of live nodes by data centre.
