--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -9,15 +9,22 @@
 //! Nodes discover each other by the seeds in their settings and by the members that heartbeats
 //! list. No node waits for another: a node without known peers acts alone.
 
+mod broadcast;
+mod peer;
 mod receive;
 mod send;
+mod size;
+mod status;
 
-use std::{cmp::Ordering, time::Duration};
+pub use broadcast::Broadcast;
+pub use status::Status;
 
-use peridotdeck_wire::beat;
+use std::time::Duration;
+
+use peer::Peer;
 use send::round_time;
 
-use super::{DataCentre, Key, Node, Prefix, endpoint::Load, registry::Position};
+use super::{DataCentre, Key, Node, Prefix, endpoint::Load};
 use crate::{id::Time, rendezvous};
 
 /// Time without a heartbeat after which a peer in the same data centre counts as dead.
@@ -38,9 +45,6 @@
 /// Time without a sign of life after which a peer that is no seed is removed.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
-/// Time that a starting node needs to hear from the peers of its data centre.
-const DISCOVERY: Duration = Duration::from_millis(600);
-
 /// Rounds to each other data centre that carry an announcement, as heartbeats may be lost.
 const REMOTE_REPEATS: u32 = 2;
 
@@ -53,26 +57,6 @@
 /// Most announcements that wait for a heartbeat; beyond it the oldest are dropped.
 const MAX_ANNOUNCEMENTS: usize = 512;
 
-/// Another node, as known from its heartbeats, from other members or from the seeds.
-#[derive(Clone, Debug)]
-struct Peer {
-    node: Node,
-    data_centre: Option<DataCentre>,
-    incarnation: u64,
-    sequence: u64,
-    received: Option<Time>,
-    last_known: Time,
-    probed: Option<Time>,
-    leaving: bool,
-    loads: Vec<(Key, Load)>,
-    /// Endpoints that the peer could not reach, as it reported last.
-    unreached: Vec<Key>,
-    /// Whether the peer reached less than half of its endpoints.
-    cut_off: bool,
-    /// Time of that report.
-    reach_reported: Time,
-}
-
 /// Load that the nodes of another data centre reported together.
 #[derive(Clone, Debug)]
 struct Remote {
@@ -95,59 +79,6 @@
     remote_left: u32,
 }
 
-/// A heartbeat and the peers that receive it.
-#[derive(Clone, Debug)]
-pub struct Broadcast {
-    /// Peers that receive the heartbeat.
-    pub receivers: Vec<Node>,
-    /// The heartbeat.
-    pub beat: beat::Beat,
-}
-
-impl Broadcast {
-    /// Creates a heartbeat for one peer.
-    #[must_use]
-    pub fn to(node: Node, beat: beat::Beat) -> Self {
-        Self {
-            receivers: vec![node],
-            beat,
-        }
-    }
-}
-
-/// State that a node reports in its heartbeats.
-#[derive(Clone, Debug, Default)]
-pub struct Status {
-    /// Position of the last change of the configuration.
-    pub policy: Position,
-    /// Position of the last change of the endpoint list.
-    pub roster: Position,
-    /// Version of the configuration in force; 0 without one.
-    pub version: u64,
-    /// This node's load at each endpoint where it has any, sorted by key.
-    pub loads: Vec<(Key, Load)>,
-    /// Health of endpoints as this node has observed it.
-    pub health: Vec<beat::Health>,
-    /// Crashes attributed to requests or parts of prompts.
-    pub strikes: Vec<beat::Strike>,
-    /// Proofs that clear parts of prompts.
-    pub proofs: Vec<beat::Proof>,
-    /// Endpoints whose departure has become known recently.
-    pub departures: Vec<Key>,
-    /// Rates that endpoints name, or no longer name.
-    pub rates: Vec<beat::Rate>,
-    /// Whether endpoints of several software versions of one service were listed lately.
-    pub mixed: bool,
-    /// Time for which all versions have been known to this node, or to one that it has heard from.
-    pub history: Duration,
-    /// Endpoints to which this node cannot open connections, up to the number that is listed.
-    pub unreached: Vec<Key>,
-    /// Whether this node can open connections to less than half of its endpoints.
-    pub cut_off: bool,
-    /// Endpoints that want no requests over the path of a node for a while.
-    pub pauses: Vec<beat::Pause>,
-}
-
 /// Changes that a received heartbeat leads to.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Changes {
@@ -315,74 +246,12 @@
             .any(|&node| node == u32::from(self.me))
     }
 
-    /// Returns whether this node may be cut off from other live nodes of its data centre.
-    ///
-    /// Those might then make the same decisions without knowing of this node. It is assumed below
-    /// half of the recent size of the data centre, and shortly after the start.
-    #[must_use]
-    pub fn is_isolated(&self, now: Time) -> bool {
-        let here = self.live_nodes(self.data_centre, now).len();
-        2 * here < self.recent_local_size() || now.saturating_sub(self.started) < DISCOVERY
-    }
-
-    /// Returns the fraction that this node's part of its data centre may spend of what belongs to
-    /// the whole data centre.
-    ///
-    /// Other parts may be cut off and spend at the same time. A majority spends everything, a half
-    /// spends a half. All minorities together spend a tenth at most, a node that has just started
-    /// nothing, and one that has found none of its seeds a half.
-    #[must_use]
-    pub fn majority_fraction(&self, now: Time) -> f64 {
-        /// Fraction that minorities would spend if they were the whole data centre.
-        const MINORITY_FRACTION: f64 = 0.2;
-        if self.leaving || now.saturating_sub(self.started) < DISCOVERY {
-            return 0.0;
-        }
-        let was_heard = |peer: &Peer| peer.incarnation != 0;
-        if !self.seeds.is_empty() && !self.peers.iter().any(was_heard) {
-            return 0.5;
-        }
-        let here = self.live_nodes(self.data_centre, now).len();
-        let most = self.recent_local_size().max(here);
-        match (2 * here).cmp(&most) {
-            Ordering::Greater => 1.0,
-            Ordering::Equal => 0.5,
-            Ordering::Less => MINORITY_FRACTION * here as f64 / most as f64,
-        }
-    }
-
-    /// Returns whether all nodes that this data centre had lately are in touch with this one.
-    #[must_use]
-    pub fn is_complete(&self, now: Time) -> bool {
-        self.live_nodes(self.data_centre, now).len() >= self.recent_local_size()
-    }
-
     /// Returns whether this node knows of no other node, not even as a seed.
     #[must_use]
     pub fn is_single(&self) -> bool {
         self.peers.is_empty()
     }
 
-    /// Returns the largest recent number of live nodes in this data centre.
-    fn recent_local_size(&self) -> usize {
-        let sizes = self.local_sizes.iter().map(|(_, size)| *size);
-        sizes.max().unwrap_or(1)
-    }
-
-    /// Returns the largest recent number of live nodes in the fleet.
-    ///
-    /// A node that has just started knows few peers and assumes at least two nodes in each data
-    /// centre.
-    #[must_use]
-    pub fn recent_size(&self, data_centres: usize, now: Time) -> usize {
-        let seen = self.sizes.iter().map(|(_, size)| *size).max().unwrap_or(1);
-        if now.saturating_sub(self.started) < STARTUP {
-            seen.max(2 * data_centres)
-        } else {
-            seen
-        }
-    }
-
     /// Returns the live nodes and their data centres, without this node.
     #[must_use]
     pub fn members(&self, now: Time) -> Vec<(Node, DataCentre)> {
@@ -457,21 +326,7 @@
         let index = match self.find_peer(node) {
             Ok(index) => index,
             Err(index) => {
-                let peer = Peer {
-                    node,
-                    data_centre,
-                    incarnation: 0,
-                    sequence: 0,
-                    received: None,
-                    last_known: now,
-                    probed: None,
-                    leaving: false,
-                    loads: Vec::new(),
-                    unreached: Vec::new(),
-                    cut_off: false,
-                    reach_reported: Time::ZERO,
-                };
-                self.peers.insert(index, peer);
+                self.peers.insert(index, Peer::new(node, data_centre, now));
                 index
             }
         };
