An entry whose numbers cannot be calculated with names no endpoint

What callers saw: another writer's entry with a number too large ended the task that reads the endpoints, so the node followed nothing any more; a peer that fetched the list from it lost the same task's result; after a restart it happened again.

Cause: numbers were taken into the domain types as they came. A cold time of 1.84e22 ms is a valid `Duration`, and `now + cold` panics; so do the sum of two weights, the transfer time of a model whose bytes for each token are infinite, and a deadline after the longest timeout.

Change: `Endpoint::check` says whether an entry can describe an endpoint (id, names, address, slots, start, cold time). `Config::indexed`, through which every configuration comes into force, replaces numbers that are too large by the largest usable ones, and a time limit of zero by the usual one. The time left of a missing entry and the rate that an endpoint names are bounded where they enter; loads are added up to the largest number.

Before, of `odd_facts`: `endpoint_with_odd_numbers_is_out_until_it_is_sound` "overflow when adding durations", `largest_numbers_of_a_configuration_are_bounded` "attempt to add with overflow", `rate_of_an_endpoint_is_bounded` an infinite rate, `odd_endpoints_are_none_and_harm_none` and `snapshot_with_odd_endpoints_is_adopted_without_them` used the odd endpoint. All pass now; `sound_numbers_stay_as_they_are` and `any_endpoints_are_survived` passed before and pass now.

--- a/crates/peridotdeck-core/src/dispatch/config.rs
+++ b/crates/peridotdeck-core/src/dispatch/config.rs
@@ -5,6 +5,11 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
+/// Longest time that the configuration or an endpoint may state.
+///
+/// Sums and small multiples of it stay far below what a clock counts.
+pub const MAX_TIME: Duration = Duration::from_secs(7 * 24 * 60 * 60);
+
 /// Least urgent rank that an endpoint distinguishes; the most urgent is 0.
 pub const LAST_RANK: u8 = 9;
 
@@ -145,8 +150,17 @@
 
 impl Config {
     /// Returns the configuration with its tables sorted for lookups.
+    ///
+    /// Numbers that are too large to calculate with are replaced by the largest usable ones.
     #[must_use]
     pub fn indexed(mut self) -> Self {
+        for route in &mut self.routes {
+            Arc::make_mut(route).bound();
+        }
+        for service in &mut self.services {
+            service.bound();
+        }
+        self.limits.bound();
         self.routes
             .sort_by(|one, other| (&one.host, &one.prefix).cmp(&(&other.host, &other.prefix)));
         self.services
@@ -237,7 +251,69 @@
     }
 }
 
+impl Service {
+    /// Replaces numbers that are too large to calculate with.
+    fn bound(&mut self) {
+        /// Largest rate in requests per second.
+        const MAX_RATE: f64 = 1e6;
+        self.cold = self.cold.min(MAX_TIME);
+        self.cold_rate = bounded(self.cold_rate, MAX_RATE);
+        if let Some(model) = &mut self.model {
+            model.bound();
+        }
+    }
+}
+
+impl Model {
+    /// Replaces numbers that are too large to calculate with.
+    fn bound(&mut self) {
+        /// Largest number of bytes for each token, and largest bandwidth in Mbit/s.
+        const MAX: f64 = 1e9;
+        self.token_bytes = bounded(self.token_bytes, MAX);
+        self.link_mbps = bounded(self.link_mbps, MAX);
+    }
+}
+
+impl Limits {
+    /// Replaces times that are too long to calculate with, and those in which nothing can arrive.
+    fn bound(&mut self) {
+        let usual = Self::default();
+        for (time, usual) in [
+            (&mut self.head_time, usual.head_time),
+            (&mut self.idle_time, usual.idle_time),
+        ] {
+            *time = if time.is_zero() {
+                usual
+            } else {
+                (*time).min(MAX_TIME)
+            };
+        }
+    }
+}
+
+/// Returns a number between zero and `most`; what is no number becomes zero.
+fn bounded(number: f64, most: f64) -> f64 {
+    if number.is_nan() {
+        0.0
+    } else {
+        number.clamp(0.0, most)
+    }
+}
+
 impl Route {
+    /// Replaces numbers that are too large to calculate with, and a pause that is none.
+    fn bound(&mut self) {
+        /// Shortest target for the pause between two events.
+        const MIN_GAP: Duration = Duration::from_millis(1);
+        self.timeout = self.timeout.min(MAX_TIME);
+        self.target = self.target.min(MAX_TIME);
+        self.gap = self.gap.map(|gap| gap.clamp(MIN_GAP, MAX_TIME));
+        let shares = u32::try_from(self.split.len()).unwrap_or(u32::MAX).max(1);
+        for share in &mut self.split {
+            share.weight = share.weight.min(u32::MAX / shares);
+        }
+    }
+
     /// Returns whether a request that may have run at one endpoint may run at another.
     #[must_use]
     pub fn is_repeatable(&self) -> bool {
--- a/crates/peridotdeck-core/src/dispatch/endpoint.rs
+++ b/crates/peridotdeck-core/src/dispatch/endpoint.rs
@@ -29,11 +29,11 @@
 }
 
 impl Load {
-    /// Adds another load.
+    /// Adds another load, up to the largest number.
     pub fn add(&mut self, other: Self) {
-        self.running += other.running;
-        self.unread += other.unread;
-        self.urgent += other.urgent;
+        self.running = self.running.saturating_add(other.running);
+        self.unread = self.unread.saturating_add(other.unread);
+        self.urgent = self.urgent.saturating_add(other.urgent);
     }
 
     /// Subtracts another load, down to zero.
--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -222,7 +222,7 @@
     fn estimate_plain(&self, state: &State) -> Estimate {
         let load = state.load();
         let slots = f64::from(state.info.slots.max(1));
-        let batches = (f64::from(load.running + 1) / slots).max(1.0);
+        let batches = (f64::from(load.running.saturating_add(1)) / slots).max(1.0);
         let first_ms = self.round_trip_ms(state) + self.plain_ms * batches * self.slowdown(state);
         // Spreads requests over equal endpoints before their queues grow.
         let score = self.plain_ms * f64::from(load.running) / slots;
@@ -259,7 +259,7 @@
             f64::from(load.unread)
         };
         let prefill_ms = f64::from(unread) / PREFILL_TOKENS_PER_MS;
-        let excess = f64::from((load.running + 1).saturating_sub(model.slots));
+        let excess = f64::from(load.running.saturating_add(1).saturating_sub(model.slots));
         let queueing_ms = self.whole_answer_ms * excess / f64::from(model.slots.max(1));
         let first_ms = FIRST_TOKEN_MS + queueing_ms + ahead / PREFILL_TOKENS_PER_MS + prefill_ms;
         let first_ms = self.round_trip_ms(state) + fetch_ms + first_ms * self.slowdown(state);
@@ -319,7 +319,8 @@
     ///
     /// The most cached tokens decide, then a location in the same data centre, then the least load.
     fn find_source(&self, state: &State, flight: &Flight, cached: u32) -> Option<(Key, u32)> {
-        if self.most_cached.read < cached + MIN_FETCH_TOKENS {
+        let least = cached.saturating_add(MIN_FETCH_TOKENS);
+        if self.most_cached.read < least {
             return None;
         }
         let others = self
@@ -327,9 +328,7 @@
             .iter()
             .map(|&index| (&self.states[index], &self.cached[index]));
         others
-            .filter(|(other, held)| {
-                held.read >= cached + MIN_FETCH_TOKENS && Self::may_fetch(state, other, flight)
-            })
+            .filter(|(other, held)| held.read >= least && Self::may_fetch(state, other, flight))
             .max_by_key(|(other, held)| {
                 let near = other.info.data_centre == state.info.data_centre;
                 (held.read, near, Reverse(other.load().unread), other.key)
--- a/crates/peridotdeck-core/src/dispatch/rate/table.rs
+++ b/crates/peridotdeck-core/src/dispatch/rate/table.rs
@@ -243,7 +243,9 @@
     }
 }
 
-/// Returns a rate in the precision of reports, so that a peer's report of it is no change.
+/// Returns a rate in the precision and range of reports, so that a peer's report of it is no change.
 fn rounded(rate: f64) -> f64 {
-    (rate * 1e3).round() / 1e3
+    /// Largest number of requests in a thousand seconds that a report holds.
+    const MAX_MILLIS: f64 = u32::MAX as f64;
+    (rate * 1e3).round().min(MAX_MILLIS) / 1e3
 }
--- a/crates/peridotdeck-core/src/dispatch/registry.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry.rs
@@ -11,7 +11,8 @@
 //! A publisher that is restored from a copy has forgotten its latest changes. What this node knew
 //! of them stays in force for a while (`restoration`), since it is published again soon.
 
-mod endpoint;
+pub mod endpoint;
+pub mod name;
 mod policy;
 mod position;
 mod report;
@@ -201,7 +202,7 @@
             // An entry that this node has removed, or already expects back by then, stays as it is.
             let is_missing = self.missing.iter().any(|(missing, _)| *missing == id);
             if !is_missing && self.find(&id).is_ok() {
-                self.missing.push((id, now + left));
+                self.missing.push((id, now + left.min(MISSING_GRACE)));
             }
         }
         let read = progress.read.max(known.read);
@@ -292,6 +293,7 @@
         grace_until: Option<Time>,
         now: Time,
     ) -> Change {
+        let facts = facts.into_iter().filter_map(Fact::checked).collect();
         let mut change = Change::default();
         match area {
             Area::Policy => self.apply_policy(facts, whole, now, &mut change),
--- a/crates/peridotdeck-core/src/dispatch/registry/endpoint.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry/endpoint.rs
@@ -2,9 +2,40 @@
 
 use std::{net::SocketAddrV4, time::Duration};
 
+use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
-use crate::dispatch::{Key, Software, key, software};
+use super::name;
+use crate::dispatch::{Key, Software, config::MAX_TIME, key, software};
+
+/// Largest number of requests that an endpoint may claim to run concurrently.
+const MAX_SLOTS: u32 = 1 << 20;
+
+/// Latest start time in Unix milliseconds, the end of the year 9999.
+const MAX_BORN: u64 = 253_402_300_799_999;
+
+quick_error! {
+    /// Why an entry names no endpoint to use.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum Error {
+        /// The id cannot be sent in a header, or is too long.
+        Id {
+            display("id is empty, too long or not of visible ASCII characters")
+        }
+        /// A name is empty, too long or has control characters.
+        Name(field: &'static str) {
+            display("{field} is empty, too long or has control characters")
+        }
+        /// No connection can be opened to the address.
+        Address(address: SocketAddrV4) {
+            display("address {address} is not that of one server")
+        }
+        /// A number is larger than any endpoint's.
+        Number(field: &'static str) {
+            display("{field} is too large")
+        }
+    }
+}
 
 /// Location and state of an endpoint, as it announces them itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,6 +62,39 @@
 }
 
 impl Endpoint {
+    /// Checks that the entry can describe an endpoint, whoever wrote it.
+    ///
+    /// # Errors
+    /// Returns the first reason why it cannot.
+    pub fn check(&self) -> Result<(), Error> {
+        if !name::is_id(&self.id) {
+            return Err(Error::Id);
+        }
+        let ip = self.address.ip();
+        if self.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() || ip.is_broadcast()
+        {
+            return Err(Error::Address(self.address));
+        }
+        let fields = [
+            (name::is_valid(&self.service), Error::Name("service")),
+            (
+                name::is_valid(&self.data_centre),
+                Error::Name("data centre"),
+            ),
+            (
+                self.version.is_empty() || name::is_valid(&self.version),
+                Error::Name("version"),
+            ),
+            (self.slots <= MAX_SLOTS, Error::Number("slots")),
+            (self.born <= MAX_BORN, Error::Number("start time")),
+            (self.cold <= MAX_TIME, Error::Number("cold time")),
+        ];
+        match fields.into_iter().find(|(is_valid, _)| !is_valid) {
+            Some((_, error)) => Err(error),
+            None => Ok(()),
+        }
+    }
+
     /// Returns the digest of the id and the start time.
     #[must_use]
     pub fn key(&self) -> Key {
--- a/crates/peridotdeck-core/src/dispatch/registry/report.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry/report.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
-use super::{Endpoint, Position};
+use super::{Endpoint, Position, name};
 use crate::dispatch::config::Config;
 
 /// Kind of published data, with a revision of its own.
@@ -32,6 +32,18 @@
 }
 
 impl Fact {
+    /// Returns what is to be applied of a fact, whoever published it.
+    ///
+    /// An entry that cannot describe an endpoint names none. A name that no data centre can have is
+    /// no fact.
+    pub(super) fn checked(self) -> Option<Self> {
+        match self {
+            Self::Endpoint(endpoint) if endpoint.check().is_err() => Some(Self::Gone(endpoint.id)),
+            Self::Closed(name) | Self::Opened(name) if !name::is_valid(&name) => None,
+            fact => Some(fact),
+        }
+    }
+
     /// Returns the id of the endpoint that the fact lists, if any.
     pub(super) fn listed(&self) -> Option<&str> {
         match self {
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod membership;
 mod named_rates;
 mod numbering;
+mod odd_facts;
 mod overload_waits;
 mod poison;
 mod preemption;
