Bound what heartbeats of peers state before it is summed or counted

What callers would see: a node that stands still, or runs out of memory, at a heartbeat with a demand or a grant of 4,294,967,295 requests; loads of a peer that stay for good after it has reported others, so that an endpoint is taken for busy.

Cause: counts of a heartbeat were used as they came: places were granted one by one in a loop over the count, demands were served one by one while the level lasted, and held places and loads were summed without a bound. Reported loads were taken for sorted and distinct, and for those of the stated range.

Change: a demand counts for as many requests as a node asks for at most, a message grants at most 256 places, sums stop at the largest number, and loads are sorted, cut to their range and counted once for each endpoint. The messages stay as they are.

Before, of `odd_messages`: `odd_loads_are_summed_and_end` and `held_places_without_end_are_summed` "attempt to add with overflow"; `demands_and_grants_without_end_are_bounded` and `any_heartbeats_are_survived` had not ended after 60 s. All four pass now.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/places.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/places.rs
@@ -64,7 +64,7 @@
         let Some(entry) = self.rates.brittle_mut(key) else {
             return;
         };
-        let held = running + entry.places.unused(now);
+        let held = running.saturating_add(entry.places.unused(now));
         let rejected = std::mem::take(&mut entry.rejected);
         let seen = entry.seen;
         entry.room.report(me, held, seen, rejected, now);
@@ -107,7 +107,7 @@
             return None;
         }
         let entry = self.rates.brittle_mut(key)?;
-        let held = running + entry.places.unused(now);
+        let held = running.saturating_add(entry.places.unused(now));
         let demand = entry.places.take_demand(now);
         let is_early = |at: Time| now.saturating_sub(at) < REPORT_INTERVAL;
         let last = entry.reported;
--- a/crates/peridotdeck-core/src/dispatch/fleet/receive.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/receive.rs
@@ -58,7 +58,7 @@
             // The heartbeat only lists members.
             return;
         }
-        let reported: Vec<(Key, Load)> = beat.loads.iter().map(load).collect();
+        let reported = loads_in_range(beat);
         let loads = if beat.place == self.data_centre {
             &mut self.peers[index].loads
         } else {
@@ -136,6 +136,16 @@
         .copied()
 }
 
+/// Returns the loads in a heartbeat's range, sorted by key.
+fn loads_in_range(beat: &beat::Beat) -> Vec<(Key, Load)> {
+    let range = beat.first..=beat.last;
+    let loads = beat.loads.iter().map(load);
+    let mut loads: Vec<(Key, Load)> = loads.filter(|(key, _)| range.contains(key)).collect();
+    loads.sort_unstable_by_key(|(key, _)| *key);
+    loads.dedup_by_key(|(key, _)| *key);
+    loads
+}
+
 fn load(reported: &beat::Load) -> (Key, Load) {
     let load = Load {
         running: reported.running,
--- a/crates/peridotdeck-core/src/dispatch/rate/allowance.rs
+++ b/crates/peridotdeck-core/src/dispatch/rate/allowance.rs
@@ -20,7 +20,7 @@
 const RESERVATION: Duration = Duration::from_millis(250);
 
 /// Most requests that one demand asks for.
-const MAX_DEMAND: u32 = 16;
+pub(super) const MAX_DEMAND: u32 = 16;
 
 /// Most sent requests that are remembered for the reported use.
 const MAX_SENT: usize = 256;
--- a/crates/peridotdeck-core/src/dispatch/rate/ledger.rs
+++ b/crates/peridotdeck-core/src/dispatch/rate/ledger.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use super::{Demand, USE_WINDOW, allowance::per_second};
+use super::{
+    Demand, USE_WINDOW,
+    allowance::{MAX_DEMAND, per_second},
+};
 use crate::{dispatch::Node, id::Time};
 
 /// Fraction of a rate that is granted; the rest covers grants that are spent late.
@@ -51,6 +54,10 @@
 impl Ledger {
     /// Records or renews a node's demand.
     pub fn demand(&mut self, node: Node, demand: Demand, now: Time) {
+        let demand = Demand {
+            count: demand.count.min(MAX_DEMAND),
+            ..demand
+        };
         let is_over =
             |(rank, at): (u8, Time)| demand.rank <= rank || now.saturating_sub(at) >= URGENT_MEMORY;
         if self.urgent.is_none_or(is_over) {
--- a/crates/peridotdeck-core/src/dispatch/rate/places.rs
+++ b/crates/peridotdeck-core/src/dispatch/rate/places.rs
@@ -19,6 +19,9 @@
 /// node that is cut off from the owner soon holds none.
 const LEASE: Duration = Duration::from_secs(1);
 
+/// Most places that one message grants.
+const MAX_GRANT: u32 = 256;
+
 /// Places of this node at one endpoint, and its demand for more.
 #[derive(Clone, Debug, Default)]
 pub struct Places {
@@ -31,7 +34,7 @@
     /// Adds granted places.
     pub fn deposit(&mut self, count: u32, now: Time) {
         self.expire(now);
-        for _ in 0..count {
+        for _ in 0..count.min(MAX_GRANT) {
             self.unused.deposit_until(now + GRANT_LIFETIME, now);
             self.leases.push(now + LEASE);
         }
--- a/crates/peridotdeck-core/src/dispatch/rate/room.rs
+++ b/crates/peridotdeck-core/src/dispatch/rate/room.rs
@@ -43,7 +43,7 @@
 
 impl Holder {
     fn count(&self) -> u32 {
-        self.held + self.granted.len() as u32
+        self.held.saturating_add(self.granted.len() as u32)
     }
 
     /// Forgets the grants up to the one that the node has received, and those that were lost.
@@ -144,7 +144,8 @@
     /// Returns the number of places that are held or granted.
     #[must_use]
     pub fn held(&self) -> u32 {
-        self.holders.iter().map(Holder::count).sum()
+        let counts = self.holders.iter().map(Holder::count);
+        counts.fold(0, u32::saturating_add)
     }
 
     /// Returns the number of places that the endpoint is believed to have.
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod named_rates;
 mod numbering;
 mod odd_facts;
+mod odd_messages;
 mod overload_waits;
 mod poison;
 mod preemption;
