Write each record of the log as one line of bounded length

What operators saw: nothing so far. A name that another writer chose (a data centre in a key of the operators, a version, a route) went into the log as it was, so a line break in it forged a record, and a long one displaced all others of that second.

Change: the logger of a node escapes control characters and cuts a record after 4 KiB.

--- a/crates/peridotdeck-relay/src/logging.rs
+++ b/crates/peridotdeck-relay/src/logging.rs
@@ -6,6 +6,7 @@
 //! the events.
 
 use std::{
+    fmt::{self, Write as _},
     io::{self, Write},
     sync::{Arc, Condvar, Mutex, PoisonError},
     thread,
@@ -18,6 +19,9 @@
 /// Most lines that are accepted in a second.
 const MAX_LINES_PER_SECOND: u32 = 500;
 
+/// Longest line in bytes; what other programs publish may be longer.
+const MAX_LINE_BYTES: usize = 4 << 10;
+
 /// Time for which lines are collected before they are written together.
 const FLUSH_DELAY: Duration = Duration::from_millis(20);
 
@@ -93,6 +97,45 @@
     }
 }
 
+/// A record as a single line of bounded length.
+///
+/// Other programs choose the names that are logged. A line break in one would forge a record.
+#[derive(Clone, Copy, Debug)]
+pub struct Line<'a>(pub fmt::Arguments<'a>);
+
+impl fmt::Display for Line<'_> {
+    fn fmt(&self, text: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let left = MAX_LINE_BYTES;
+        Escape { text, left }.write_fmt(self.0)
+    }
+}
+
+/// Writer that escapes control characters and drops what exceeds the longest line.
+struct Escape<'a, 'b> {
+    text: &'a mut fmt::Formatter<'b>,
+    /// Bytes that may still follow.
+    left: usize,
+}
+
+impl fmt::Write for Escape<'_, '_> {
+    fn write_str(&mut self, part: &str) -> fmt::Result {
+        let mut end = part.len().min(self.left);
+        while !part.is_char_boundary(end) {
+            end -= 1;
+        }
+        self.left -= end;
+        for piece in part[..end].split_inclusive(char::is_control) {
+            let plain = piece.trim_end_matches(char::is_control);
+            self.text.write_str(plain)?;
+            write!(self.text, "{}", piece[plain.len()..].escape_debug())?;
+        }
+        if end < part.len() {
+            self.left = 0;
+        }
+        Ok(())
+    }
+}
+
 /// Writes buffered lines to the output for as long as the process runs.
 fn write_buffered(shared: &(Mutex<Buffer>, Condvar), mut output: impl Write) {
     let (mutex, ready) = shared;
@@ -130,7 +173,7 @@
                 line,
                 "ts={} level={level} {}",
                 line.timestamp_millis(),
-                record.args()
+                Line(*record.args())
             )
         })
         .init();
