--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -16,6 +16,8 @@
 mod membership;
 mod named_rates;
 mod numbering;
+mod odd_facts;
+mod odd_messages;
 mod older_bytes;
 mod out_of_step;
 mod overload_waits;
