Give the thread back while bytes come without end, and bound what precedes a head

Cause: HTTP libraries read for as long as bytes are ready. hyper drops an interim head and reads on in the same loop, with a bound on each head but none on their number, and the node's only thread never returns to other tasks and timers. async-h1 on the own interface reads a line without end into memory, and its chunk decoder loops in the same way.

Change: a new crate, peridotdeck-io, with a wrapper around connections for both HTTP libraries: after 64 KB in a row a read gives the thread back, and more than a bound before the end of a head is an error. Tunnels between nodes give the thread back as well.

No test was weakened.

--- a/crates/peridotdeck-http/src/client.rs
+++ b/crates/peridotdeck-http/src/client.rs
@@ -11,11 +11,15 @@
     Request, Response, StatusCode, Url,
     headers::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
+use peridotdeck_io::Bounded;
 use quick_error::quick_error;
 
 /// Timeout for opening a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Largest number of bytes that are read before the head of a response is complete.
+const MAX_BYTES_TO_HEAD: usize = 64 << 10;
+
 quick_error! {
     /// Why a request got no response head.
     #[derive(Debug)]
@@ -65,8 +69,14 @@
     request: Request,
     response_timeout: Duration,
 ) -> Result<Response, Error> {
+    let stream = Bounded::new(stream, MAX_BYTES_TO_HEAD);
+    let head = stream.head();
+    head.expect();
     match timeout(response_timeout, async_h1::connect(stream, request)).await {
-        Ok(Ok(response)) => Ok(response),
+        Ok(Ok(response)) => {
+            head.complete();
+            Ok(response)
+        }
         Ok(Err(cause)) => Err(Error::Broken(cause.to_string())),
         Err(_) => Err(Error::TimedOut),
     }
--- a/crates/peridotdeck-http/src/server.rs
+++ b/crates/peridotdeck-http/src/server.rs
@@ -18,10 +18,16 @@
 };
 use futures_lite::future::or;
 use http_types::{Request, Response, Result};
+use peridotdeck_io::Bounded;
 
 /// Status and message for a request head that is not HTTP, is too long or has too many headers.
 const MALFORMED_HEAD: (&str, &str) = ("400 Bad Request", "unreadable request head");
 
+/// Largest number of bytes that are read before a request's head is complete.
+///
+/// `async-h1` checks its own limit only at the end of each line.
+const MAX_BYTES_TO_HEAD: usize = 64 << 10;
+
 /// Status and message for a request head that does not arrive in time.
 const SLOW_HEAD: (&str, &str) = ("408 Request Timeout", "request head took too long");
 
@@ -186,13 +192,17 @@
     stream.set_nodelay(true)?;
     let connection = Connection(stream.clone());
     let begun = AtomicBool::new(false);
+    let bounded = Bounded::new(stream.clone(), MAX_BYTES_TO_HEAD);
+    let head = bounded.head();
     let answer = |mut request: Request| {
+        head.complete();
         begun.store(true, Ordering::SeqCst);
         request.ext_mut().insert(connection.clone());
         respond(request)
     };
-    let mut server = async_h1::server::Server::new(stream.clone(), answer);
+    let mut server = async_h1::server::Server::new(bounded, answer);
     loop {
+        head.expect();
         begun.store(false, Ordering::SeqCst);
         let slow_head = async {
             task::sleep(limits.head_timeout).await;
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -143,10 +143,11 @@
     let headers = shared
         .ingress
         .forward_headers(&message.head, flight, assignment, left, resume);
-    let answer = connection.sender.send_request(message.to_request(headers));
+    let answer = connection.send(message.to_request(headers));
     let answer = timeout(flight.time_left(clock::now()), answer).await;
     let late = |_| Failure::new(End::TimedOut, "no answer before the deadline");
-    let response = answer.map_err(late)?.map_err(|cause| to_failure(&cause))?;
+    let answer = answer.map_err(late)?;
+    let response = answer.map_err(|cause| to_failure(&cause, connection.is_flooded()))?;
     let (head, body) = response.into_parts();
     let reply = shared.ingress.classify(&flight.id, &head);
     if reply == Reply::Foreign {
@@ -175,10 +176,13 @@
 
 /// Returns the failure that an error of hyper stands for.
 ///
-/// A cancelled request never left this process; any other one may have reached the endpoint.
-fn to_failure(cause: &hyper::Error) -> Failure {
+/// A cancelled request never left this process; any other one may have reached the endpoint. A flooded
+/// connection got more bytes than the head of an answer has.
+fn to_failure(cause: &hyper::Error, is_flooded: bool) -> Failure {
     if cause.is_canceled() {
         Failure::new(End::Unsent, cause)
+    } else if is_flooded {
+        Failure::new(End::Garbled, "head without end")
     } else if cause.is_parse() {
         Failure::new(End::Garbled, cause)
     } else {
--- a/crates/peridotdeck-relay/src/fetch.rs
+++ b/crates/peridotdeck-relay/src/fetch.rs
@@ -74,10 +74,7 @@
         path: &str,
         time_limit: Duration,
     ) -> Result<Response<Bytes>, Error> {
-        let idle = self
-            .connection
-            .take()
-            .filter(|connection| connection.sender.is_ready());
+        let idle = self.connection.take().filter(Connection::is_ready);
         let exchange = async {
             let mut connection = match idle {
                 Some(connection) => connection,
@@ -87,7 +84,7 @@
                 .header(header::HOST, self.address.to_string())
                 .body(Full::new(Bytes::new()))
                 .map_err(|cause| Error::Invalid(cause.to_string()))?;
-            let (head, body) = connection.sender.send_request(request).await?.into_parts();
+            let (head, body) = connection.send(request).await?.into_parts();
             let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
             let body = body.map_err(|cause| Error::Invalid(cause.to_string()))?;
             Ok((connection, Response::from_parts(head, body.to_bytes())))
--- a/crates/peridotdeck-relay/src/pool.rs
+++ b/crates/peridotdeck-relay/src/pool.rs
@@ -20,7 +20,8 @@
 use futures_lite::future;
 use http_body_util::Full;
 use hyper::{
-    body::Bytes,
+    Request, Response,
+    body::{Bytes, Incoming},
     client::conn::http1::{self, SendRequest},
     rt::{Read, Write},
 };
@@ -28,6 +29,7 @@
     dispatch::{Key, Node},
     id::Time,
 };
+use peridotdeck_io::{Bounded, Head};
 use quick_error::quick_error;
 use smol_hyper::rt::FuturesIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -65,6 +67,11 @@
 /// Largest buffer for the head of an answer, in bytes; a longer head is an error.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Largest number of bytes that are read before the head of an answer is complete.
+///
+/// Interim heads (1xx) come before it, and the first bytes of the body are read together with it.
+const MAX_BYTES_TO_HEAD: usize = 8 * MAX_HEAD_BYTES;
+
 quick_error! {
     /// Reason why a connection could not be opened; no request was sent.
     #[derive(Debug)]
@@ -127,13 +134,42 @@
 #[derive(Debug)]
 pub struct Connection {
     /// Sender of requests on this connection.
-    pub sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
+    head: Head,
     /// Peer through which the connection leads, if it is not over the own path.
     pub detour: Option<Node>,
     in_use: Arc<AtomicBool>,
     _close_on_drop: CloseOnDrop,
 }
 
+impl Connection {
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// If the connection breaks, or what comes is no head or too long for one.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, hyper::Error> {
+        self.head.expect();
+        let response = self.sender.send_request(request).await?;
+        self.head.complete();
+        Ok(response)
+    }
+
+    /// Returns whether the connection is open, as far as is known, and no request is in progress.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Returns whether more came before the end of an answer's head than is read.
+    #[must_use]
+    pub fn is_flooded(&self) -> bool {
+        self.head.is_exceeded()
+    }
+}
+
 /// An idle connection, and the times that limit its use.
 #[derive(Debug)]
 struct Idle {
@@ -175,7 +211,7 @@
         let idle = &mut table[index].1;
         idle.retain(|entry| entry.is_open(now));
         let usable = |entry: &Idle| {
-            entry.connection.sender.is_ready()
+            entry.connection.is_ready()
                 && entry.connection.detour == detour
                 && now.saturating_sub(entry.since) < max_idle
         };
@@ -259,15 +295,25 @@
     // Reset the connection on drop: an orderly close would go on sending undelivered data long
     // after the request was abandoned.
     SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))?;
-    Ok(handshake(FuturesIo::new(stream), None, on_broken).await?)
+    let stream = bounded(stream);
+    let head = stream.head();
+    Ok(handshake(FuturesIo::new(stream), head, None, on_broken).await?)
+}
+
+/// Bounds what is read from a connection in a row, and before the head of an answer.
+pub(crate) fn bounded(stream: Async<TcpStream>) -> Bounded<Async<TcpStream>> {
+    Bounded::new(stream, MAX_BYTES_TO_HEAD)
 }
 
 /// Sets up the HTTP client, and calls `on_broken` if the connection breaks while no request uses it.
 ///
+/// `head` bounds the heads of the answers.
+///
 /// # Errors
 /// If the client cannot be set up; no request was sent then.
 pub async fn handshake<T, F>(
     io: T,
+    head: Head,
     detour: Option<Node>,
     on_broken: F,
 ) -> Result<Connection, hyper::Error>
@@ -296,6 +342,7 @@
     });
     Ok(Connection {
         sender,
+        head,
         detour,
         in_use,
         _close_on_drop: CloseOnDrop { _sender: close },
--- a/crates/peridotdeck-relay/src/tunnel.rs
+++ b/crates/peridotdeck-relay/src/tunnel.rs
@@ -27,6 +27,7 @@
     upgrade::{self, OnUpgrade, Upgraded},
 };
 use peridotdeck_core::dispatch::{Key, Node, detour::Denial};
+use peridotdeck_io::{Head, TURN_BYTES};
 use quick_error::quick_error;
 use rustix::io::Errno;
 use smol_hyper::rt::FuturesIo;
@@ -84,24 +85,26 @@
 ) -> Result<Connection, pool::Error> {
     let observer = Arc::clone(shared);
     let open = async {
-        let upgraded = request_tunnel(shared, key, peer).await?;
+        let (upgraded, head) = request_tunnel(shared, key, peer).await?;
         let on_broken = move || observer.suspect(key);
-        Ok(pool::handshake(upgraded, Some(peer), on_broken).await?)
+        Ok(pool::handshake(upgraded, head, Some(peer), on_broken).await?)
     };
     timeout(OPEN_TIMEOUT, open)
         .await
         .unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut).into()))
 }
 
-/// Asks a peer to connect to an endpoint, and returns the bytes' way to and from it.
+/// Asks a peer to connect to an endpoint; returns the bytes' way to and from it, and its bound on heads.
 async fn request_tunnel<I: Ingress>(
     shared: &Shared<I>,
     key: Key,
     peer: Node,
-) -> Result<Upgraded, Error> {
+) -> Result<(Upgraded, Head), Error> {
     let address = SocketAddrV4::new(peer, shared.control_port);
     let stream = connect_from(shared.node, address).await?;
     SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))?;
+    let stream = pool::bounded(stream);
+    let head = stream.head();
     let (mut sender, driver) = http1::handshake(FuturesIo::new(stream)).await?;
     task::spawn(async move {
         if let Err(cause) = driver.with_upgrades().await {
@@ -116,9 +119,11 @@
     headers.insert(HOST, host);
     headers.insert(CONNECTION, HeaderValue::from_static("upgrade"));
     headers.insert(UPGRADE, PROTOCOL);
+    head.expect();
     let response = sender.send_request(request).await?;
+    head.complete();
     match response.status() {
-        StatusCode::SWITCHING_PROTOCOLS => Ok(upgrade::on(response).await?),
+        StatusCode::SWITCHING_PROTOCOLS => Ok((upgrade::on(response).await?, head)),
         status => Err(Error::Refused(status)),
     }
 }
@@ -293,17 +298,25 @@
 }
 
 /// Passes bytes on until the sender closes its connection in an orderly way.
+///
+/// The thread is given back now and then, also if both ends are always ready.
 async fn copy<R, W>(from: &mut R, to: &mut W) -> io::Result<()>
 where
     R: AsyncRead + Unpin,
     W: AsyncWrite + Unpin,
 {
     let mut buffer = vec![0; BUFFER_BYTES];
+    let mut turn = 0;
     loop {
         let length = from.read(&mut buffer).await?;
         if length == 0 {
             return Ok(());
         }
         to.write_all(&buffer[..length]).await?;
+        turn += length;
+        if turn >= TURN_BYTES {
+            turn = 0;
+            future::yield_now().await;
+        }
     }
 }
--- a/crates/peridotdeck-router/tests/testsuite/http_limits.rs
+++ b/crates/peridotdeck-router/tests/testsuite/http_limits.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 
-use async_std::task::block_on;
+use async_std::{io::WriteExt, net::TcpStream, task::block_on};
 
 use crate::cluster::{Cluster, chat_request, fast_engine, send, send_raw};
 
@@ -45,6 +45,26 @@
     });
 }
 
+/// Guards against a line without end, which filled the memory.
+///
+/// A client that sends 32 MB without the end of a line gets status 400 or a closed connection.
+#[test]
+fn endless_line() {
+    block_on(async {
+        let cluster = Cluster::start(&[fast_engine()], 1).await;
+        let mut stream = TcpStream::connect(cluster.address())
+            .await
+            .expect("listening");
+        let piece = vec![b'x'; 64 << 10];
+        let mut sent = 0;
+        while sent < 32 << 20 && stream.write_all(&piece).await.is_ok() {
+            sent += piece.len();
+        }
+        assert!(sent < 32 << 20, "the router read {sent} bytes");
+        assert_serves(&cluster).await;
+    });
+}
+
 /// A client that stops in the middle of the request line gets status 408.
 #[test]
 fn incomplete_head_times_out() {
