--- a/crates/peridotdeck-relay/src/tunnel.rs
+++ b/crates/peridotdeck-relay/src/tunnel.rs
@@ -34,6 +34,7 @@
     upgrade::{self, OnUpgrade, Upgraded},
 };
 use peridotdeck_core::dispatch::{Key, Node, detour::Denial};
+use peridotdeck_io::{Head, TURN_BYTES};
 use quick_error::quick_error;
 use rustix::io::Errno;
 use smol_hyper::rt::FuturesIo;
@@ -98,13 +99,13 @@
 ) -> Result<Connection, pool::Error> {
     let observer = Arc::clone(shared);
     let open = async {
-        let (upgraded, shows_end) = request_tunnel(shared, key, peer).await?;
+        let (upgraded, head, shows_end) = request_tunnel(shared, key, peer).await?;
         let path = Path {
             detour: Some(peer),
             shows_end,
         };
         let on_broken = move || observer.suspect(key);
-        Ok(pool::handshake(upgraded, path, on_broken).await?)
+        Ok(pool::handshake(upgraded, head, path, on_broken).await?)
     };
     timeout(OPEN_TIMEOUT, open)
         .await
@@ -113,15 +114,18 @@
 
 /// Asks a peer to connect to an endpoint.
 ///
-/// Returns the bytes' way to and from it, and whether its orderly end is the endpoint's.
+/// Returns the bytes' way to and from it, its bound on heads, and whether its orderly end is the
+/// endpoint's.
 async fn request_tunnel<I: Ingress>(
     shared: &Shared<I>,
     key: Key,
     peer: Node,
-) -> Result<(Upgraded, bool), Error> {
+) -> Result<(Upgraded, Head, bool), Error> {
     let address = SocketAddrV4::new(peer, shared.control_port);
     let stream = connect_from(shared.node, address).await?;
     SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))?;
+    let stream = pool::bounded(stream);
+    let head = stream.head();
     let (mut sender, driver) = http1::handshake(FuturesIo::new(stream)).await?;
     task::spawn(async move {
         if let Err(cause) = driver.with_upgrades().await {
@@ -136,10 +140,12 @@
     headers.insert(HOST, host);
     headers.insert(CONNECTION, HeaderValue::from_static("upgrade"));
     headers.insert(UPGRADE, OFFER);
+    head.expect();
     let response = sender.send_request(request).await?;
+    head.complete();
     let shows_end = names_protocol(response.headers());
     match response.status() {
-        StatusCode::SWITCHING_PROTOCOLS => Ok((upgrade::on(response).await?, shows_end)),
+        StatusCode::SWITCHING_PROTOCOLS => Ok((upgrade::on(response).await?, head, shows_end)),
         status => Err(Error::Refused(status)),
     }
 }
@@ -346,12 +352,15 @@
 }
 
 /// Passes bytes on, and counts them, until the sender closes its connection in an orderly way.
+///
+/// The thread is given back now and then, also if both ends are always ready.
 async fn copy<R, W>(from: &mut R, to: &mut W, passed: &AtomicU64) -> io::Result<()>
 where
     R: AsyncRead + Unpin,
     W: AsyncWrite + Unpin,
 {
     let mut buffer = vec![0; BUFFER_BYTES];
+    let mut turn = 0;
     loop {
         let length = from.read(&mut buffer).await?;
         if length == 0 {
@@ -359,5 +368,10 @@
         }
         to.write_all(&buffer[..length]).await?;
         passed.fetch_add(length as u64, Ordering::Relaxed);
+        turn += length;
+        if turn >= TURN_BYTES {
+            turn = 0;
+            future::yield_now().await;
+        }
     }
 }
