Refuse a call whose body ends before its length on the own interface

What callers saw: a caller that declared 100 bytes, sent 7 and closed its sending side got 200: an endpoint had run the part. Chat requests were refused by their JSON.

Cause: async-h1 does not check that as many bytes arrive as the length states (as for answers, which read_body of peridotdeck-http checks).

Change: such a body is a 400 (broken_body), as one in broken chunks is.

--- a/crates/peridotdeck-router/src/callers.rs
+++ b/crates/peridotdeck-router/src/callers.rs
@@ -146,9 +146,15 @@
     let limit = u64::from(settings.body_limit_kb) * 1_024;
     let body_timeout = Duration::from_millis(settings.body_timeout_ms.into());
     let connection = request.ext::<Connection>().cloned();
+    // `async-h1` does not check that as many bytes arrive as the length states.
+    let length = request.len();
     let mut body = Vec::new();
     let mut reader = request.take_body().take(limit + 1);
     let error = match timeout(body_timeout, reader.read_to_end(&mut body)).await {
+        Ok(Ok(read)) if length.is_some_and(|length| read < length && read as u64 <= limit) => {
+            let cause = "the connection ended before the body's length";
+            ApiError::new(400, "broken_body", cause)
+        }
         Ok(Ok(_)) if body.len() as u64 <= limit => return Ok(body),
         Ok(Ok(_)) => ApiError::new(
             413,
--- a/crates/peridotdeck-router/tests/testsuite/http_limits.rs
+++ b/crates/peridotdeck-router/tests/testsuite/http_limits.rs
@@ -82,6 +82,20 @@
     });
 }
 
+/// Guards against the run of a part of a call: its body ends before the declared length.
+#[test]
+fn plain_body_ends_early() {
+    block_on(async {
+        let cluster = Cluster::start(&[fast_engine()], 1).await;
+        let call = "POST /refill-desk/reorders HTTP/1.1\r\nhost: x\r\nauthorization: Bearer matrah-key\r\n\
+                    idempotency-key: order-9\r\ncontent-length: 100\r\n\r\n{\"call\"";
+        let answer = send_raw(cluster.address(), call.as_bytes(), true).await;
+        assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+        assert_eq!(cluster.record.runs("order-9"), 0);
+        assert_serves(&cluster).await;
+    });
+}
+
 /// Invalid peer requests, among them one with wrong parameters, get a JSON-RPC error.
 #[test]
 fn invalid_peer_requests() {
