--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -13,36 +13,23 @@
 mod send;
 mod touch;
 
-use std::{cmp::Ordering, time::Duration};
+use std::time::Duration;
 
 use peridotdeck_wire::beat;
-use send::round_time;
 use touch::Pulse;
 
 use super::{DataCentre, Key, Node, Prefix, endpoint::Load, registry::Position};
 use crate::{id::Time, rendezvous};
 
-/// Time without a heartbeat after which a peer in the same data centre counts as dead.
-const LOCAL_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Shortest time without a heartbeat after which another data centre's reported load is dropped.
 ///
 /// Peers in other data centres count as dead after the same time. It is longer in large data
 /// centres, which exchange heartbeats less often.
 const MIN_REMOTE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Rounds of heartbeats without one of another data centre after which its load is dropped.
-const REMOTE_TIMEOUT_ROUNDS: f64 = 2.5;
-
 /// Time after its start during which a node probes for peers at the shorter interval.
 const STARTUP: Duration = Duration::from_secs(5);
 
-/// Time without a sign of life after which a peer that is no seed is removed.
-const FORGET_AFTER: Duration = Duration::from_secs(60);
-
-/// Time that a starting node needs to hear from the peers of its data centre.
-const DISCOVERY: Duration = Duration::from_millis(600);
-
 /// Rounds to each other data centre that carry an announcement, as heartbeats may be lost.
 const REMOTE_REPEATS: u32 = 2;
 
@@ -319,74 +306,12 @@
             .any(|&node| node == u32::from(self.me))
     }
 
-    /// Returns whether this node may be cut off from other live nodes of its data centre.
-    ///
-    /// Those might then make the same decisions without knowing of this node. It is assumed below
-    /// half of the recent size of the data centre, and shortly after the start.
-    #[must_use]
-    pub fn is_isolated(&self, now: Time) -> bool {
-        let here = self.live_nodes(self.data_centre, now).len();
-        2 * here < self.recent_local_size() || now.saturating_sub(self.started) < DISCOVERY
-    }
-
-    /// Returns the fraction that this node's part of its data centre may spend of what belongs to
-    /// the whole data centre.
-    ///
-    /// Other parts may be cut off and spend at the same time. A majority spends everything, a half
-    /// spends a half. All minorities together spend a tenth at most, a node that has just started
-    /// nothing, and one that has found none of its seeds a half.
-    #[must_use]
-    pub fn majority_fraction(&self, now: Time) -> f64 {
-        /// Fraction that minorities would spend if they were the whole data centre.
-        const MINORITY_FRACTION: f64 = 0.2;
-        if self.leaving || now.saturating_sub(self.started) < DISCOVERY {
-            return 0.0;
-        }
-        let was_heard = |peer: &Peer| peer.incarnation != 0;
-        if !self.seeds.is_empty() && !self.peers.iter().any(was_heard) {
-            return 0.5;
-        }
-        let here = self.live_nodes(self.data_centre, now).len();
-        let most = self.recent_local_size().max(here);
-        match (2 * here).cmp(&most) {
-            Ordering::Greater => 1.0,
-            Ordering::Equal => 0.5,
-            Ordering::Less => MINORITY_FRACTION * here as f64 / most as f64,
-        }
-    }
-
-    /// Returns whether all nodes that this data centre had lately are in touch with this one.
-    #[must_use]
-    pub fn is_complete(&self, now: Time) -> bool {
-        self.live_nodes(self.data_centre, now).len() >= self.recent_local_size()
-    }
-
     /// Returns whether this node knows of no other node, not even as a seed.
     #[must_use]
     pub fn is_single(&self) -> bool {
         self.peers.is_empty()
     }
 
-    /// Returns the largest recent number of live nodes in this data centre.
-    fn recent_local_size(&self) -> usize {
-        let sizes = self.local_sizes.iter().map(|(_, size)| *size);
-        sizes.max().unwrap_or(1)
-    }
-
-    /// Returns the largest recent number of live nodes in the fleet.
-    ///
-    /// A node that has just started knows few peers and assumes at least two nodes in each data
-    /// centre.
-    #[must_use]
-    pub fn recent_size(&self, data_centres: usize, now: Time) -> usize {
-        let seen = self.sizes.iter().map(|(_, size)| *size).max().unwrap_or(1);
-        if now.saturating_sub(self.started) < STARTUP {
-            seen.max(2 * data_centres)
-        } else {
-            seen
-        }
-    }
-
     /// Returns the live nodes and their data centres, without this node.
     #[must_use]
     pub fn members(&self, now: Time) -> Vec<(Node, DataCentre)> {
@@ -431,20 +356,6 @@
         sum
     }
 
-    fn is_live(&self, peer: &Peer, now: Time) -> bool {
-        !peer.leaving && self.is_reachable(peer, now)
-    }
-
-    fn is_reachable(&self, peer: &Peer, now: Time) -> bool {
-        let limit = if peer.data_centre == Some(self.data_centre) {
-            LOCAL_TIMEOUT
-        } else {
-            self.remote_timeout
-        };
-        let recent = |received: Time| now.saturating_sub(received) < limit;
-        peer.received.is_some_and(recent)
-    }
-
     fn find_peer(&self, node: Node) -> Result<usize, usize> {
         self.peers.binary_search_by_key(&node, |peer| peer.node)
     }
@@ -484,33 +395,4 @@
         }
         Some(index)
     }
-
-    /// Drops outdated state; returns the load to subtract and the peers that fell silent.
-    pub fn expire(&mut self, now: Time) -> (Vec<(Key, Load)>, Vec<Node>) {
-        let mut removed = Vec::new();
-        let mut silent = Vec::new();
-        for index in 0..self.peers.len() {
-            let peer = &self.peers[index];
-            if peer.received.is_some() && !self.is_reachable(peer, now) {
-                let peer = &mut self.peers[index];
-                removed.append(&mut peer.loads);
-                peer.received = None;
-                silent.push(peer.node);
-            }
-        }
-        for mut remote in self.remotes.extract_if(.., |remote| {
-            now.saturating_sub(remote.received) >= self.remote_timeout
-        }) {
-            removed.append(&mut remote.loads);
-        }
-        let seeds = &self.seeds;
-        self.peers.retain(|peer| {
-            seeds.contains(&peer.node) || now.saturating_sub(peer.last_known) < FORGET_AFTER
-        });
-        let here = self.live_nodes(self.data_centre, now).len();
-        self.remote_timeout =
-            MIN_REMOTE_TIMEOUT.max(round_time(here).mul_f64(REMOTE_TIMEOUT_ROUNDS));
-        self.record_size(here, now);
-        (removed, silent)
-    }
 }
