--- a/crates/peridotdeck-core/tests/testsuite/older_bytes.rs
+++ b/crates/peridotdeck-core/tests/testsuite/older_bytes.rs
@@ -269,3 +269,13 @@
         assert_eq!(read, snapshot);
     }
 }
+
+/// Guards against snapshots that a later build cannot add anything to.
+#[test]
+fn bytes_after_a_snapshot_are_skipped() {
+    for (recorded, snapshot) in snapshots() {
+        let later = [bytes(recorded), b"something new".to_vec()].concat();
+        let read: Snapshot = postcard::from_bytes(&later).expect("a snapshot");
+        assert_eq!(read, snapshot);
+    }
+}
