--- a/crates/peridotdeck-core/src/dispatch/fleet/touch.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/touch.rs
@@ -73,7 +73,8 @@
 
     /// Returns whether most nodes of the fleet have been heard lately, so that the others are cut off.
     ///
-    /// Of another data centre, one heartbeat speaks for all nodes.
+    /// Of another data centre, one heartbeat speaks for all nodes. How long it counts follows from the
+    /// live nodes here, so that a node which hears none of its own data centre soon trusts none.
     #[must_use]
     pub fn is_in_touch(&self, now: Time) -> bool {
         let round = round_time(self.live_nodes(self.data_centre, now).len());
