--- a/crates/peridotdeck-core/tests/testsuite/out_of_step.rs
+++ b/crates/peridotdeck-core/tests/testsuite/out_of_step.rs
@@ -155,3 +155,28 @@
     let went_on = take_up(&mut world, &streams);
     assert!(went_on.iter().all(Option::is_none), "{went_on:?}");
 }
+
+/// Guards against refusals after most nodes were killed at once, while the publisher fails.
+#[test]
+fn stream_goes_on_soon_after_most_nodes_were_killed() {
+    for nodes in [3, 7, 60] {
+        let mut world = world(nodes, 7);
+        world.run(ms(30_000));
+        world.deaf = (0..nodes).collect();
+        let killed = 0..2 * nodes / 3;
+        for node in killed.clone() {
+            world.kill(node);
+        }
+        world.run(ms(700));
+        for node in killed {
+            world.start(node);
+        }
+        world.run(ms(2_500));
+        let now = world.now;
+        for at in 0..20 {
+            let went_on = world.stream(at % nodes, &format!("a{at}"), Some(&format!("u{at}")));
+            assert_eq!(went_on.as_deref(), Some("v1"), "{nodes} nodes, a{at}");
+        }
+        assert_eq!(world.now, now, "{nodes} nodes: nothing waited");
+    }
+}
