--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -1,6 +1,7 @@
 //! Forwarding of one caller's request, from its admission to its end.
 
 mod logging;
+mod reading;
 
 use std::{
     pin::pin,
@@ -10,7 +11,7 @@
 
 use async_io::Timer;
 use async_std::future::timeout;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::{
     Response,
     body::{Bytes, Incoming},
@@ -33,13 +34,9 @@
     framing::Framing,
     ingress::Reply,
     shared::detour_text,
-    stream::{self, Events, Relay},
+    stream::{Events, Relay},
 };
-
-/// Largest answer that is read as a whole, in bytes.
-///
-/// A failing endpoint may send bytes without end.
-const MAX_ANSWER_BYTES: usize = 4 << 20;
+use reading::{read_body, read_first_event};
 
 /// Largest unused body of a rejection that is read, in bytes.
 const MAX_REJECTION_BYTES: usize = 64 << 10;
@@ -399,55 +396,3 @@
         self.shared.open_requests.fetch_sub(1, Ordering::Relaxed);
     }
 }
-
-/// Runs `work` until the deadline of the request.
-async fn before_deadline<T>(
-    flight: &Flight,
-    work: impl Future<Output = Result<T, Failure>>,
-) -> Result<T, Failure> {
-    let done = timeout(flight.time_left(clock::now()), work).await;
-    done.unwrap_or_else(|_| Err(Failure::new(End::TimedOut, "answer not complete in time")))
-}
-
-/// Reads a complete body before the deadline of the request.
-async fn read_body(body: Incoming, flight: &Flight) -> Result<Bytes, Failure> {
-    let read = async {
-        match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
-            Ok(collected) => Ok(collected.to_bytes()),
-            Err(cause) if cause.is::<LengthLimitError>() => Err(Failure::new(End::Garbled, &cause)),
-            Err(cause) => Err(Failure::new(End::Broken, &cause)),
-        }
-    };
-    before_deadline(flight, read).await
-}
-
-/// Reads up to the first complete event, and returns whether more may follow.
-///
-/// # Errors
-/// If the stream ends inside the first event, or before it without a framing that shows the end.
-async fn read_first_event(
-    body: &mut Incoming,
-    framing: Framing,
-    events: &mut Events,
-    flight: &Flight,
-) -> Result<bool, Failure> {
-    let read = async {
-        loop {
-            match stream::read_data(body).await? {
-                None if framing.shows_end() => {
-                    events.check_end()?;
-                    return Ok(false);
-                }
-                None => {
-                    let cause = "connection ended before the first event";
-                    return Err(Failure::new(End::Broken, cause));
-                }
-                Some(bytes) => events.push(&bytes)?,
-            }
-            if events.has_complete() {
-                return Ok(true);
-            }
-        }
-    };
-    before_deadline(flight, read).await
-}
