Follow the own interface's publisher past entries that cannot be read

What callers saw: with one entry of another writer among the parts or the VM list, a router adopted nothing more that the platform published, for as long as the entry stood.

Cause: the answers were decoded as one typed list, so that one odd entry failed every query. A part of an unknown key, or one whose value cannot be read, made every later revision be rejected as a whole, as it stays among the parts.

Change: entries are decoded one by one and the unreadable ones logged. A part that cannot be read by itself is left out, and what was read at its key before stays; a set that can be read and has mistakes is rejected as a whole, as before. The check of a configuration bounds the slots of an endpoint, whose sums and percentages overflowed. The stand-in of the platform lists odd entries.

--- a/crates/peridotdeck-core/src/config.rs
+++ b/crates/peridotdeck-core/src/config.rs
@@ -1,7 +1,8 @@
 //! The configuration in force, and how a newer revision replaces it.
 //!
 //! Revisions only grow. A newer set of parts is joined and checked as a whole. If the check finds
-//! errors, the old configuration stays in force and the errors are reported. Parts are sent as
+//! errors, the old configuration stays in force and the errors are reported. A part that cannot be
+//! read is left out, and what was read at its key before stays in force. Parts are sent as
 //! deltas: from the configuration service to a few watching nodes, then from node to node.
 
 use std::sync::Arc;
@@ -92,7 +93,7 @@
 
     fn merge(&self, parts: &[Part]) -> Vec<Part> {
         let mut merged = self.parts.clone();
-        for part in parts {
+        for part in parts.iter().filter(|part| is_readable(part)) {
             match merged.binary_search_by(|present| present.key.cmp(&part.key)) {
                 Ok(index) if merged[index].revision < part.revision => merged[index] = part.clone(),
                 Ok(_) => {}
@@ -103,6 +104,26 @@
     }
 }
 
+/// Returns whether a part can be read by itself; logs one that cannot.
+///
+/// Another writer's part must not hold up all later revisions.
+fn is_readable(part: &Part) -> bool {
+    /// Most characters of a cause that are logged.
+    const MAX_CHARACTERS: usize = 200;
+    let pair = (part.key.as_str(), part.value.as_str());
+    let cause = match join(std::iter::once(pair)) {
+        Err(cause) if !part.value.is_empty() => cause.to_string(),
+        _ => return true,
+    };
+    let cause = cause.chars().flat_map(char::escape_debug);
+    log::warn!(
+        "event=part_unusable revision={} cause=\"{}\"",
+        part.revision,
+        cause.take(MAX_CHARACTERS).collect::<String>()
+    );
+    false
+}
+
 /// Joins the parts and checks the result; an empty value marks a removed part.
 fn build_snapshot(parts: &[Part]) -> Result<Snapshot, Vec<String>> {
     let present = parts.iter().filter(|part| !part.value.is_empty());
--- a/crates/peridotdeck-core/tests/testsuite/config.rs
+++ b/crates/peridotdeck-core/tests/testsuite/config.rs
@@ -48,6 +48,40 @@
     );
 }
 
+/// Guards against nodes that adopt nothing more because another writer's part cannot be read.
+#[test]
+fn odd_parts_hold_up_nothing() {
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let odd = [
+        ("colour", "{}"),
+        ("", "7"),
+        ("classes", nested.as_str()),
+        ("services/x", "{\"endpoints\":[{\"id\":1e400}]}"),
+        ("organisations/03", "null"),
+        ("places", "no JSON"),
+    ];
+    let mut store = Store::default();
+    store.apply(0, 1, &parts(1));
+    for (revision, (key, value)) in (2..).zip(odd) {
+        let part = Part {
+            key: key.to_owned(),
+            revision,
+            value: value.to_owned(),
+        };
+        let change = store.apply(revision - 1, revision, &[part]);
+        assert!(matches!(change, Change::Adopted(_)), "{key}: {change:?}");
+    }
+    let known: Vec<(String, String)> = parts(1)
+        .into_iter()
+        .map(|part| (part.key, part.value))
+        .collect();
+    let kept = store.parts_since(0).into_iter();
+    assert_eq!(
+        known,
+        kept.map(|part| (part.key, part.value)).collect::<Vec<_>>()
+    );
+}
+
 #[test]
 fn detects_gap() {
     let mut store = Store::default();
--- a/crates/peridotdeck-fake/src/platform.rs
+++ b/crates/peridotdeck-fake/src/platform.rs
@@ -17,7 +17,7 @@
 use peridotdeck_policy::Parts;
 use peridotdeck_wire::{Member, Part};
 use serde::Deserialize;
-use serde_json::json;
+use serde_json::{Value, json};
 use tide::Request;
 
 use crate::json;
@@ -28,6 +28,7 @@
     parts: Vec<Part>,
     roster: u64,
     members: Vec<Member>,
+    odd: Vec<Value>,
 }
 
 #[derive(Debug, Default)]
@@ -130,6 +131,11 @@
         inner.now.roster
     }
 
+    /// Lists entries of another writer among the parts and the members.
+    pub fn list_odd(&self, odd: Vec<Value>) {
+        self.state.lock().now.odd = odd;
+    }
+
     /// Serves what is published now, whatever comes later, until thawed.
     pub fn freeze(&self, frozen: bool) {
         let mut inner = self.state.lock();
@@ -185,7 +191,8 @@
         .parts
         .iter()
         .filter(|part| part.revision > query.index);
-    let parts: Vec<&Part> = newer.collect();
+    let parts = newer.map(|part| json!(part));
+    let parts: Vec<Value> = published.odd.iter().cloned().chain(parts).collect();
     Ok(json(
         200,
         &json!({"index": published.index, "parts": parts}),
@@ -194,8 +201,10 @@
 
 async fn vms(request: Request<State>) -> tide::Result {
     let (_, published) = wait(&request, |published| published.roster).await?;
+    let members = published.members.iter().map(|member| json!(member));
+    let members: Vec<Value> = published.odd.iter().cloned().chain(members).collect();
     Ok(json(
         200,
-        &json!({"index": published.roster, "members": published.members}),
+        &json!({"index": published.roster, "members": members}),
     ))
 }
--- a/crates/peridotdeck-policy/src/check.rs
+++ b/crates/peridotdeck-policy/src/check.rs
@@ -9,6 +9,9 @@
 /// Highest tier number; tier 0 is served first.
 const MAX_TIER: u8 = 4;
 
+/// Largest number of slots of an endpoint; sums over a pool and percentages of them are computed.
+const MAX_SLOTS: u32 = 1 << 20;
+
 /// Largest value of a percentage.
 const MAX_PERCENT: u8 = 100;
 
@@ -221,6 +224,10 @@
         );
         errors.push(Error::Range(holder.clone(), "cold_slots", remedy));
     }
+    if endpoint.slots > MAX_SLOTS {
+        let remedy = format!("is {}: choose at most {MAX_SLOTS}", endpoint.slots);
+        errors.push(Error::Range(holder.clone(), "slots", remedy));
+    }
     check_positive(&holder, "id", endpoint.id, errors);
     check_positive(&holder, "slots", endpoint.slots, errors);
     check_positive(&holder, "cold_slots", endpoint.cold_slots, errors);
--- a/crates/peridotdeck-policy/tests/testsuite/mistakes.rs
+++ b/crates/peridotdeck-policy/tests/testsuite/mistakes.rs
@@ -103,6 +103,14 @@
     assert!(mistakes(base().class(bulk).service(model()))[0].contains("sums to 60"));
 }
 
+/// Guards against sums of slots that overflow.
+#[test]
+fn too_many_slots() {
+    let service = Service::model("wickmind", "counter");
+    let service = service.sized_endpoint("a", "127.0.0.1:1", u32::MAX, 5);
+    assert!(mistakes(base().service(service))[0].contains("slots is 4294967295"));
+}
+
 #[test]
 fn cold_above_warm() {
     let service = Service::model("wickmind", "counter").sized_endpoint("a", "127.0.0.1:1", 4, 5);
--- a/crates/peridotdeck-router/src/platform.rs
+++ b/crates/peridotdeck-router/src/platform.rs
@@ -9,9 +9,10 @@
 use http_types::Request;
 use peridotdeck_core::Event;
 use peridotdeck_http::client;
-use peridotdeck_wire::{Delta, Member, Part};
+use peridotdeck_wire::Delta;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, de::DeserializeOwned};
+use serde_json::value::RawValue;
 
 use crate::{dial::Dial, handle::Handle};
 
@@ -37,14 +38,14 @@
 #[derive(Debug, Deserialize)]
 struct Config {
     index: u64,
-    parts: Vec<Part>,
+    parts: Vec<Box<RawValue>>,
 }
 
 /// Answer of `/v1/vms`.
 #[derive(Debug, Deserialize)]
 struct VmList {
     index: u64,
-    members: Vec<Member>,
+    members: Vec<Box<RawValue>>,
 }
 
 /// Resource that a task watches.
@@ -138,16 +139,35 @@
     match resource {
         Resource::Config => {
             let answer: Config = fetch(address, &path, wait).await?;
-            (delta.from, delta.to, delta.parts) = (from, answer.index, answer.parts);
+            (delta.from, delta.to, delta.parts) = (from, answer.index, readable(&answer.parts));
         }
         Resource::VmList => {
             let answer: VmList = fetch(address, &path, wait).await?;
-            (delta.roster, delta.members) = (answer.index, answer.members);
+            (delta.roster, delta.members) = (answer.index, readable(&answer.members));
         }
     }
     Ok(delta)
 }
 
+/// Returns the entries that can be read; logs the others.
+///
+/// They are decoded one by one, so that one which cannot be read conceals no other.
+fn readable<T: DeserializeOwned>(entries: &[Box<RawValue>]) -> Vec<T> {
+    /// Most characters of a cause that are logged.
+    const MAX_CHARACTERS: usize = 200;
+    let read = |entry: &Box<RawValue>| {
+        let read = serde_json::from_str(entry.get());
+        read.map_err(|cause| {
+            let cause = cause.to_string();
+            let cause = cause.chars().flat_map(char::escape_debug);
+            let cause: String = cause.take(MAX_CHARACTERS).collect();
+            log::warn!("event=entry_unusable cause=\"{cause}\"");
+        })
+        .ok()
+    };
+    entries.iter().filter_map(read).collect()
+}
+
 fn empty_delta() -> Delta {
     Delta {
         nonce: 0,
@@ -182,5 +202,5 @@
             "the platform's answer is too large",
         ));
     }
-    Ok(serde_json::from_slice(&body)?)
+    Ok(serde_json::from_str(&String::from_utf8_lossy(&body))?)
 }
--- a/crates/peridotdeck-router/tests/testsuite/fleet.rs
+++ b/crates/peridotdeck-router/tests/testsuite/fleet.rs
@@ -4,6 +4,7 @@
 
 use async_std::{future::timeout, task, task::block_on};
 use peridotdeck_policy::{Class, split};
+use serde_json::json;
 
 use crate::cluster::{Cluster, RESPONSE_TIMEOUT, chat_request, fast_engine, read_stream, send};
 
@@ -35,6 +36,43 @@
     });
 }
 
+/// Guards against routers that follow the platform no more because of another writer's entry.
+#[test]
+fn odd_entries_hide_no_others() {
+    block_on(async {
+        let mut cluster = Cluster::start(&[fast_engine()], 1).await;
+        let odd = [
+            json!(7),
+            json!(null),
+            json!({"key": 7, "revision": "x", "value": {}}),
+            json!({"key": "odd", "revision": 99, "value": "{}"}),
+            json!({"key": "classes", "revision": 1e300, "value": "[]"}),
+            json!({"node": 1e300, "callers": "nowhere", "peers": "", "place": [], "leaving": 0}),
+        ];
+        cluster.platform.list_odd(odd.to_vec());
+        let class = Class::interactive("new", 3).whole_ms(900);
+        cluster.config.classes.push(class);
+        let revision = cluster.platform.publish(&split(&cluster.config));
+        cluster.add_router(2).await;
+        cluster.platform.list(cluster.members.clone());
+        let followed = async {
+            for router in &cluster.routers {
+                let handle = router.handle();
+                while handle
+                    .inspect(|node, _| (node.config().revision(), node.view().members().len()))
+                    .await
+                    != Some((revision, 2))
+                {
+                    task::sleep(Duration::from_millis(10)).await;
+                }
+            }
+        };
+        timeout(RESPONSE_TIMEOUT, followed)
+            .await
+            .expect("both routers follow the configuration and the VM list");
+    });
+}
+
 /// A router rejects an invalid configuration and keeps the one in effect.
 ///
 /// The published configuration has no classes although services still refer to them.
