--- a/crates/peridotdeck-router/src/platform.rs
+++ b/crates/peridotdeck-router/src/platform.rs
@@ -155,7 +155,7 @@
 fn readable<T: DeserializeOwned>(entries: &[Box<RawValue>]) -> Vec<T> {
     /// Most characters of a cause that are logged.
     const MAX_CHARACTERS: usize = 200;
-    let read = |entry: &Box<RawValue>| {
+    let read = |entry: &RawValue| {
         let read = serde_json::from_str(entry.get());
         read.map_err(|cause| {
             let cause = cause.to_string();
@@ -165,7 +165,7 @@
         })
         .ok()
     };
-    entries.iter().filter_map(read).collect()
+    entries.iter().filter_map(|entry| read(entry)).collect()
 }
 
 fn empty_delta() -> Delta {
