Close in an orderly way after answers that have no body

What callers saw: a caller of HTTP/1.0 got the head of a whole answer without a body (HEAD, 204, 304) on a stream's route, and then a reset instead of an orderly close. A reset drops what the kernel has not sent yet, so the head may be lost.

Cause: the connection was marked for a reset because the body's length is not known and the caller knows no chunks. hyper drops such a body unread, so its end was never seen and the mark was never taken back. An answer without a body ends with its head, and the end of its connection claims nothing.

Change: the mark is set only for answers that may have a body.

--- a/crates/peridotdeck-relay/src/server.rs
+++ b/crates/peridotdeck-relay/src/server.rs
@@ -22,7 +22,7 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 use hyper::{
-    Request, Response, Version,
+    Method, Request, Response, StatusCode, Version,
     body::{Body, Bytes, Incoming},
     header::{CONNECTION, HeaderValue},
     server::conn::http1,
@@ -154,12 +154,14 @@
         request.extensions_mut().insert(remote);
         let busy = activity.begin();
         let knows_chunks = request.version() != Version::HTTP_10;
+        let is_head = request.method() == Method::HEAD;
         let response = respond(request);
         let (label, socket) = (&label, &socket);
         async move {
             let response = response.await;
+            let has_body = !is_head && may_have_body(response.status());
             let is_chunked = knows_chunks && response.version() != Version::HTTP_10;
-            if !is_chunked && response.body().size_hint().exact().is_none() {
+            if has_body && !is_chunked && response.body().size_hint().exact().is_none() {
                 socket.reset_on_close()?;
                 busy.end_with_connection();
                 let id = response.extensions().get::<Label>();
@@ -211,6 +213,11 @@
     Ok(result?)
 }
 
+/// Returns whether a response may have a body; one that has none ends with its head.
+fn may_have_body(status: StatusCode) -> bool {
+    !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
 /// Returns an error and its cause, for the log.
 fn cause_text(error: &hyper::Error) -> String {
     match error.source() {
