Bound the attempts at an endpoint that writes or closes before it is asked

What callers saw: 503 after a while; the endpoint saw a storm of connections.

Cause: bytes, or a close, on a new connection before the request was written cancel the request, and a cancelled request was sent again at once, to the same endpoint, without a bound and without drawing on the retry budget. That is right for a kept connection that has gone stale, and no other.

Evidence: early_refusal_is_no_answer failed on the code before: 343 connections for 4 bookings.

Measured: the test passes, three times of three. In the run of the whole test suite on this code, beside other work (load average 124), silent_second::silence_of_a_second_breaks_nothing failed once, and once more of three times by itself. Its streams take 1.975 to 1.981 s in ten trials with timestamps, all of which passed, and their callers wait for 2 s: a margin of 20 ms. It was left as it is; no failing run was timed, so the cause is suspected, not shown.

--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -135,7 +135,7 @@
     assignment: &Assignment,
     resume: Option<&str>,
 ) -> Result<Answer, Failure> {
-    let mut connection = reuse_or_dial(shared, flight, assignment).await?;
+    let (mut connection, is_new) = reuse_or_dial(shared, flight, assignment).await?;
     let left = flight.time_left(clock::now());
     if left.is_zero() {
         return Err(Failure::new(End::Unsent, "no time left to send"));
@@ -147,7 +147,8 @@
     let answer = timeout(flight.time_left(clock::now()), answer).await;
     let late = |_| Failure::new(End::TimedOut, "no answer before the deadline");
     let answer = answer.map_err(late)?;
-    let response = answer.map_err(|cause| to_failure(&cause, connection.is_flooded()))?;
+    let failure = |cause| to_failure(&cause, is_new, connection.is_flooded());
+    let response = answer.map_err(failure)?;
     let (head, body) = response.into_parts();
     let reply = shared.ingress.classify(&flight.id, &head);
     if reply == Reply::Foreign {
@@ -176,10 +177,13 @@
 
 /// Returns the failure that an error of hyper stands for.
 ///
-/// A cancelled request never left this process; any other one may have reached the endpoint. A flooded
+/// A cancelled request never left this process; any other one may have reached the endpoint. If the
+/// connection is new, the endpoint takes no requests: it wrote or closed before it was asked. A flooded
 /// connection got more bytes than the head of an answer has.
-fn to_failure(cause: &hyper::Error, is_flooded: bool) -> Failure {
-    if cause.is_canceled() {
+fn to_failure(cause: &hyper::Error, is_new: bool, is_flooded: bool) -> Failure {
+    if cause.is_canceled() && is_new {
+        Failure::new(End::Rejected, cause)
+    } else if cause.is_canceled() {
         Failure::new(End::Unsent, cause)
     } else if is_flooded {
         Failure::new(End::Garbled, "head without end")
@@ -190,12 +194,12 @@
     }
 }
 
-/// Returns an idle connection to the assigned endpoint, or opens a new one.
+/// Returns an idle connection to the assigned endpoint, or opens a new one; and whether it is new.
 async fn reuse_or_dial<I: Ingress>(
     shared: &Arc<Shared<I>>,
     flight: &Flight,
     assignment: &Assignment,
-) -> Result<Connection, Failure> {
+) -> Result<(Connection, bool), Failure> {
     let key = assignment.attempt.key();
     let max_idle = match flight.route.kind {
         Kind::NonIdempotent => MAX_IDLE_NON_IDEMPOTENT,
@@ -205,13 +209,14 @@
     // The id does not tell the answers to two attempts of one request apart.
     let kept = (!flight.returns_to(key)).then(|| shared.pool.reuse(key, detour, max_idle));
     if let Some(connection) = kept.flatten() {
-        return Ok(connection);
+        return Ok((connection, false));
     }
     let dialed = match detour {
         Some(peer) => dial_through(shared, key, peer).await,
         None => dial_endpoint(shared, key, assignment.address).await,
     };
-    dialed.map_err(|cause| Failure::new(End::Unreachable, &cause))
+    let connection = dialed.map_err(|cause| Failure::new(End::Unreachable, &cause))?;
+    Ok((connection, true))
 }
 
 /// Opens a connection that marks its endpoint as suspected if it breaks while idle.
