Reset the endpoint's end of a tunnel also when the peer's process ends

What endpoints saw: an orderly close of the connection on which they ran a request for a node that had lost its path, when the peer between was killed. An endpoint that takes that for the end of what its caller sends goes on with work that nobody waits for. On a direct path it sees a reset.

Cause: the peer's connection to the endpoint was marked for a reset only where its task ended, so the kernel closed it in an orderly way with the process.

Change: pool::connect, which opens these connections and those of the own path, sets the mark at once, for both. After the endpoint's orderly end the peer's close is a reset too, as it is on the own path.

--- a/crates/peridotdeck-relay/src/pool.rs
+++ b/crates/peridotdeck-relay/src/pool.rs
@@ -112,7 +112,11 @@
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
 }
 
-/// Opens a TCP connection within [`CONNECT_TIMEOUT`].
+/// Opens a TCP connection within [`CONNECT_TIMEOUT`] whose close is a reset.
+///
+/// An orderly close would go on sending undelivered data long after the request was abandoned, and
+/// the other end could take it for the end of what is sent. The kernel resets the connection also if
+/// the process ends.
 ///
 /// # Errors
 /// If the address refuses the connection or does not answer in time.
@@ -120,6 +124,7 @@
     let connected = timeout(CONNECT_TIMEOUT, Async::<TcpStream>::connect(address)).await;
     let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     set_options(stream.get_ref())?;
+    SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))?;
     Ok(stream)
 }
 
@@ -308,11 +313,7 @@
 where
     F: FnOnce() + Send + 'static,
 {
-    let stream = connect(address.into()).await?;
-    // Reset the connection on drop: an orderly close would go on sending undelivered data long
-    // after the request was abandoned.
-    SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))?;
-    let stream = bounded(stream);
+    let stream = bounded(connect(address.into()).await?);
     let head = stream.head();
     Ok(handshake(FuturesIo::new(stream), head, Path::OWN, on_broken).await?)
 }
--- a/crates/peridotdeck-relay/src/tunnel.rs
+++ b/crates/peridotdeck-relay/src/tunnel.rs
@@ -303,12 +303,6 @@
         Ok(end) => (end, String::new()),
         Err(cause) => (End::Broken, cause.to_string()),
     };
-    if end != End::Closed {
-        // The endpoint stops at once, and the peer sees that the answer broke.
-        if let Err(cause) = reset_on_close(&far) {
-            log::debug!("event=tunnel_reset_failed peer={peer} cause=\"{cause}\"");
-        }
-    }
     log::info!(
         "event=tunnel_ended peer={peer} endpoint_key={key:08x} end={end} answered={} ms={} \
          cause=\"{cause}\"",
@@ -317,10 +311,6 @@
     );
 }
 
-fn reset_on_close(stream: &Async<TcpStream>) -> io::Result<()> {
-    SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))
-}
-
 /// Passes bytes on in both directions; `early` arrived with the request.
 ///
 /// `answered` counts the bytes that the endpoint has sent.
