End a stream where its body fails, before its parser sees the failure

What was seen: the test caller_gets_the_whole_answer_or_none of the own interface failed once in each of two runs of the router's tests (34 of 35, 62 s in one), its last stream refused with "not run". Callers of a build with assertions would have seen the same for every engine whose connections break inside a line: no slot of it is free any more.

Cause: async-sse asserts, in builds with assertions, that nothing was read of a line when its source fails. The assertion ends the request's task, and its slot is never returned. On a slow run the engine's reports are cut as well, so that nothing corrects the count. With pauses of 700 ms in the test it failed three times of three. A release build returns an error there, so nothing was seen in one.

Change: the parser reads through `peridotdeck_io::Ending`, which ends where its source fails; a stream without its end marker is a break anyway. The load tool reads so, too.

--- a/crates/peridotdeck-io/src/lib.rs
+++ b/crates/peridotdeck-io/src/lib.rs
@@ -1,8 +1,13 @@
-//! Connections that give the thread back, and that read a bounded number of bytes before a head ends.
+//! Readers around connections and bodies, for libraries that parse them.
+//!
+//! [`Bounded`] gives the thread back, and reads a bounded number of bytes before a head ends. [`Ending`] hides the error
+//! of a body from a parser that needs none.
 //!
 //! HTTP libraries read for as long as bytes are ready. A peer that sends bytes faster than they are
 //! parsed would keep the thread, and no time limit of any task on it could expire.
 
 pub mod bounded;
+mod ending;
 
 pub use bounded::{Bounded, Head, TURN_BYTES};
+pub use ending::Ending;
--- a/crates/peridotdeck-load/src/caller.rs
+++ b/crates/peridotdeck-load/src/caller.rs
@@ -11,6 +11,7 @@
 use http_types::{Method, Request, Response, mime};
 use peridotdeck_fake::text;
 use peridotdeck_http::client;
+use peridotdeck_io::Ending;
 use peridotdeck_router::callers::CLASS_HEADER;
 use serde_json::{Value, json};
 
@@ -190,7 +191,7 @@
 ) -> http_types::Result<(End, Reading)> {
     let mut reading = Reading::new();
     if load.stream {
-        let mut events = async_sse::decode(response.take_body());
+        let mut events = async_sse::decode(Ending::new(response.take_body()));
         while let Some(Ok(event)) = events.next().await {
             let Event::Message(message) = event else {
                 continue;
--- a/crates/peridotdeck-router/src/attempt/completion.rs
+++ b/crates/peridotdeck-router/src/attempt/completion.rs
@@ -8,6 +8,7 @@
 use http_types::{Method, Request, Response, mime};
 use peridotdeck_core::event::End;
 use peridotdeck_http::client;
+use peridotdeck_io::Ending;
 use peridotdeck_wire::Outcome;
 
 use super::{
@@ -123,7 +124,7 @@
     ) -> Outcome {
         let id = params.id();
         let body = response.take_body().take(MAX_STREAM_BYTES);
-        let mut events = async_sse::decode(body);
+        let mut events = async_sse::decode(Ending::new(body));
         loop {
             let idle_timeout = if first_token.is_some() {
                 params.idle_timeout
--- a/crates/peridotdeck-router/tests/testsuite/cut_answers.rs
+++ b/crates/peridotdeck-router/tests/testsuite/cut_answers.rs
@@ -8,7 +8,10 @@
     time::Duration,
 };
 
-use async_std::{future::timeout, task::block_on};
+use async_std::{
+    future::timeout,
+    task::{self, block_on},
+};
 use http_types::{Method, Request};
 use peridotdeck_fake::{relay::Relay, text};
 use peridotdeck_http::client;
@@ -21,6 +24,12 @@
 /// Time in which an answer on loopback has come.
 const TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time in which the reports of an engine have come.
+const PAUSE: Duration = Duration::from_millis(700);
+
+/// Time in which an engine is used again after its path is sound.
+const RECOVERY: Duration = Duration::from_secs(15);
+
 /// Answers by length, by chunks, and by the end of the connection.
 fn answers() -> [(String, String); 3] {
     let head = |header: &str| format!("HTTP/1.1 200 OK\r\n{header}\r\n");
@@ -81,22 +90,28 @@
     }
 }
 
+/// Puts a path that can cut answers in front of a cluster's first engine.
+async fn relayed(cluster: &mut Cluster) -> Relay {
+    let engine = cluster.engines[0].address();
+    let relay = Relay::start(engine, Duration::ZERO).await.expect("a port");
+    for service in &mut cluster.config.services {
+        for endpoint in &mut service.endpoints {
+            if endpoint.address == engine.to_string() {
+                endpoint.address = relay.address().to_string();
+            }
+        }
+    }
+    cluster.platform.publish(&split(&cluster.config));
+    relay
+}
+
 /// Guards against a part of an engine's answer that the router passes on as complete.
 #[test]
 fn caller_gets_the_whole_answer_or_none() {
     let prompt = "a short draft about 4 words";
     block_on(async {
         let mut cluster = Cluster::start(&[fast_engine()], 1).await;
-        let engine = cluster.engines[0].address();
-        let relay = Relay::start(engine, Duration::ZERO).await.expect("a port");
-        for service in &mut cluster.config.services {
-            for endpoint in &mut service.endpoints {
-                if endpoint.address == engine.to_string() {
-                    endpoint.address = relay.address().to_string();
-                }
-            }
-        }
-        cluster.platform.publish(&split(&cluster.config));
+        let relay = relayed(&mut cluster).await;
         let address = cluster.address();
         for bytes in [40, 300, 600] {
             relay.cut_answers(bytes);
@@ -121,6 +136,37 @@
     });
 }
 
+/// Guards against slots that are lost with streams which break inside a line.
+#[test]
+fn streams_cut_inside_a_line_free_their_slots() {
+    let prompt = "a short draft about 4 words";
+    block_on(async {
+        let mut cluster = Cluster::start(&[fast_engine()], 1).await;
+        let relay = relayed(&mut cluster).await;
+        let address = cluster.address();
+        for bytes in [300, 600] {
+            task::sleep(PAUSE).await;
+            relay.cut_answers(bytes);
+            let streamed = send(address, chat_request(address, prompt, true)).await;
+            assert_eq!(read_stream(streamed).await, None, "{bytes}");
+        }
+        relay.cut_answers(u64::MAX);
+        let served = async {
+            loop {
+                let streamed = send(address, chat_request(address, prompt, true)).await;
+                if read_stream(streamed).await == Some(text::answer(prompt, 0)) {
+                    return;
+                }
+                task::sleep(Duration::from_millis(100)).await;
+            }
+        };
+        assert!(
+            timeout(RECOVERY, Box::pin(served)).await.is_ok(),
+            "served again"
+        );
+    });
+}
+
 /// Guards against the loss of complete answers.
 #[test]
 fn framed_answer_is_complete() {
