--- a/crates/peridotdeck-io/tests/ending.rs
+++ b/crates/peridotdeck-io/tests/ending.rs
@@ -26,10 +26,13 @@
 #[test]
 fn failing_source_is_an_end() {
     let source = || BufReader::new(b"id: 1".chain(Broken));
-    let mut text = String::new();
+    let (mut read, mut unread) = (Vec::new(), Vec::new());
     block_on(async {
-        let read = Ending::new(source()).read_to_string(&mut text).await;
-        assert_eq!(read.expect("an end"), 5);
-        assert!(source().read_to_string(&mut text).await.is_err());
+        let ended = Ending::new(source()).read_to_end(&mut read).await;
+        assert_eq!(
+            (ended.expect("an end"), read.as_slice()),
+            (5, &b"id: 1"[..])
+        );
+        assert!(source().read_to_end(&mut unread).await.is_err());
     });
 }
