Refuse at a leaving node what cannot end there, and answer what is open at its end

Cause: nothing that decides on a request knew when the node ends. A request whose body was being read counted as nothing, so that a node without others ended 150 ms after its listeners had closed. What was open at the end lost its connection, also if its answer had not begun.

Change: Dispatcher::leave takes the time at which requests are cut; place() refuses what would not end by its deadline or by the time that complete answers of its route have taken (RFC 6298's bound, streams for each token), as not run and with a time to come back. Hedges and retries are held to the same. Bodies that are being read keep the node. At the end, requests whose answers have not begun get 502 (may have run), or 503 where none was sent.

--- a/crates/peridotdeck-core/src/dispatch.rs
+++ b/crates/peridotdeck-core/src/dispatch.rs
@@ -27,6 +27,7 @@
 pub mod detour;
 pub mod dispatcher;
 pub mod due;
+pub mod duration;
 pub mod endpoint;
 pub mod fleet;
 pub mod flight;
--- a/crates/peridotdeck-core/src/dispatch/attempt.rs
+++ b/crates/peridotdeck-core/src/dispatch/attempt.rs
@@ -153,6 +153,8 @@
     TimedOut,
     /// The caller disconnected.
     Cancelled,
+    /// This node's grace period ended.
+    Abandoned,
 }
 
 impl End {
--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -14,6 +14,7 @@
 //! - `peers`: a heartbeat from a peer arrives, or one to a peer is composed;
 //! - `detours`: a path to an endpoint is lost, or works again;
 //! - `probes`: a path needs a connection that only tests it;
+//! - `shutdown`: the node leaves, and a request may not end before it does;
 //! - `maintenance`: time passes, or the result of a probe or of a cache query arrives.
 
 mod batch;
@@ -27,6 +28,7 @@
 mod probes;
 mod quarantine;
 mod rates;
+mod shutdown;
 mod streams;
 mod waiting;
 
@@ -42,6 +44,7 @@
     budget::{Bound, Budget},
     crashes, data_centre, departures, detour,
     due::{CacheQuery, SnapshotRequest},
+    duration,
     endpoint::State,
     fleet::Fleet,
     mean,
@@ -137,6 +140,10 @@
     whole_answer_ms: mean::Table,
     failure_rate: mean::Table,
     pause_ms: mean::Table,
+    /// Times that complete answers have taken.
+    durations: duration::Table,
+    /// Time at which requests are cut, if this node leaves.
+    end: Option<Time>,
     newer_states: Vec<(NewerState, Time)>,
     clean_up_due: Time,
     cache_queries: Vec<CacheQuery>,
@@ -187,6 +194,8 @@
             whole_answer_ms: mean::Table::new(INITIAL_WHOLE_ANSWER_MS),
             failure_rate: mean::Table::new(0.0),
             pause_ms: mean::Table::new(0.0),
+            durations: duration::Table::default(),
+            end: None,
             newer_states: Vec::new(),
             clean_up_due: now,
             cache_queries: Vec::new(),
@@ -242,11 +251,6 @@
         }
     }
 
-    /// Starts to leave the fleet.
-    pub fn leave(&mut self) {
-        self.fleet.leave();
-    }
-
     /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: &[Node], now: Time) {
         self.fleet.set_seeds(seeds, now);
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
@@ -95,6 +95,7 @@
         if end == End::Finished {
             let whole = now.saturating_sub(attempt.sent).as_secs_f64() * 1e3;
             self.whole_answer_ms.add_sample(&flight.service, whole);
+            self.record_duration(attempt, flight, now);
         }
         let failed = matches!(end, End::Failed | End::Broken | End::Garbled);
         let usual_failure_rate = match end {
@@ -163,6 +164,7 @@
         flight.may_run_after(flight.runs + 1)
             && self.suspicion(flight) == 0
             && flight.time_left(now) > MIN_ATTEMPT_TIME
+            && self.ends_in_time(flight, now)
             && self.states.iter().any(|state| {
                 self.admits(state, flight, now).is_ok()
                     && self.rate_admits(state.key, flight.rank, now)
@@ -197,15 +199,16 @@
                 let suspected = self.suspicion(flight) >= crashes::RETRY_LIMIT;
                 if flight.may_run_after(flight.runs)
                     && flight.time_left(now) > MIN_ATTEMPT_TIME
+                    && self.ends_in_time(flight, now)
                     && !suspected
                     && self.budget.take_retry(&flight.service, nodes, now)
                 {
                     return Next::Retry;
                 }
-                let cause = if end == End::TimedOut {
-                    Cause::TimedOut
-                } else {
-                    Cause::EndpointFailed
+                let cause = match end {
+                    End::TimedOut => Cause::TimedOut,
+                    End::Abandoned => Cause::Leaving,
+                    _ => Cause::EndpointFailed,
                 };
                 Next::GiveUp(give_up(flight, cause, None))
             }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -124,6 +124,9 @@
         if flight.time_left(now).is_zero() {
             return Placement::Refuse(give_up(flight, Cause::TimedOut, None), Vec::new());
         }
+        if let Some(refusal) = self.refuse_late(flight, now) {
+            return Placement::Refuse(refusal, Vec::new());
+        }
         if let Err(refusal) = self.recheck_quarantine(flight, now) {
             return Placement::Refuse(refusal, Vec::new());
         }
--- a/crates/peridotdeck-core/src/dispatch/refusal.rs
+++ b/crates/peridotdeck-core/src/dispatch/refusal.rs
@@ -24,6 +24,8 @@
     Rejected,
     /// The caller takes up a stream, and no node knows which software version began it.
     UnknownStream,
+    /// The node leaves, and the request would not end before it does.
+    Leaving,
     /// The request has crashed too many endpoints.
     Quarantined,
     /// An endpoint failed while it held the request.
--- a/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
+++ b/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
@@ -159,7 +159,7 @@
 fn leaving_peer_is_removed_at_once() {
     let mut fleet = fleet(2);
     fleet.run(0, 1_000);
-    fleet.nodes[3].1.leave();
+    fleet.nodes[3].1.leave(ms(60_000));
     fleet.run(1_000, 1_050);
     let here = data_centre(REGIONS[0].0);
     assert_eq!(
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod fairness;
 mod fleet_beats;
 mod handover;
+mod late_requests;
 mod membership;
 mod named_rates;
 mod numbering;
--- a/crates/peridotdeck-core/tests/testsuite/overload_waits.rs
+++ b/crates/peridotdeck-core/tests/testsuite/overload_waits.rs
@@ -120,7 +120,7 @@
 fn leaving_node_sends_at_once() {
     let mut node = dispatcher_with_routes(&["chat", "bulk"]);
     send_burst(&mut node, "bulk", 10);
-    node.leave();
+    node.leave(ms(60_000));
     let mut bulk = admit_request(&mut node, "bulk", 10, 1);
     assert!(is_sent(&node.place(&mut bulk, ms(1))));
 }
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -11,6 +11,7 @@
 
 use async_io::Timer;
 use async_std::future::timeout;
+use futures_lite::future;
 use http_body_util::{BodyExt, Limited};
 use hyper::{
     Response,
@@ -192,7 +193,11 @@
     async fn make_attempt(&self, assignment: &Assignment) -> Option<Result<Received, Failure>> {
         let work =
             Self::receive_answer(&self.shared, &self.message, &self.flight, assignment, None);
-        let mut work = pin!(work);
+        let cut = async {
+            self.shared.requests_end().await;
+            Err(Failure::new(End::Abandoned, "grace period ended"))
+        };
+        let mut work = pin!(future::or(work, cut));
         if let Some(hedge_after) = assignment.hedge_after {
             if let Ok(result) = timeout(hedge_after, work.as_mut()).await {
                 return Some(result);
--- a/crates/peridotdeck-relay/src/front.rs
+++ b/crates/peridotdeck-relay/src/front.rs
@@ -1,6 +1,12 @@
 //! The callers' side: reads requests within limits and answers them.
 
-use std::{error::Error, sync::Arc};
+use std::{
+    error::Error,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+};
 
 use async_std::future::timeout;
 use futures_lite::stream::{Once, once};
@@ -72,7 +78,11 @@
     let limits = limits(&shared);
     let decoded = shared.ingress.decode(&head);
     let id = decoded.as_ref().ok().map(|request| request.id.clone());
-    let admitted = match read_body(body, &limits).await {
+    let body = {
+        let _counted = Counted::new(&shared.unread_requests);
+        read_body(body, &limits).await
+    };
+    let admitted = match body {
         Ok(body) => admit(&shared, &head, &body, decoded, arrived).map(|flight| (flight, body)),
         Err(cause) => Err(Refusal::not_run(cause, None)),
     };
@@ -105,6 +115,22 @@
     response
 }
 
+/// Counts a request until it is dropped.
+struct Counted<'a>(&'a AtomicU32);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a AtomicU32) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Returns the limits of the adopted configuration, or the defaults without one.
 pub fn limits<I: Ingress>(shared: &Shared<I>) -> Limits {
     let dispatcher = shared.dispatcher();
--- a/crates/peridotdeck-relay/src/shared.rs
+++ b/crates/peridotdeck-relay/src/shared.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use async_channel::{Receiver, Sender};
 use peridotdeck_core::dispatch::{
     Dispatcher, Key, Node,
     attempt::Attempt,
@@ -34,6 +35,10 @@
     pub answers: Arc<Answers>,
     /// Number of requests in progress.
     pub open_requests: AtomicU32,
+    /// Number of requests whose bodies are being read.
+    pub unread_requests: AtomicU32,
+    /// Channel that is closed at the end of the grace period.
+    ending: (Sender<()>, Receiver<()>),
     dispatcher: Mutex<Dispatcher>,
     /// Number of connections to endpoints that are open for peers.
     pub tunnels: AtomicU32,
@@ -55,6 +60,8 @@
             metrics: Metrics::new(),
             answers: Arc::default(),
             open_requests: AtomicU32::new(0),
+            unread_requests: AtomicU32::new(0),
+            ending: async_channel::bounded(1),
             tunnels: AtomicU32::new(0),
             node,
             control_port,
@@ -70,6 +77,17 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Ends the requests whose answers have not begun, because the grace period is over.
+    pub fn end_requests(&self) {
+        self.ending.0.close();
+    }
+
+    /// Waits until requests whose answers have not begun are to end.
+    pub(crate) async fn requests_end(&self) {
+        // Nothing is ever sent; an error means that the channel was closed.
+        let _ = self.ending.1.recv().await;
+    }
+
     /// Records that an idle connection to an endpoint broke, so the endpoint may be down.
     pub fn suspect(&self, key: Key) {
         log::info!("event=idle_connection_broke endpoint_key={key:08x}");
--- a/crates/peridotdeck-relay/src/shutdown.rs
+++ b/crates/peridotdeck-relay/src/shutdown.rs
@@ -31,6 +31,9 @@
 /// Time before the end of the grace period at which requests still in progress are cut.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time in which the last answers are written after requests were cut.
+const CUT_TIME: Duration = Duration::from_millis(100);
+
 /// Clock that stands still while the process is paused.
 struct Awake {
     polled: Time,
@@ -56,11 +59,13 @@
 
 /// Lets the requests of a node end, and returns when the process may exit.
 ///
-/// The listeners and idle connections are closed when `closing` is dropped. Requests that are open
-/// shortly before the end of the grace period are cut.
+/// The listeners and idle connections are closed when `closing` is dropped. A request that comes
+/// meanwhile is accepted if it can end in time. Requests that are open shortly before the end of the
+/// grace period are cut; they get an answer unless a stream has begun.
 pub async fn drain<I: Ingress>(shared: &Shared<I>, grace_period: Duration, closing: Sender<()>) {
     let open = || {
         shared.open_requests.load(Ordering::Relaxed)
+            + shared.unread_requests.load(Ordering::Relaxed)
             + shared.tunnels.load(Ordering::Relaxed)
             + shared.answers.unwritten()
     };
@@ -73,8 +78,8 @@
         )
     };
     log::info!("event=leaving {}", count());
-    shared.dispatcher().leave();
     let deadline = clock::now() + grace_period.saturating_sub(SHUTDOWN_MARGIN);
+    shared.dispatcher().leave(deadline);
     let mut awake = Awake::new();
     while awake.total < LEAVING_DELAY && awake.polled < deadline {
         awake.poll().await;
@@ -83,8 +88,14 @@
     let closed = awake.total;
     let mut busy_until = awake.total;
     while awake.total < busy_until + QUIET_TIME {
-        let is_cut = awake.polled >= deadline && awake.total >= closed + QUIET_TIME;
-        if is_cut {
+        let is_over = awake.polled >= deadline && awake.total >= closed + QUIET_TIME;
+        if is_over {
+            log::info!("event=requests_cut {}", count());
+            shared.end_requests();
+            let cut = awake.total;
+            while open() > 0 && awake.total < cut + CUT_TIME {
+                awake.poll().await;
+            }
             break;
         }
         awake.poll().await;
