Take only a success for the continuation of a stream

Cause: on a route for streams every sealed answer below 500 was read as a stream of events, whatever its status. A text with an empty line is a complete event by that reading.

Evidence: broken_streams with texts that look like events failed in 3 of 3 tests before ("AfterEvent, Chunks, Error(400)": event 1, then "data: error"). An answer of another status that breaks off got events of a second endpoint behind its head by the same path.

Change: only 200 is a stream; any other answer is read whole, and to a continuation it is a failed attempt.

Result: broken_streams passes, 4 of 4, with 14 kinds of second answer.

--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -14,7 +14,7 @@
 use futures_lite::future;
 use http_body_util::{BodyExt, Limited};
 use hyper::{
-    Response,
+    Response, StatusCode,
     body::{Bytes, Incoming},
     http::response,
 };
@@ -222,7 +222,7 @@
         let (head, mut body) = answer.response.into_parts();
         let channel = answer.channel;
         let end = match answer.reply {
-            Reply::Answer if flight.route.kind == Kind::Stream => {
+            Reply::Answer if is_stream(flight, &head) => {
                 // Until the first event is forwarded, another endpoint may still answer instead.
                 let mut events = Events::default();
                 let continues =
@@ -397,6 +397,13 @@
     }
 }
 
+/// Returns whether an answer is a stream of events, which another endpoint may continue.
+///
+/// Any other status comes with a text of its own, even on a route for streams.
+fn is_stream(flight: &Flight, head: &response::Parts) -> bool {
+    flight.route.kind == Kind::Stream && head.status == StatusCode::OK
+}
+
 impl<I: Ingress> Drop for Forwarding<I> {
     fn drop(&mut self) {
         if !self.ended {
