Go on elsewhere where an engine answers a continuation with an error, on the own interface

Cause: the error was forwarded as the whole answer; the caller already had a head, so the router took the failure to send for the caller's leaving and ended the request as cancelled.

The fake engine learns to deny a continuation.

Change: an answer that has begun treats any status but 200 as a refused attempt, after which another engine goes on or the caller gets an error event.

--- a/crates/peridotdeck-fake/src/engine/api.rs
+++ b/crates/peridotdeck-fake/src/engine/api.rs
@@ -116,6 +116,14 @@
         Arc::clone(&state).crash();
         return Ok(broken());
     }
+    if body.resume_from > 0
+        && let Some(status) = state.take_denial()
+    {
+        return Ok(json(
+            status,
+            &json!({"error": {"message": "cannot continue"}}),
+        ));
+    }
     let (id, prompt) = if state.take_cross() {
         (
             "crossed".to_owned(),
--- a/crates/peridotdeck-fake/src/engine/state.rs
+++ b/crates/peridotdeck-fake/src/engine/state.rs
@@ -85,6 +85,8 @@
     Cross,
     /// Running streams go silent and stay open.
     Silence,
+    /// The next continuation of an answer gets this status instead.
+    Deny(u16),
 }
 
 /// What an engine has counted.
@@ -137,6 +139,7 @@
     slowdown: f64,
     silence: u64,
     cross: bool,
+    denial: Option<u16>,
     fence: u64,
     cache: Vec<u64>,
     events: Vec<(Instant, CacheEvent)>,
@@ -182,6 +185,7 @@
             slowdown: 1.0,
             silence: 0,
             cross: false,
+            denial: None,
             fence: 0,
             cache: Vec::new(),
             events: Vec::new(),
@@ -223,6 +227,7 @@
                 inner.cache.clear();
             }
             Fault::Cross => self.lock().cross = true,
+            Fault::Deny(status) => self.lock().denial = Some(status),
             Fault::Silence => self.lock().silence += 1,
         }
     }
@@ -261,6 +266,11 @@
         }
     }
 
+    /// Takes the status that a continuation gets instead of the rest of its answer.
+    pub fn take_denial(&self) -> Option<u16> {
+        self.lock().denial.take()
+    }
+
     /// Takes the fault that crosses one answer.
     pub fn take_cross(&self) -> bool {
         std::mem::take(&mut self.lock().cross)
--- a/crates/peridotdeck-router/src/attempt/completion.rs
+++ b/crates/peridotdeck-router/src/attempt/completion.rs
@@ -111,6 +111,8 @@
             }
             429 | 500..=599 => Outcome::Refused,
             _ if confirms_not_run(&response) => Outcome::Refused,
+            // An error cannot take the place of an answer that has begun.
+            _ if answer.tokens() > 0 => Outcome::Refused,
             _ => self.forward(response, params.idle_timeout, answer).await,
         }
     }
