Answer what is open at the end of a drain, and wait for bodies and answers, on the own interface

Cause: the router counted only requests in its core, and ended with them or with the time. Nothing told the open ones.

Change: Event::Cut refuses all flights with a true verdict (502 may_have_run, 503 not_run); the drain also waits for requests whose responses are not completely written (AcceptState::busy_requests).

--- a/crates/peridotdeck-core/src/event.rs
+++ b/crates/peridotdeck-core/src/event.rs
@@ -43,6 +43,8 @@
     },
     /// An operator or a signal told the node to drain and shut down.
     Drain,
+    /// The time to drain is over; requests that are open get a final answer.
+    Cut,
 }
 
 /// Outcome and measurements of an ended attempt.
--- a/crates/peridotdeck-core/src/flight/table/maintenance.rs
+++ b/crates/peridotdeck-core/src/flight/table/maintenance.rs
@@ -7,7 +7,10 @@
 use super::{HoldingReport, KEEPALIVE_INTERVAL, MAX_DIRECT_NODES, Table};
 use crate::{
     flight::{Context, Flight, Outbox, Running, SlotRequest, Stage, candidate::choose_pool},
-    id, rendezvous,
+    id,
+    node::RETRY_AFTER,
+    rendezvous,
+    request::{Cause, Refusal},
 };
 
 /// Time after which an unanswered slot request is sent again.
@@ -54,6 +57,23 @@
         self.send_holdings(context, out);
     }
 
+    /// Refuses all requests, because the node ends.
+    pub fn cut(&mut self, now: id::Time, out: &mut Outbox) {
+        for request in self.requests(|_| true) {
+            let Ok(index) = self.find(request) else {
+                continue;
+            };
+            let flight = &self.flights[index];
+            let may_have_run = flight.may_have_run || matches!(flight.stage, Stage::Running(_));
+            let refusal = if may_have_run {
+                Refusal::may_have_run(Cause::Leaving)
+            } else {
+                Refusal::not_run(Cause::Leaving, Some(RETRY_AFTER))
+            };
+            self.settle_and_refuse(index, refusal, now, out);
+        }
+    }
+
     /// Advances one flight whose stage depends on time.
     pub(super) fn tick_flight(
         &mut self,
--- a/crates/peridotdeck-core/src/node.rs
+++ b/crates/peridotdeck-core/src/node.rs
@@ -37,6 +37,9 @@
 /// Time without ticks after which the process counts as paused and its view as out of date.
 const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
 
+/// Time after which the caller of a node that cannot serve may retry, at another node.
+pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Parameters with which a node starts.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -195,6 +198,7 @@
                     .handle_report(endpoint, report, now, &mut out.messages);
             }
             Event::Drain => self.drain(now, out),
+            Event::Cut => self.request_table.cut(now, out),
         }
     }
 
@@ -243,7 +247,7 @@
                 .then_some(Cause::Unconfigured)
         };
         if let Some(cause) = refused {
-            let refusal = Refusal::not_run(cause, Some(Duration::from_secs(1)));
+            let refusal = Refusal::not_run(cause, Some(RETRY_AFTER));
             out.actions.push(Action::Refuse { request, refusal });
             return;
         }
--- a/crates/peridotdeck-fake/src/plain.rs
+++ b/crates/peridotdeck-fake/src/plain.rs
@@ -34,6 +34,8 @@
     BreakAfter,
     /// The call is refused and did not run.
     Refuse,
+    /// The call runs and its answer does not come.
+    Hold,
 }
 
 /// Runs by key, over all endpoints of a service.
@@ -166,6 +168,9 @@
         .map(|values| values.last().as_str().to_owned());
     let runs = key.as_deref().map_or(0, |key| state.record.add(key));
     task::sleep(state.delay).await;
+    if fault == Some(Fault::Hold) {
+        std::future::pending::<()>().await;
+    }
     if fault == Some(Fault::BreakAfter) {
         return Ok(broken());
     }
--- a/crates/peridotdeck-http/src/server.rs
+++ b/crates/peridotdeck-http/src/server.rs
@@ -80,6 +80,8 @@
 pub struct AcceptState {
     rejecting: AtomicBool,
     open: AtomicUsize,
+    /// Requests whose heads have come and whose responses are not completely written.
+    busy: AtomicUsize,
 }
 
 impl AcceptState {
@@ -97,6 +99,42 @@
     pub fn open_connections(&self) -> usize {
         self.open.load(Ordering::SeqCst)
     }
+
+    /// Returns the number of requests whose responses are not completely written.
+    #[must_use]
+    pub fn busy_requests(&self) -> usize {
+        self.busy.load(Ordering::SeqCst)
+    }
+}
+
+/// Whether a connection has a request in progress: from the end of its head to the end of its response.
+struct Busy<'a> {
+    state: &'a AcceptState,
+    is_busy: AtomicBool,
+}
+
+impl Busy<'_> {
+    fn begin(&self) {
+        if !self.is_busy.swap(true, Ordering::SeqCst) {
+            self.state.busy.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+
+    fn end(&self) {
+        if self.is_busy.swap(false, Ordering::SeqCst) {
+            self.state.busy.fetch_sub(1, Ordering::SeqCst);
+        }
+    }
+
+    fn is_busy(&self) -> bool {
+        self.is_busy.load(Ordering::SeqCst)
+    }
+}
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.end();
+    }
 }
 
 impl Server {
@@ -166,7 +204,7 @@
                 state.open.fetch_add(1, Ordering::SeqCst);
                 let (state, respond) = (Arc::clone(&state), respond.clone());
                 task::spawn(async move {
-                    if let Err(cause) = handle(stream, limits, respond).await {
+                    if let Err(cause) = handle(stream, limits, &state, respond).await {
                         log::debug!("event=connection_ended peer={peer} cause=\"{cause}\"");
                     }
                     state.open.fetch_sub(1, Ordering::SeqCst);
@@ -184,29 +222,37 @@
 ///
 /// A request head that does not arrive in time or cannot be parsed is answered here, because
 /// `async-h1` would close the connection without a response.
-async fn handle<F, Fut>(stream: TcpStream, limits: Limits, respond: F) -> Result<()>
+async fn handle<F, Fut>(
+    stream: TcpStream,
+    limits: Limits,
+    state: &AcceptState,
+    respond: F,
+) -> Result<()>
 where
     F: Fn(Request) -> Fut,
     Fut: Future<Output = Result<Response>>,
 {
     stream.set_nodelay(true)?;
     let connection = Connection(stream.clone());
-    let begun = AtomicBool::new(false);
+    let busy = Busy {
+        state,
+        is_busy: AtomicBool::new(false),
+    };
     let bounded = Bounded::new(stream.clone(), MAX_BYTES_TO_HEAD);
     let head = bounded.head();
     let answer = |mut request: Request| {
         head.complete();
-        begun.store(true, Ordering::SeqCst);
+        busy.begin();
         request.ext_mut().insert(connection.clone());
         respond(request)
     };
     let mut server = async_h1::server::Server::new(bounded, answer);
     loop {
         head.expect();
-        begun.store(false, Ordering::SeqCst);
+        busy.end();
         let slow_head = async {
             task::sleep(limits.head_timeout).await;
-            if begun.load(Ordering::SeqCst) {
+            if busy.is_busy() {
                 std::future::pending::<()>().await;
             }
             None
@@ -215,7 +261,7 @@
             Some(Ok(ConnectionStatus::KeepAlive)) => {}
             Some(Ok(ConnectionStatus::Close)) => return Ok(()),
             Some(Err(cause)) => {
-                if !begun.load(Ordering::SeqCst) {
+                if !busy.is_busy() {
                     refuse(stream, MALFORMED_HEAD).await;
                 }
                 return Err(cause);
--- a/crates/peridotdeck-router/src/api_error.rs
+++ b/crates/peridotdeck-router/src/api_error.rs
@@ -72,7 +72,14 @@
 
 impl From<Refusal> for ApiError {
     fn from(refusal: Refusal) -> Self {
-        let (status, kind, message) = status_kind_message(refusal.cause);
+        let (status, kind, message) = match (refusal.cause, refusal.verdict) {
+            (Cause::Leaving, Verdict::MayHaveRun | Verdict::Ran) => (
+                502,
+                "server_error",
+                "this node shut down before the answer was complete; the request may have run",
+            ),
+            (cause, _) => status_kind_message(cause),
+        };
         Self {
             status,
             kind,
--- a/crates/peridotdeck-router/src/request_task.rs
+++ b/crates/peridotdeck-router/src/request_task.rs
@@ -7,7 +7,12 @@
 
 use async_channel::Receiver;
 use futures_lite::future::or;
-use peridotdeck_core::{Event, event::End, id, request::Call};
+use peridotdeck_core::{
+    Event,
+    event::End,
+    id,
+    request::{Call, Refusal},
+};
 use peridotdeck_http::server::Connection;
 use peridotdeck_policy::{Class, Endpoint};
 use peridotdeck_wire::Outcome;
@@ -85,9 +90,7 @@
                 Signal::Command(None) | Signal::AttemptEnded(()) => return,
                 Signal::Command(Some(Command::Stop { .. })) => {}
                 Signal::Command(Some(Command::Refuse(refusal))) => {
-                    self.metrics
-                        .count_refusal(&self.call.class, &self.call.organisation, refusal);
-                    self.answer.send_error(&ApiError::from(refusal)).await;
+                    self.refuse(refusal).await;
                     return;
                 }
                 Signal::Command(Some(Command::Replay { status, body })) => {
@@ -111,6 +114,13 @@
         }
     }
 
+    /// Answers the caller with a refusal.
+    async fn refuse(&mut self, refusal: Refusal) {
+        self.metrics
+            .count_refusal(&self.call.class, &self.call.organisation, refusal);
+        self.answer.send_error(&ApiError::from(refusal)).await;
+    }
+
     async fn report_disconnect(&mut self) {
         self.connection = None;
         self.handle
@@ -126,6 +136,7 @@
         let delivered_before = self.answer.tokens();
         let started = std::time::Instant::now();
         let mut stopped = false;
+        let mut refused = None;
         let end = {
             let mut execution = pin!(send_to_endpoint(
                 &self.endpoint_request,
@@ -145,6 +156,10 @@
                         stopped = true;
                         break None;
                     }
+                    Signal::Command(Some(Command::Refuse(refusal))) => {
+                        refused = Some(refusal);
+                        break None;
+                    }
                     Signal::Command(Some(_)) => {}
                     Signal::Command(None) => break None,
                     Signal::Disconnected => {
@@ -158,6 +173,10 @@
                 }
             }
         };
+        if let Some(refusal) = refused {
+            self.refuse(refusal).await;
+            return true;
+        }
         let preempted = stopped && self.connection.is_some();
         let outcome = if preempted {
             Outcome::Preempted
--- a/crates/peridotdeck-router/src/router.rs
+++ b/crates/peridotdeck-router/src/router.rs
@@ -23,6 +23,9 @@
 /// Time between two checks whether a draining node is idle.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time in which the last responses are written after the time to drain is over.
+const CUT_TIME: Duration = Duration::from_millis(200);
+
 /// Parameters with which a router starts, besides its settings.
 #[derive(Clone, Debug)]
 pub struct Options<D> {
@@ -177,23 +180,40 @@
 
     /// Stops taking requests and waits until those in flight have ended.
     ///
-    /// Returns whether all requests ended within the settings' drain time. The tasks keep running
-    /// until [`Router::stop`].
+    /// Requests that are open after the settings' drain time get a final answer, unless their stream
+    /// has begun. Returns whether all ended before. The tasks keep running until [`Router::stop`].
     pub async fn drain(&self) -> bool {
         self.handle.send(Event::Drain).await;
         let started = Instant::now();
-        while started.elapsed() < self.drain_timeout {
+        if self.wait_idle(self.drain_timeout).await {
+            log::info!("event=drained ms={}", started.elapsed().as_millis());
+            return true;
+        }
+        let open = self.busy_requests();
+        log::warn!("event=drain_incomplete open={open}");
+        self.handle.send(Event::Cut).await;
+        self.wait_idle(CUT_TIME).await;
+        false
+    }
+
+    /// Waits until no request is in flight and all responses are written, for a time at most.
+    async fn wait_idle(&self, time: Duration) -> bool {
+        let started = Instant::now();
+        while started.elapsed() < time {
             let idle = self.handle.inspect(|node, _| node.is_idle()).await;
-            if idle != Some(false) {
-                log::info!("event=drained ms={}", started.elapsed().as_millis());
+            if idle != Some(false) && self.busy_requests() == 0 {
                 return true;
             }
             task::sleep(DRAIN_CHECK_INTERVAL).await;
         }
-        log::warn!("event=drain_incomplete");
         false
     }
 
+    fn busy_requests(&self) -> usize {
+        let state = self.server.as_ref().map(Server::accept_state);
+        state.map_or(0, |state| state.busy_requests())
+    }
+
     /// Stops the server and all tasks without waiting for requests.
     pub async fn stop(mut self) {
         if let Some(server) = self.server.take() {
--- a/crates/peridotdeck-router/tests/testsuite/cluster.rs
+++ b/crates/peridotdeck-router/tests/testsuite/cluster.rs
@@ -127,7 +127,8 @@
     pub async fn add_router(&mut self, node: u32) {
         let text = format!(
             "node = {node}\nplace = \"a\"\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
-             platform = [\"{}\"]\nbody_limit_kb = 64\nbody_timeout_ms = 500\nsilence_ms = 600\n",
+             platform = [\"{}\"]\nbody_limit_kb = 64\nbody_timeout_ms = 500\nsilence_ms = 600\n\
+             drain_s = 2\n",
             self.platform.address()
         );
         let settings = peridotdeck_settings::parse(&text, "test").unwrap();
