--- a/crates/peridotdeck-core/tests/testsuite/common_restarts.rs
+++ b/crates/peridotdeck-core/tests/testsuite/common_restarts.rs
@@ -38,6 +38,51 @@
     }
 }
 
+/// Nodes that restart, each time at once, and the time that passes after it.
+type Restarts = (&'static str, fn(usize) -> bool, &'static [u64]);
+
+/// Guards against refusals of streams that are taken up twice after a restart of a part of the fleet, or
+/// after two restarts.
+#[test]
+fn stream_from_after_any_restart_goes_on_twice() {
+    let all: [Restarts; 4] = [
+        ("half", |node| node % 2 == 0, &[6_000]),
+        ("a data centre", |node| node % 3 == 0, &[6_000]),
+        ("all but one", |node| node != 1, &[6_000]),
+        ("all, twice", |_| true, &[9_000, 6_000]),
+    ];
+    for nodes in [6, 30] {
+        for (what, restarts, times) in all {
+            let mut world = World::new(nodes, 6, 2);
+            world.callers.0.clear();
+            world.run(ms(40_000));
+            for time in times {
+                for node in (0..nodes).filter(|node| restarts(*node)) {
+                    world.kill(node);
+                }
+                for node in (0..nodes).filter(|node| restarts(*node)) {
+                    world.start(node);
+                }
+                for node in (0..nodes).filter(|node| restarts(*node)) {
+                    world.list_caches(node);
+                }
+                world.run(ms(*time));
+            }
+            for (first, second, third) in [(0, 1, 2), (1, 3, 0)] {
+                let id = |name: &str| format!("{name}{first}");
+                let begun = world.stream(first, &id("a"), None);
+                world.run(ms(100));
+                let taken = world.stream(second, &id("b"), Some(&id("a")));
+                world.run(ms(100));
+                let again = world.stream(third, &id("c"), Some(&id("a")));
+                assert!(begun.is_some(), "{what}, {nodes} nodes, at {first}");
+                assert_eq!(taken, begun, "{what}, {nodes} nodes, at {second}");
+                assert_eq!(again, begun, "{what}, {nodes} nodes, at {third}");
+            }
+        }
+    }
+}
+
 /// Publishes a service of many endpoints, of which `old` run the first version and come last.
 fn large_service(world: &mut World, old: usize, new: usize) {
     let listed: Vec<(usize, &str)> = (0..new)
--- a/crates/peridotdeck-router/tests/testsuite/cut_answers.rs
+++ b/crates/peridotdeck-router/tests/testsuite/cut_answers.rs
@@ -90,6 +90,25 @@
     }
 }
 
+/// Guards against an empty answer in place of one whose endpoint stopped inside the head.
+#[test]
+fn cut_head_is_no_answer() {
+    let interim = [
+        "",
+        "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\n\r\n",
+    ];
+    for (head, _) in answers() {
+        for before in interim {
+            let head = format!("{before}{head}");
+            for bytes in (0..head.len()).step_by(5) {
+                let answer = read(head[..bytes].to_owned());
+                assert_eq!(answer, None, "{head} cut after {bytes} bytes");
+            }
+        }
+    }
+}
+
 /// Puts a path that can cut answers in front of a cluster's first engine.
 async fn relayed(cluster: &mut Cluster) -> Relay {
     let engine = cluster.engines[0].address();
