--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -102,7 +102,7 @@
         if !is_over && self.ask(flight, stream, now) {
             return Some(Placement::Wait(Delay::poll(WaitCause::Lookup)));
         }
-        if self.may_trust_caches(flight, now)
+        if self.may_have_others(&flight.service, now)
             && let Some(software) = self.cached_version(flight)
         {
             flight.software = Some(software);
@@ -117,7 +117,7 @@
     ///
     /// If nothing shows that the endpoint list is complete, a read of the publisher is asked for.
     fn is_only_version(&mut self, service: &str, now: Time) -> bool {
-        if self.versions.is_mixed(service, now) || self.versions.is_history_short(now) {
+        if self.may_have_others(service, now) {
             return false;
         }
         let is_in_step = self.is_in_step(now);
@@ -156,11 +156,12 @@
         }
     }
 
-    /// Returns whether caches that were listed at the start show the version of an unknown stream.
+    /// Returns whether a service has, or may have had, several versions.
     ///
-    /// At a node out of step they are those of versions that it knows.
-    fn may_trust_caches(&self, flight: &Flight, now: Time) -> bool {
-        self.versions.is_mixed(&flight.service, now) || self.versions.is_history_short(now)
+    /// Caches that were listed at the start then show the version of an unknown stream. At a node out of
+    /// step they are those of versions that it knows.
+    fn may_have_others(&self, service: &str, now: Time) -> bool {
+        self.versions.is_mixed(service, now) || self.versions.is_history_short(now)
     }
 
     /// Asks others for the version of a stream that this node does not know.
