Count requests, bodies and tunnels in progress by one guard

The drain sums three counts; each had its own guard, or an addition and a subtraction by hand (front::Counted, tunnel::Counted, Forwarding). shared::Count serves all. The two arms of Forwarding::handle_answer that kept a connection and noted its framing share one function.

--- a/crates/peridotdeck-relay/src/control.rs
+++ b/crates/peridotdeck-relay/src/control.rs
@@ -1,9 +1,6 @@
 //! HTTP service of the node itself: health checks, metrics, state, and snapshots for peers.
 
-use std::{
-    fmt::Write as _,
-    sync::{Arc, atomic::Ordering},
-};
+use std::{fmt::Write as _, sync::Arc};
 
 use http_body_util::Full;
 use hyper::{
@@ -110,7 +107,7 @@
     let (_, lost, detours) = dispatcher.path_counts();
     metrics.set_state("lost_paths", lost as u64);
     metrics.set_state("detours", detours as u64);
-    let tunnels = shared.tunnels.load(Ordering::Relaxed);
+    let tunnels = shared.tunnels.get();
     metrics.set_state("tunnels", tunnels.into());
     metrics.set_state("unframed", shared.answers.unframed().into());
     metrics.set_state("kept_connections", shared.pool.len() as u64);
@@ -196,7 +193,7 @@
         dispatcher.is_ready(),
         registry.closed().join(","),
         endpoints - lost,
-        shared.tunnels.load(Ordering::Relaxed),
+        shared.tunnels.get(),
     );
     for (node, data_centre) in dispatcher.fleet().members(now) {
         push_line(
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -3,11 +3,7 @@
 mod logging;
 mod reading;
 
-use std::{
-    pin::pin,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use async_io::Timer;
 use async_std::future::timeout;
@@ -34,7 +30,7 @@
     exchange::{self, Channel, Failure, Message},
     framing::Framing,
     ingress::Reply,
-    shared::detour_text,
+    shared::{Counted, detour_text},
     stream::{Events, Relay},
 };
 use reading::{read_body, read_first_event};
@@ -80,6 +76,7 @@
 #[derive(Debug)]
 pub struct Forwarding<I: Ingress> {
     pub(crate) shared: Arc<Shared<I>>,
+    _counted: Counted,
     pub(crate) message: Message,
     pub(crate) flight: Flight,
     current_attempt: Option<Attempt>,
@@ -103,9 +100,10 @@
     /// Starts the forwarding of an admitted request.
     #[must_use]
     pub fn new(shared: Arc<Shared<I>>, message: Message, flight: Flight) -> Self {
-        shared.open_requests.fetch_add(1, Ordering::Relaxed);
+        let counted = shared.open_requests.begin();
         Self {
             shared,
+            _counted: counted,
             message,
             flight,
             current_attempt: None,
@@ -157,17 +155,13 @@
         let key = assignment.attempt.key();
         match received {
             Received::Complete(response, channel) => {
-                let framing = channel.framing;
-                self.framing = Some(framing);
-                channel.keep(&self.shared.pool, key);
+                let framing = self.keep(channel, key);
                 self.finish_attempt(framing.end(), framing.cause());
                 self.record_end(framing.outcome(), response.status().as_u16(), "");
                 Ok(Box::new(Outcome::Whole(response, framing)))
             }
             Received::Failed(response, channel) => {
-                let framing = channel.framing;
-                self.framing = Some(framing);
-                channel.keep(&self.shared.pool, key);
+                let framing = self.keep(channel, key);
                 self.finish_attempt(End::Failed, "");
                 if self.next_step(End::Failed) == Next::Retry {
                     return Err(Box::new(self));
@@ -187,6 +181,14 @@
         }
     }
 
+    /// Keeps the connection of a complete answer, and returns the answer's framing.
+    fn keep(&mut self, channel: Channel, key: Key) -> Framing {
+        let framing = channel.framing;
+        self.framing = Some(framing);
+        channel.keep(&self.shared.pool, key);
+        framing
+    }
+
     /// Makes one attempt at the assigned endpoint.
     ///
     /// Returns nothing if the attempt is slow and another endpoint should be tried.
@@ -410,6 +412,5 @@
             self.finish_attempt(End::Cancelled, "caller disconnected");
             self.record_end("cancelled", 0, "caller disconnected");
         }
-        self.shared.open_requests.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/peridotdeck-relay/src/front.rs
+++ b/crates/peridotdeck-relay/src/front.rs
@@ -1,12 +1,6 @@
 //! The callers' side: reads requests within limits and answers them.
 
-use std::{
-    error::Error,
-    sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
-    },
-};
+use std::{error::Error, sync::Arc};
 
 use async_std::future::timeout;
 use futures_lite::stream::{Once, once};
@@ -79,7 +73,7 @@
     let decoded = shared.ingress.decode(&head);
     let id = decoded.as_ref().ok().map(|request| request.id.clone());
     let body = {
-        let _counted = Counted::new(&shared.unread_requests);
+        let _counted = shared.unread_requests.begin();
         read_body(body, &limits).await
     };
     let admitted = match body {
@@ -115,22 +109,6 @@
     response
 }
 
-/// Counts a request until it is dropped.
-struct Counted<'a>(&'a AtomicU32);
-
-impl<'a> Counted<'a> {
-    fn new(count: &'a AtomicU32) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Self(count)
-    }
-}
-
-impl Drop for Counted<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Returns the limits of the adopted configuration, or the defaults without one.
 pub fn limits<I: Ingress>(shared: &Shared<I>) -> Limits {
     let dispatcher = shared.dispatcher();
--- a/crates/peridotdeck-relay/src/shared.rs
+++ b/crates/peridotdeck-relay/src/shared.rs
@@ -22,6 +22,34 @@
     Ingress, clock, ingress::Notice, metrics::Metrics, pool::Pool, publisher::Sink, server::Answers,
 };
 
+/// Number of things that are in progress.
+#[derive(Clone, Debug, Default)]
+pub struct Count(Arc<AtomicU32>);
+
+impl Count {
+    /// Counts one more until the guard is dropped.
+    pub(crate) fn begin(&self) -> Counted {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        Counted(self.clone())
+    }
+
+    /// Returns the number of those in progress.
+    #[must_use]
+    pub fn get(&self) -> u32 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// One thing in progress, which is counted until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Counted(Count);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Dispatcher, connections and metrics of one node.
 #[derive(Debug)]
 pub struct Shared<I> {
@@ -34,14 +62,14 @@
     /// Answers in progress on callers' connections.
     pub answers: Arc<Answers>,
     /// Number of requests in progress.
-    pub open_requests: AtomicU32,
+    pub open_requests: Count,
     /// Number of requests whose bodies are being read.
-    pub unread_requests: AtomicU32,
+    pub unread_requests: Count,
     /// Channel that is closed at the end of the grace period.
     ending: (Sender<()>, Receiver<()>),
     dispatcher: Mutex<Dispatcher>,
     /// Number of connections to endpoints that are open for peers.
-    pub tunnels: AtomicU32,
+    pub tunnels: Count,
     /// Address of this node, by which peers know it.
     pub node: Node,
     /// Port at which all nodes serve their peers.
@@ -59,10 +87,10 @@
             pool: Pool::default(),
             metrics: Metrics::new(),
             answers: Arc::default(),
-            open_requests: AtomicU32::new(0),
-            unread_requests: AtomicU32::new(0),
+            open_requests: Count::default(),
+            unread_requests: Count::default(),
             ending: async_channel::bounded(1),
-            tunnels: AtomicU32::new(0),
+            tunnels: Count::default(),
             node,
             control_port,
             dispatcher: Mutex::new(dispatcher),
--- a/crates/peridotdeck-relay/src/shutdown.rs
+++ b/crates/peridotdeck-relay/src/shutdown.rs
@@ -4,7 +4,7 @@
 //! then ends when its requests have ended. The process may be paused meanwhile. Requests that
 //! arrive during the pause are read only after it, so times are counted while the process is awake.
 
-use std::{sync::atomic::Ordering, time::Duration};
+use std::time::Duration;
 
 use async_channel::Sender;
 use async_io::Timer;
@@ -64,13 +64,13 @@
 /// grace period are cut; they get an answer unless a stream has begun.
 pub async fn drain<I: Ingress>(shared: &Shared<I>, grace_period: Duration, closing: Sender<()>) {
     let open = || {
-        shared.open_requests.load(Ordering::Relaxed)
-            + shared.unread_requests.load(Ordering::Relaxed)
-            + shared.tunnels.load(Ordering::Relaxed)
+        shared.open_requests.get()
+            + shared.unread_requests.get()
+            + shared.tunnels.get()
             + shared.answers.unwritten()
     };
     let count = || {
-        let tunnels = shared.tunnels.load(Ordering::Relaxed);
+        let tunnels = shared.tunnels.get();
         format!(
             "open={} tunnels={tunnels} unframed={}",
             open(),
--- a/crates/peridotdeck-relay/src/tunnel.rs
+++ b/crates/peridotdeck-relay/src/tunnel.rs
@@ -45,6 +45,7 @@
     Ingress, Shared, clock,
     pool::{self, CONNECT_TIMEOUT, Connection, Path},
     server::{Remote, Socket},
+    shared::Counted,
 };
 
 /// Target at the control address that opens a connection to an endpoint.
@@ -178,22 +179,6 @@
     Ok(stream)
 }
 
-/// Counts an open tunnel until it is dropped.
-struct Counted<I: Ingress>(Arc<Shared<I>>);
-
-impl<I: Ingress> Counted<I> {
-    fn new(shared: &Arc<Shared<I>>) -> Self {
-        shared.tunnels.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(shared))
-    }
-}
-
-impl<I: Ingress> Drop for Counted<I> {
-    fn drop(&mut self) {
-        self.0.tunnels.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Answers a peer's request for a connection to an endpoint.
 pub(crate) async fn accept<I: Ingress>(
     shared: &Arc<Shared<I>>,
@@ -217,7 +202,7 @@
             } else {
                 OLD_PROTOCOL
             };
-            let counted = Counted::new(shared);
+            let counted = shared.tunnels.begin();
             task::spawn(async move { pass(upgraded, far, peer, key, counted).await });
             switch_protocols(protocol)
         }
@@ -276,13 +261,7 @@
 }
 
 /// Passes bytes between a peer and an endpoint until either ends its connection.
-async fn pass<I: Ingress>(
-    upgraded: OnUpgrade,
-    far: Async<TcpStream>,
-    peer: Node,
-    key: Key,
-    _counted: Counted<I>,
-) {
+async fn pass(upgraded: OnUpgrade, far: Async<TcpStream>, peer: Node, key: Key, _counted: Counted) {
     let parts = match upgraded.await.map(Upgraded::downcast::<FuturesIo<Socket>>) {
         Ok(Ok(parts)) => parts,
         Ok(Err(_)) => unreachable!("every connection of the server is a socket"),
