Put framing, events and failures of answers into one module

What an answer is was spread over four files, of which `forwarding`, `forwarding::reading` and `stream` imported each other. Framing, events, failures and reading are now `answer`, which knows neither of the two.

--- /dev/null
+++ b/crates/peridotdeck-relay/src/answer.rs
@@ -0,0 +1,11 @@
+//! What an answer of an endpoint is: its framing, its events, and how it ended.
+
+mod events;
+mod failure;
+mod framing;
+mod reading;
+
+pub use events::Events;
+pub use failure::Failure;
+pub use framing::Framing;
+pub(crate) use reading::{read_body, read_data, read_first_event};
--- a/crates/peridotdeck-relay/src/stream/events.rs
+++ b/crates/peridotdeck-relay/src/answer/events.rs
@@ -3,7 +3,7 @@
 use hyper::body::Bytes;
 use peridotdeck_core::dispatch::attempt::End;
 
-use crate::exchange::Failure;
+use super::Failure;
 
 /// Largest event in bytes; an endpoint that sends more without an event's end has failed.
 const MAX_EVENT_BYTES: usize = 256 << 10;
@@ -12,7 +12,7 @@
 #[derive(Debug, Default)]
 pub struct Events {
     pending: Vec<u8>,
-    pub(super) last_id: Option<String>,
+    pub(crate) last_id: Option<String>,
 }
 
 impl Events {
--- a/crates/peridotdeck-relay/src/forwarding/reading.rs
+++ b/crates/peridotdeck-relay/src/answer/reading.rs
@@ -5,12 +5,8 @@
 use hyper::body::{Bytes, Incoming};
 use peridotdeck_core::dispatch::{attempt::End, flight::Flight};
 
-use crate::{
-    clock,
-    exchange::Failure,
-    framing::Framing,
-    stream::{self, Events},
-};
+use super::{Events, Failure, Framing};
+use crate::clock;
 
 /// Largest answer that is read as a whole, in bytes.
 ///
@@ -27,7 +23,7 @@
 }
 
 /// Reads a complete body before the deadline of the request.
-pub(super) async fn read_body(body: Incoming, flight: &Flight) -> Result<Bytes, Failure> {
+pub(crate) async fn read_body(body: Incoming, flight: &Flight) -> Result<Bytes, Failure> {
     let read = async {
         match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
             Ok(collected) => Ok(collected.to_bytes()),
@@ -42,7 +38,7 @@
 ///
 /// # Errors
 /// If the stream ends inside the first event, or before it without a framing that shows the end.
-pub(super) async fn read_first_event(
+pub(crate) async fn read_first_event(
     body: &mut Incoming,
     framing: Framing,
     events: &mut Events,
@@ -50,7 +46,7 @@
 ) -> Result<bool, Failure> {
     let read = async {
         loop {
-            match stream::read_data(body).await? {
+            match read_data(body).await? {
                 None if framing.shows_end() => {
                     events.check_end()?;
                     return Ok(false);
@@ -68,3 +64,18 @@
     };
     before_deadline(flight, read).await
 }
+
+/// Returns the next data of a body, or none at its end; trailers are skipped.
+pub(crate) async fn read_data(body: &mut Incoming) -> Result<Option<Bytes>, Failure> {
+    loop {
+        match body.frame().await {
+            None => return Ok(None),
+            Some(Err(cause)) => return Err(Failure::new(End::Broken, &cause)),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    return Ok(Some(data));
+                }
+            }
+        }
+    }
+}
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -21,9 +21,10 @@
 };
 
 use crate::{
-    Ingress, Shared, clock,
+    Ingress, Shared,
+    answer::{Failure, Framing},
+    clock,
     fetch::Client,
-    framing::Framing,
     ingress::Reply,
     pool::{self, Connection, Pool},
     tunnel,
@@ -91,26 +92,6 @@
     }
 }
 
-/// Failure of an attempt.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Failure {
-    /// Outcome of the attempt.
-    pub end: End,
-    /// Observed cause, for the log.
-    pub cause: String,
-}
-
-impl Failure {
-    /// Creates a failure from the attempt's outcome and the observed cause.
-    #[must_use]
-    pub fn new(end: End, cause: &(impl ToString + ?Sized)) -> Self {
-        Self {
-            end,
-            cause: cause.to_string(),
-        }
-    }
-}
-
 /// A complete request of a caller, from which every attempt is built.
 #[derive(Debug)]
 pub struct Message {
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -1,7 +1,6 @@
 //! Forwarding of one caller's request, from its admission to its end.
 
 mod logging;
-mod reading;
 
 use std::{pin::pin, sync::Arc, time::Duration};
 
@@ -26,14 +25,14 @@
 };
 
 use crate::{
-    Ingress, Shared, clock,
-    exchange::{self, Channel, Failure, Message},
-    framing::Framing,
+    Ingress, Shared,
+    answer::{Events, Failure, Framing, read_body, read_first_event},
+    clock,
+    exchange::{self, Channel, Message},
     ingress::Reply,
     shared::{Counted, detour_text},
-    stream::{Events, Relay},
+    stream::Relay,
 };
-use reading::{read_body, read_first_event};
 
 /// Largest unused body of a rejection that is read, in bytes.
 const MAX_REJECTION_BYTES: usize = 64 << 10;
--- a/crates/peridotdeck-relay/src/front.rs
+++ b/crates/peridotdeck-relay/src/front.rs
@@ -23,10 +23,11 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    Ingress, Shared, clock,
+    Ingress, Shared,
+    answer::Framing,
+    clock,
     exchange::Message,
     forwarding::{Forwarding, Outcome},
-    framing::Framing,
     server, stream,
 };
 
--- a/crates/peridotdeck-relay/src/lib.rs
+++ b/crates/peridotdeck-relay/src/lib.rs
@@ -15,12 +15,12 @@
 //! metrics and state, and [`node`] starts and stops everything. `docs/design/PLATFORM.md` gives the
 //! reasons for the design.
 
+pub mod answer;
 pub mod clock;
 pub mod control;
 pub mod exchange;
 pub mod fetch;
 pub mod forwarding;
-pub mod framing;
 pub mod front;
 pub mod ingress;
 pub mod logging;
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -9,12 +9,9 @@
 //! framing, so that the caller is not told more than the endpoint said; and it does not end a
 //! stream that began with a framing which promises completeness.
 
-mod events;
-
 use async_io::Timer;
-pub use events::Events;
 use futures_lite::{future, stream};
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::StreamBody;
 use hyper::body::{Body, Bytes, Frame, Incoming};
 use peridotdeck_core::{
     dispatch::{
@@ -26,8 +23,10 @@
 use quick_error::quick_error;
 
 use crate::{
-    Ingress, clock,
-    exchange::{Channel, Failure},
+    Ingress,
+    answer::{Events, Failure, read_data},
+    clock,
+    exchange::Channel,
     forwarding::{Forwarding, StartedStream},
 };
 
@@ -220,18 +219,3 @@
         self.events.last_id = last_id;
     }
 }
-
-/// Returns the next data of a body, or none at its end; trailers are skipped.
-pub(crate) async fn read_data(body: &mut Incoming) -> Result<Option<Bytes>, Failure> {
-    loop {
-        match body.frame().await {
-            None => return Ok(None),
-            Some(Err(cause)) => return Err(Failure::new(End::Broken, &cause)),
-            Some(Ok(frame)) => {
-                if let Ok(data) = frame.into_data() {
-                    return Ok(Some(data));
-                }
-            }
-        }
-    }
-}
