Log the ids at a join, and the first thing in a stream that does not follow

The decision is in the core (sequence::Sequence): numbers of any length are compared as numbers, other ids for being the same as the last, events without ids follow always. A stream that a caller takes up begins with the caller's own last id (Ingress::last_event). Events reads each line once instead of searching backwards for the last blank line.

What is passed on is the same. A continuation is asked for behind the last id that followed; it was the last one of any event, which differs only where an id went back.

--- a/crates/peridotdeck-core/src/lib.rs
+++ b/crates/peridotdeck-core/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`pool`]: the queue and the slots of a group of endpoints, scheduled by one owner node;
 //! - [`engine`]: the state of one endpoint, as the owner knows it;
 //! - [`quarantine`]: requests that crash endpoints;
+//! - [`sequence`]: whether an event follows those before it;
 //! - [`membership`]: the peers that are alive, and the pools that each node owns;
 //! - [`config`]: the configuration in force.
 //!
@@ -37,6 +38,7 @@
 pub mod refusal;
 pub mod rendezvous;
 pub mod request;
+pub mod sequence;
 pub mod strategy;
 pub mod verdict;
 
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -32,6 +32,7 @@
 mod recovery;
 mod restored_publisher;
 mod roster_lapse;
+mod sequence;
 mod shared_bounds;
 mod simulation;
 mod software_versions;
--- a/crates/peridotdeck-relay/src/answer.rs
+++ b/crates/peridotdeck-relay/src/answer.rs
@@ -5,7 +5,7 @@
 mod framing;
 mod reading;
 
-pub use events::Events;
+pub use events::{Events, Foreign};
 pub use failure::Failure;
 pub use framing::Framing;
 pub(crate) use reading::{read_body, read_data, read_first_event};
--- a/crates/peridotdeck-relay/src/answer/events.rs
+++ b/crates/peridotdeck-relay/src/answer/events.rs
@@ -1,41 +1,141 @@
 //! Splits a stream of server-sent events after complete events.
 
+use std::{borrow::Cow, ops::Range};
+
 use hyper::body::Bytes;
-use peridotdeck_core::dispatch::attempt::End;
+use peridotdeck_core::{
+    dispatch::attempt::End,
+    sequence::{Order, Sequence},
+};
+use strum::{Display, IntoStaticStr};
 
 use super::Failure;
 
 /// Largest event in bytes; an endpoint that sends more without an event's end has failed.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
+/// Longest part of a line in the log that is in no event, in bytes.
+const MAX_LOGGED_BYTES: usize = 40;
+
+/// Why something in a stream does not belong to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Cause {
+    /// An event is not beyond the last one.
+    Repeats,
+    /// Events are missing before the first one of a continuation.
+    Gap,
+    /// A line is in no event, such as the first line of another answer.
+    NotAnEvent,
+}
+
+/// The first thing in a stream that does not belong to it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Foreign {
+    /// Why it does not belong to the stream.
+    pub cause: Cause,
+    /// Id of the last event before it.
+    pub after: Option<String>,
+    /// The event's id, or the start of the line.
+    pub got: String,
+}
+
 /// Buffer that splits the bytes of a stream after complete events.
 #[derive(Debug, Default)]
 pub struct Events {
     pending: Vec<u8>,
-    pub(crate) last_id: Option<String>,
+    /// Position of the first line that is not complete.
+    line: usize,
+    /// Position after the last complete event.
+    whole: usize,
+    /// Position of the id of the event that is not complete.
+    id: Option<Range<usize>>,
+    sequence: Sequence,
+    foreign: Option<Foreign>,
 }
 
 impl Events {
+    /// Creates a buffer for the events that follow those of a sequence.
+    #[must_use]
+    pub fn after(sequence: Sequence) -> Self {
+        Self {
+            sequence,
+            ..Self::default()
+        }
+    }
+
     /// Appends bytes as they were received.
     ///
     /// # Errors
     /// If an event exceeds its largest size.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), Failure> {
+        let mut from = self.pending.len();
         self.pending.extend_from_slice(bytes);
+        while let Some(length) = self.pending[from..].iter().position(|&byte| byte == b'\n') {
+            let end = from + length;
+            self.read_line(end);
+            from = end + 1;
+            self.line = from;
+        }
         if self.pending.len() > MAX_EVENT_BYTES && !self.has_complete() {
             return Err(Failure::new(End::Garbled, "event is too large"));
         }
         Ok(())
     }
 
+    /// Reads the line that ends at a position.
+    fn read_line(&mut self, end: usize) {
+        let line = &self.pending[self.line..end];
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        if line.is_empty() {
+            self.whole = end + 1;
+            self.end_event();
+            return;
+        }
+        let name_length = line.iter().position(|&byte| byte == b':');
+        let (name, value) = line.split_at(name_length.unwrap_or(line.len()));
+        if !name.iter().copied().all(is_name) {
+            let start = line[..line.len().min(MAX_LOGGED_BYTES)].to_vec();
+            self.record_foreign(Cause::NotAnEvent, &start);
+        } else if name == b"id" {
+            let value = value.strip_prefix(b":").unwrap_or(value);
+            let length = value.strip_prefix(b" ").unwrap_or(value).len();
+            let value_end = self.line + line.len();
+            self.id = Some(value_end - length..value_end);
+        }
+    }
+
+    /// Compares an event with the one before it.
+    fn end_event(&mut self) {
+        let id = self.id.take();
+        let id = id.map(|range| &self.pending[range]);
+        let cause = match self.sequence.advance(id) {
+            Order::Follows => return,
+            Order::Repeats => Cause::Repeats,
+            Order::Gap => Cause::Gap,
+        };
+        let id = id.unwrap_or_default().to_vec();
+        self.record_foreign(cause, &id);
+    }
+
+    fn record_foreign(&mut self, cause: Cause, got: &[u8]) {
+        self.foreign.get_or_insert_with(|| Foreign {
+            cause,
+            after: self.sequence.last().map(str::to_owned),
+            got: String::from_utf8_lossy(got).into_owned(),
+        });
+    }
+
     /// Takes all complete events.
     pub fn take_complete(&mut self) -> Option<Bytes> {
-        let end = end_of_events(&self.pending)?;
+        let end = std::mem::take(&mut self.whole);
+        if end == 0 {
+            return None;
+        }
         let rest = self.pending.split_off(end);
         let events = std::mem::replace(&mut self.pending, rest);
-        if let Some(id) = find_last_id(&events) {
-            self.last_id = Some(id);
-        }
+        self.line -= end;
+        self.id = self.id.take().map(|id| id.start - end..id.end - end);
         Some(Bytes::from(events))
     }
 
@@ -62,31 +162,31 @@
     /// Returns whether [`Self::take_complete`] would return something.
     #[must_use]
     pub fn has_complete(&self) -> bool {
-        end_of_events(&self.pending).is_some()
+        self.whole > 0
     }
 
-    /// Returns the last event id among the events taken so far.
+    /// Returns the first thing in the stream that does not belong to it.
     #[must_use]
-    pub fn last_id(&self) -> Option<&str> {
-        self.last_id.as_deref()
+    pub fn foreign(&self) -> Option<&Foreign> {
+        self.foreign.as_ref()
+    }
+
+    /// Returns the events so far, over all attempts.
+    #[must_use]
+    pub fn sequence(&self) -> &Sequence {
+        &self.sequence
     }
-}
 
-/// Returns the position after the last blank line.
-fn end_of_events(bytes: &[u8]) -> Option<usize> {
-    let blank = |end: usize| {
-        let before = &bytes[..end];
-        before.ends_with(b"\n\n") || before.ends_with(b"\n\r\n")
-    };
-    (2..=bytes.len())
-        .rev()
-        .find(|&end| bytes[end - 1] == b'\n' && blank(end))
+    /// Returns the id of the first event that can be taken.
+    #[must_use]
+    pub fn first_id(&self) -> Option<Cow<'_, str>> {
+        let mut lines = self.pending.split(|&byte| byte == b'\n');
+        let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+        Some(String::from_utf8_lossy(value.trim_ascii()))
+    }
 }
 
-/// Returns the value of the last `id` field among events.
-fn find_last_id(events: &[u8]) -> Option<String> {
-    let mut lines = events.rsplit(|&byte| byte == b'\n');
-    let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    let value = std::str::from_utf8(line).ok()?;
-    Some(value.trim().to_owned())
+/// Returns whether the name of an event's field may have a byte.
+fn is_name(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_')
 }
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -22,6 +22,7 @@
         flight::Flight,
         refusal::Refusal,
     },
+    sequence::Sequence,
 };
 
 use crate::{
@@ -192,8 +193,10 @@
     ///
     /// Returns nothing if the attempt is slow and another endpoint should be tried.
     async fn make_attempt(&self, assignment: &Assignment) -> Option<Result<Received, Failure>> {
-        let work =
-            Self::receive_answer(&self.shared, &self.message, &self.flight, assignment, None);
+        let last = self.shared.ingress.last_event(&self.message.head);
+        let sequence = last.map_or_else(Sequence::default, Sequence::after);
+        let (shared, message) = (&self.shared, &self.message);
+        let work = Self::receive_answer(shared, message, &self.flight, assignment, sequence);
         let cut = async {
             self.shared.requests_end().await;
             Err(Failure::new(End::Abandoned, "grace period ended"))
@@ -217,15 +220,15 @@
         message: &Message,
         flight: &Flight,
         assignment: &Assignment,
-        resume: Option<&str>,
+        sequence: Sequence,
     ) -> Result<Received, Failure> {
-        let answer = exchange::send(shared, message, flight, assignment, resume).await?;
+        let answer = exchange::send(shared, message, flight, assignment, sequence.last()).await?;
         let (head, mut body) = answer.response.into_parts();
         let channel = answer.channel;
         let end = match answer.reply {
             Reply::Answer if is_stream(flight, &head) => {
                 // Until the first event is forwarded, another endpoint may still answer instead.
-                let mut events = Events::default();
+                let mut events = Events::after(sequence);
                 let continues =
                     read_first_event(&mut body, channel.framing, &mut events, flight).await?;
                 return Ok(Received::Stream(Box::new(StartedStream {
@@ -290,19 +293,19 @@
         }
     }
 
-    /// Resumes a broken stream at another endpoint, after the event with the id `last`.
+    /// Resumes a broken stream at another endpoint, after the last event of a sequence.
     ///
     /// Returns the key of the endpoint and the stream. Without an id the endpoint starts the stream anew.
     pub(crate) async fn resume(
         &mut self,
-        last: Option<&str>,
+        sequence: &Sequence,
     ) -> Result<(Key, StartedStream), Refusal> {
         loop {
             let assignment = self.place().await?;
-            let work =
-                Self::receive_answer(&self.shared, &self.message, &self.flight, &assignment, last)
-                    .await;
-            let failure = match work {
+            let (shared, message) = (&self.shared, &self.message);
+            let sequence = sequence.continued();
+            let work = Self::receive_answer(shared, message, &self.flight, &assignment, sequence);
+            let failure = match work.await {
                 Ok(Received::Stream(started)) => return Ok((assignment.attempt.key(), *started)),
                 Ok(_) => Failure::new(End::Failed, "answer is not a stream"),
                 Err(failure) => failure,
--- a/crates/peridotdeck-relay/src/forwarding/logging.rs
+++ b/crates/peridotdeck-relay/src/forwarding/logging.rs
@@ -8,7 +8,12 @@
 };
 
 use super::Forwarding;
-use crate::{Ingress, clock, shared::detour_text};
+use crate::{
+    Ingress,
+    answer::{Events, Foreign},
+    clock,
+    shared::detour_text,
+};
 
 impl<I: Ingress> Forwarding<I> {
     /// Logs and counts a request that ended without a complete answer, for the refusal's cause.
@@ -97,6 +102,28 @@
         );
     }
 
+    /// Logs the first event of a continuation.
+    pub(crate) fn log_joined(&self, events: &Events, after: Option<&str>) {
+        log::info!(
+            "event=stream_joined id={} endpoint={} after={} first={}",
+            self.flight.id,
+            self.endpoint,
+            after.unwrap_or("none"),
+            events.first_id().as_deref().unwrap_or("none"),
+        );
+    }
+
+    /// Logs the first thing in an endpoint's stream that does not belong to it.
+    pub(crate) fn log_foreign(&self, foreign: &Foreign) {
+        let Foreign { cause, after, got } = foreign;
+        log::info!(
+            "event=event_foreign id={} endpoint={} after={} got={got:?} cause={cause}",
+            self.flight.id,
+            self.endpoint,
+            after.as_deref().unwrap_or("none"),
+        );
+    }
+
     /// Logs why the request waits, whenever the cause changes.
     pub(super) fn log_waiting(&mut self, delay: &Delay) {
         if self.wait_cause.replace(delay.cause) == Some(delay.cause) {
--- a/crates/peridotdeck-relay/src/ingress.rs
+++ b/crates/peridotdeck-relay/src/ingress.rs
@@ -51,6 +51,9 @@
     /// If a required field is missing or invalid; the cause is sent to the caller.
     fn decode(&self, head: &request::Parts) -> Result<DecodedRequest, Cause>;
 
+    /// Returns the id of the last event that the caller has, if it takes up a stream.
+    fn last_event<'a>(&self, head: &'a request::Parts) -> Option<&'a str>;
+
     /// Returns the headers with which a request is sent to its endpoint.
     ///
     /// `left` is the time until the deadline. `resume` is the id of the last event that the caller
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -53,6 +53,8 @@
     framed: bool,
     first_sent: bool,
     last_sent: Time,
+    /// Whether something that does not belong to the stream has been logged in this attempt.
+    foreign_logged: bool,
     deadline: Timer,
 }
 
@@ -70,6 +72,7 @@
             events: started.events,
             first_sent: false,
             last_sent: Time::ZERO,
+            foreign_logged: false,
             deadline: Timer::after(left),
         }
     }
@@ -102,6 +105,7 @@
     /// Returns the next complete events, or none at the end of the stream.
     async fn next(&mut self) -> Result<Option<Bytes>, Error> {
         loop {
+            self.log_foreign();
             if let Some(bytes) = self.events.take_complete() {
                 self.record_sent();
                 return Ok(Some(bytes));
@@ -130,6 +134,16 @@
         }
     }
 
+    /// Logs what does not belong to the stream, once in each attempt.
+    fn log_foreign(&mut self) {
+        if let Some(foreign) = self.events.foreign()
+            && !self.foreign_logged
+        {
+            self.forwarding.log_foreign(foreign);
+            self.foreign_logged = true;
+        }
+    }
+
     /// Records the time to the first event, or the pause since the event before.
     fn record_sent(&mut self) {
         let now = clock::now();
@@ -193,8 +207,7 @@
             && may_resume
             && self.forwarding.next_step(failure.end) == Next::Retry
         {
-            let last_id = self.events.last_id.clone();
-            match self.forwarding.resume(last_id.as_deref()).await {
+            match self.forwarding.resume(self.events.sequence()).await {
                 Ok((key, started)) => {
                     self.continue_with(key, started);
                     return Ok(());
@@ -214,8 +227,9 @@
         self.key = key;
         self.channel = Some(started.channel);
         self.body = started.body;
-        let last_id = self.events.last_id.take();
+        let after = self.events.sequence().last();
+        self.forwarding.log_joined(&started.events, after);
         self.events = started.events;
-        self.events.last_id = last_id;
+        self.foreign_logged = false;
     }
 }
