Join no continuation whose first event does not follow the last one

The next endpoint began anew, repeated the last event or left one out, and its events were passed on as they came. The first event of an attempt is now compared with the last one passed on, or with the caller's own Last-Event-Id, while another endpoint may still answer instead: one that is not beyond it, a gap where all ids so far followed one another, or a line that no event has, fails the attempt (end=garbled); nothing of it is passed on, and the next endpoint is asked if that is allowed.

--- a/crates/peridotdeck-relay/src/answer/events.rs
+++ b/crates/peridotdeck-relay/src/answer/events.rs
@@ -1,6 +1,10 @@
 //! Splits a stream of server-sent events after complete events.
 
-use std::{borrow::Cow, ops::Range};
+use std::{
+    borrow::Cow,
+    fmt::{self, Display, Formatter},
+    ops::Range,
+};
 
 use hyper::body::Bytes;
 use peridotdeck_core::{
@@ -40,6 +44,13 @@
     pub got: String,
 }
 
+impl Display for Foreign {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let after = self.after.as_deref().unwrap_or("none");
+        write!(f, "after={after} got={:?} cause={}", self.got, self.cause)
+    }
+}
+
 /// Buffer that splits the bytes of a stream after complete events.
 #[derive(Debug, Default)]
 pub struct Events {
@@ -50,6 +61,10 @@
     whole: usize,
     /// Position of the id of the event that is not complete.
     id: Option<Range<usize>>,
+    /// Whether the event that is not complete has a field.
+    has_field: bool,
+    /// Whether an event of this attempt belongs to the stream.
+    has_event: bool,
     sequence: Sequence,
     foreign: Option<Foreign>,
 }
@@ -67,7 +82,7 @@
     /// Appends bytes as they were received.
     ///
     /// # Errors
-    /// If an event exceeds its largest size.
+    /// If an event exceeds its largest size, or the first event does not belong to the stream.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), Failure> {
         let mut from = self.pending.len();
         self.pending.extend_from_slice(bytes);
@@ -77,6 +92,16 @@
             from = end + 1;
             self.line = from;
         }
+        if let Some(foreign) = &self.foreign
+            && !self.has_event
+        {
+            let cause = match foreign.cause {
+                Cause::Repeats => "first event is not beyond the last one",
+                Cause::Gap => "events are missing before the first one",
+                Cause::NotAnEvent => "answer is not a stream of events",
+            };
+            return Err(Failure::new(End::Garbled, cause));
+        }
         if self.pending.len() > MAX_EVENT_BYTES && !self.has_complete() {
             return Err(Failure::new(End::Garbled, "event is too large"));
         }
@@ -94,10 +119,16 @@
         }
         let name_length = line.iter().position(|&byte| byte == b':');
         let (name, value) = line.split_at(name_length.unwrap_or(line.len()));
+        if name.is_empty() {
+            return;
+        }
         if !name.iter().copied().all(is_name) {
             let start = line[..line.len().min(MAX_LOGGED_BYTES)].to_vec();
             self.record_foreign(Cause::NotAnEvent, &start);
-        } else if name == b"id" {
+            return;
+        }
+        self.has_field = true;
+        if name == b"id" {
             let value = value.strip_prefix(b":").unwrap_or(value);
             let length = value.strip_prefix(b" ").unwrap_or(value).len();
             let value_end = self.line + line.len();
@@ -107,10 +138,16 @@
 
     /// Compares an event with the one before it.
     fn end_event(&mut self) {
+        if !std::mem::take(&mut self.has_field) {
+            return;
+        }
         let id = self.id.take();
         let id = id.map(|range| &self.pending[range]);
         let cause = match self.sequence.advance(id) {
-            Order::Follows => return,
+            Order::Follows => {
+                self.has_event |= self.foreign.is_none();
+                return;
+            }
             Order::Repeats => Cause::Repeats,
             Order::Gap => Cause::Gap,
         };
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -229,8 +229,11 @@
             Reply::Answer if is_stream(flight, &head) => {
                 // Until the first event is forwarded, another endpoint may still answer instead.
                 let mut events = Events::after(sequence);
-                let continues =
-                    read_first_event(&mut body, channel.framing, &mut events, flight).await?;
+                let read = read_first_event(&mut body, channel.framing, &mut events, flight).await;
+                if let (Err(_), Some(foreign)) = (&read, events.foreign()) {
+                    logging::log_foreign(&flight.id, &assignment.instance, foreign);
+                }
+                let continues = read?;
                 return Ok(Received::Stream(Box::new(StartedStream {
                     head,
                     events,
--- a/crates/peridotdeck-relay/src/forwarding/logging.rs
+++ b/crates/peridotdeck-relay/src/forwarding/logging.rs
@@ -113,15 +113,9 @@
         );
     }
 
-    /// Logs the first thing in an endpoint's stream that does not belong to it.
+    /// Logs the first thing in the stream of the last attempt that does not belong to it.
     pub(crate) fn log_foreign(&self, foreign: &Foreign) {
-        let Foreign { cause, after, got } = foreign;
-        log::info!(
-            "event=event_foreign id={} endpoint={} after={} got={got:?} cause={cause}",
-            self.flight.id,
-            self.endpoint,
-            after.as_deref().unwrap_or("none"),
-        );
+        log_foreign(&self.flight.id, &self.endpoint, foreign);
     }
 
     /// Logs why the request waits, whenever the cause changes.
@@ -166,3 +160,8 @@
         );
     }
 }
+
+/// Logs the first thing in an endpoint's stream that does not belong to it.
+pub(super) fn log_foreign(id: &str, endpoint: &str, foreign: &Foreign) {
+    log::info!("event=event_foreign id={id} endpoint={endpoint} {foreign}");
+}
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -197,6 +197,7 @@
     /// # Errors
     /// If the stream cannot be resumed, so that the caller's connection must be aborted.
     async fn recover(&mut self, failure: &Failure) -> Result<(), Error> {
+        self.log_foreign();
         // Closing the connection stops the generation at this endpoint before another one resumes.
         self.channel = None;
         self.body = None;
