Take no end for one on a connection whose write has failed

Callers saw: nothing yet. hyper and the HTTP libraries that are used end a connection with the first error of a write, so that no read follows; nothing but their order of calls guaranteed it.

Cause: Linux reports a reset once. A write (or a flush) that reports it uses it up, and the next read returns 0 bytes.

Change: Bounded, which wraps the relay's connections to endpoints and peers, and both sides of the own interface, notes a failed write on any copy of the connection. A read of 0 bytes is a reset from then on. Not covered: the sockets of a tunnel in join, which are not wrapped.

--- a/crates/peridotdeck-io/src/bounded.rs
+++ b/crates/peridotdeck-io/src/bounded.rs
@@ -5,7 +5,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     task::{Context, Poll, ready},
 };
@@ -68,10 +68,15 @@
 }
 
 /// A connection whose reads give the thread back after [`TURN_BYTES`], and bound what precedes a head.
+///
+/// An end is an error once a write has failed: the system reports a reset only once, and reads then
+/// return the same as after an orderly close. Copies of a connection share this.
 #[derive(Clone, Debug)]
 pub struct Bounded<S> {
     stream: S,
     head: Head,
+    /// Whether a write has failed, on any copy.
+    is_broken: Arc<AtomicBool>,
     /// Bytes read since the task last gave the thread back.
     turn: usize,
 }
@@ -82,10 +87,19 @@
         Self {
             stream,
             head: Head::new(head_bytes),
+            is_broken: Arc::default(),
             turn: 0,
         }
     }
 
+    /// Notes whether a write has failed.
+    fn note<T>(&self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if matches!(written, Poll::Ready(Err(_))) {
+            self.is_broken.store(true, Ordering::Relaxed);
+        }
+        written
+    }
+
     /// Returns the bound of the heads on this connection.
     #[must_use]
     pub fn head(&self) -> Head {
@@ -109,6 +123,9 @@
             self.turn = 0;
         }
         let bytes = ready!(read)?;
+        if bytes == 0 && !buffer.is_empty() && self.is_broken.load(Ordering::Relaxed) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
         self.turn += bytes;
         self.head.count(bytes)?;
         Poll::Ready(Ok(bytes))
@@ -121,7 +138,8 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, buffer)
+        let written = Pin::new(&mut self.stream).poll_write(context, buffer);
+        self.note(written)
     }
 
     fn poll_write_vectored(
@@ -129,14 +147,17 @@
         context: &mut Context<'_>,
         buffers: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.note(written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let written = Pin::new(&mut self.stream).poll_flush(context);
+        self.note(written)
     }
 
     fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(context)
+        let written = Pin::new(&mut self.stream).poll_close(context);
+        self.note(written)
     }
 }
--- a/crates/peridotdeck-io/src/lib.rs
+++ b/crates/peridotdeck-io/src/lib.rs
@@ -1,6 +1,7 @@
 //! Readers around connections and bodies, for libraries that parse them.
 //!
-//! [`Bounded`] gives the thread back, and reads a bounded number of bytes before a head ends. [`Ending`] hides the error
+//! [`Bounded`] gives the thread back, reads a bounded number of bytes before a head ends, and takes no end after a
+//! failed write for one. [`Ending`] hides the error
 //! of a body from a parser that needs none.
 //!
 //! HTTP libraries read for as long as bytes are ready. A peer that sends bytes faster than they are
