--- a/crates/peridotdeck-router/tests/testsuite/main.rs
+++ b/crates/peridotdeck-router/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod endless_answers;
 mod fleet;
 mod http_limits;
+mod joined_streams;
 mod late_requests;
 mod operators;
 mod second_refusals;
