Take the close of an unframed answer for its end only if its endpoint lives on

Callers saw streams and plain answers without framing as complete after their endpoint had been killed: the kernel closes the connections of a process that ends in an orderly way, and the relay passed each such close on.

An orderly end is now judged: the endpoint must answer a request for its own report that was sent after it, on a kept connection that is older than the answer or on a new one over the same path, and name no other start. An endpoint that has ended, or does not answer within 2 s or the request's deadline, has broken the answer: it goes on elsewhere if its route may, otherwise its caller sees the break. Events pass as before, only the end waits. A peer that leaves opens connections for verdicts to nodes that it has heard, and its control address stays open until it ends, since a whole answer through it could not be confirmed otherwise. The connection of a verdict is not kept, because its answer names no request. Each verdict is logged (`end_judged`) and counted.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/detours.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/detours.rs
@@ -271,19 +271,32 @@
     /// # Errors
     /// Returns the reason if it may not.
     pub fn may_relay(&self, peer: Node, key: Key, now: Time) -> Result<SocketAddrV4, Denial> {
-        if !self.fleet.is_live_peer(peer, now) {
-            return Err(Denial::Foreign);
-        }
+        let address = self.may_judge(peer, key, now)?;
         if self.fleet.is_leaving() {
             return Err(Denial::Leaving);
         }
         let state = self.state(key).ok_or(Denial::Unknown)?;
+        match state.pause_left(now) {
+            Some(_) => Err(Denial::Paused),
+            None => Ok(address),
+        }
+    }
+
+    /// Returns the address at which this node may ask for a peer whether an endpoint lives.
+    ///
+    /// # Errors
+    /// Returns the reason if it may not.
+    pub fn may_judge(&self, peer: Node, key: Key, now: Time) -> Result<SocketAddrV4, Denial> {
+        // A node that leaves hears no peer any more.
+        let is_peer = self.fleet.is_live_peer(peer, now)
+            || (self.fleet.is_leaving() && self.fleet.has_heard(peer));
+        if !is_peer {
+            return Err(Denial::Foreign);
+        }
+        let state = self.state(key).ok_or(Denial::Unknown)?;
         if state.path.is_lost() {
             return Err(Denial::Unreached);
         }
-        if state.pause_left(now).is_some() {
-            return Err(Denial::Paused);
-        }
         Ok(state.info.address)
     }
 
--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -271,6 +271,13 @@
         found.is_ok_and(|index| self.is_live(&self.peers[index], now))
     }
 
+    /// Returns whether a node has ever been heard as a peer.
+    #[must_use]
+    pub fn has_heard(&self, node: Node) -> bool {
+        let found = self.find_peer(node);
+        found.is_ok_and(|index| self.peers[index].incarnation != 0)
+    }
+
     /// Returns the data centre of a peer.
     #[must_use]
     pub fn place_of(&self, node: Node) -> Option<DataCentre> {
--- a/crates/peridotdeck-relay/src/answer.rs
+++ b/crates/peridotdeck-relay/src/answer.rs
@@ -4,8 +4,11 @@
 mod failure;
 mod framing;
 mod reading;
+mod verdict;
 
 pub use events::{Events, Foreign};
 pub use failure::Failure;
 pub use framing::Framing;
 pub(crate) use reading::{read_body, read_data, read_first_event};
+pub use verdict::Origin;
+pub(crate) use verdict::check_end;
--- a/crates/peridotdeck-relay/src/answer/framing.rs
+++ b/crates/peridotdeck-relay/src/answer/framing.rs
@@ -1,7 +1,6 @@
 //! How an answer shows where its body ends.
 
 use hyper::{Version, body::Body, header::TRANSFER_ENCODING, http::response};
-use peridotdeck_core::dispatch::attempt::End;
 use strum::{Display, IntoStaticStr};
 
 /// How an answer shows where its body ends.
@@ -23,36 +22,6 @@
         self != Self::Connection
     }
 
-    /// Returns the outcome of an attempt whose answer was read to its end.
-    #[must_use]
-    pub fn end(self) -> End {
-        if self.shows_end() {
-            End::Finished
-        } else {
-            End::Unconfirmed
-        }
-    }
-
-    /// Returns the outcome of a request, for the log, whose answer was read to its end.
-    #[must_use]
-    pub fn outcome(self) -> &'static str {
-        if self.shows_end() {
-            "answered"
-        } else {
-            "unconfirmed"
-        }
-    }
-
-    /// Returns what is known of the end of a body that was read to its end, for the log.
-    #[must_use]
-    pub fn cause(self) -> &'static str {
-        if self.shows_end() {
-            ""
-        } else {
-            "connection closed in an orderly way"
-        }
-    }
-
     /// Returns the framing of an answer whose body has not been read yet.
     #[must_use]
     pub fn of(head: &response::Parts, body: &impl Body) -> Self {
--- /dev/null
+++ b/crates/peridotdeck-relay/src/answer/verdict.rs
@@ -0,0 +1,226 @@
+//! Verdicts on answers that ended with their connections.
+//!
+//! The kernel closes the connections of a process that ends in an orderly way, so an orderly close does
+//! not show that an answer without framing is complete. It is taken for the answer's end only if the
+//! same process answers a request that was sent after it.
+
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+
+use async_io::Timer;
+use async_std::future::timeout;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, StatusCode, body::Bytes, header::HOST};
+use peridotdeck_core::{
+    dispatch::{self, Key, attempt::End, flight::Flight},
+    id::Time,
+};
+use strum::{Display, IntoStaticStr};
+
+use super::Failure;
+use crate::{
+    Ingress, Shared, clock, dial,
+    pool::{self, Connection, Path},
+    shared::detour_text,
+    tunnel::Purpose,
+};
+
+/// Longest time to judge an end; a sound endpoint may be silent for a second.
+const VERDICT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest time for an answer on a kept connection, after which a new one is opened.
+const KEPT_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Longest idle time of a kept connection that is used; the pool's own limits are shorter.
+const MAX_IDLE: Duration = Duration::from_secs(60);
+
+/// Times to wait before each new connection.
+const DELAYS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(100),
+    Duration::from_millis(300),
+];
+
+/// Largest body of an endpoint's report, in bytes.
+const MAX_REPORT_BYTES: usize = 256 << 10;
+
+/// The endpoint of an answer, and when the answer began.
+#[derive(Clone, Debug)]
+pub struct Origin {
+    /// Key of the endpoint.
+    pub key: Key,
+    /// Address of the endpoint.
+    pub address: SocketAddrV4,
+    /// Id of the endpoint.
+    pub instance: String,
+    /// Time at which the head of the answer had arrived.
+    pub answered: Time,
+}
+
+/// What is known of an endpoint's process after the end of its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+enum Life {
+    /// The same process has answered since.
+    Alive,
+    /// The process has ended.
+    Ended,
+    /// Nothing has answered in time.
+    Unknown,
+}
+
+/// Connection that brought a verdict.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+enum Witness {
+    /// A connection that was open when the answer began.
+    Kept,
+    /// A connection that was opened later.
+    New,
+    /// No connection.
+    None,
+}
+
+/// A verdict, the connection that brought it, and its observed cause.
+type Finding = (Life, Witness, String);
+
+/// Checks that an answer without framing, which has ended in an orderly way, is complete.
+///
+/// `path` is how its connection led to the endpoint. The request's deadline bounds the time.
+///
+/// # Errors
+/// If the endpoint's process has ended, or nothing shows that it lives.
+pub(crate) async fn check_end<I: Ingress>(
+    shared: &Arc<Shared<I>>,
+    origin: &Origin,
+    path: Path,
+    flight: &Flight,
+) -> Result<(), Failure> {
+    let begun = clock::now();
+    let time = VERDICT_TIMEOUT.min(flight.time_left(begun));
+    let (life, witness, cause) = if path.shows_end {
+        let judged = timeout(time, judge(shared, origin, path)).await;
+        judged.unwrap_or_else(|_| (Life::Unknown, Witness::None, "no answer in time".to_owned()))
+    } else {
+        let cause = "the peer does not say that the endpoint closed the connection";
+        (Life::Unknown, Witness::None, cause.to_owned())
+    };
+    shared.metrics.count_judged_end(life.into(), witness.into());
+    log::info!(
+        "event=end_judged id={} endpoint={} key={:08x} detour={} verdict={life} by={witness} ms={} \
+         cause=\"{cause}\"",
+        flight.id,
+        origin.instance,
+        origin.key,
+        detour_text(path.detour),
+        clock::now().saturating_sub(begun).as_millis(),
+    );
+    match life {
+        Life::Alive => Ok(()),
+        Life::Ended => Err(Failure::new(
+            End::Broken,
+            "the endpoint's process has ended",
+        )),
+        Life::Unknown => {
+            let cause = "connection ended, and nothing shows that the endpoint lives";
+            Err(Failure::new(End::Unconfirmed, cause))
+        }
+    }
+}
+
+/// Asks the endpoint on a kept connection if there is one, and else on new ones.
+async fn judge<I: Ingress>(shared: &Arc<Shared<I>>, origin: &Origin, path: Path) -> Finding {
+    let kept = shared.pool.reuse(origin.key, path.detour, MAX_IDLE);
+    // A connection that was opened later may lead to another process.
+    let is_older = |kept: &Connection| kept.path == path && kept.opened <= origin.answered;
+    if let Some(mut connection) = kept.filter(is_older) {
+        let asked = timeout(KEPT_TIMEOUT, ask(shared, &mut connection, origin.address)).await;
+        if let Ok(Ok((status, body))) = asked {
+            return find(shared, origin, Witness::Kept, status, &body);
+        }
+    }
+    let mut cause = String::new();
+    for delay in DELAYS {
+        Timer::after(delay).await;
+        match ask_anew(shared, origin, path).await {
+            Ok(finding) => return finding,
+            Err(failure) => cause = failure,
+        }
+    }
+    (Life::Unknown, Witness::None, cause)
+}
+
+/// Asks the endpoint on a new connection over the same path.
+///
+/// # Errors
+/// The observed cause, if what came says nothing.
+async fn ask_anew<I: Ingress>(
+    shared: &Arc<Shared<I>>,
+    origin: &Origin,
+    path: Path,
+) -> Result<Finding, String> {
+    let dialed = dial::dial(
+        shared,
+        origin.key,
+        origin.address,
+        path.detour,
+        Purpose::Verdict,
+    )
+    .await;
+    let mut connection = match dialed {
+        Ok(connection) if connection.path == path => connection,
+        Ok(_) => return Err("the peer has started again".to_owned()),
+        Err(cause) if is_refused(&cause) => {
+            return Ok((Life::Ended, Witness::New, cause.to_string()));
+        }
+        Err(cause) => return Err(cause.to_string()),
+    };
+    let (status, body) = ask(shared, &mut connection, origin.address).await?;
+    Ok(find(shared, origin, Witness::New, status, &body))
+}
+
+/// Returns what a complete answer says of the endpoint's process.
+fn find<I: Ingress>(
+    shared: &Shared<I>,
+    origin: &Origin,
+    witness: Witness,
+    status: StatusCode,
+    body: &[u8],
+) -> Finding {
+    // An entry may be without the time of a start.
+    let is_known = dispatch::key(&origin.instance, 0) != origin.key;
+    let start = shared.ingress.decode_start(body);
+    let start = start.filter(|_| is_known && status == StatusCode::OK);
+    match start {
+        Some(start) if dispatch::key(&origin.instance, start) != origin.key => {
+            (Life::Ended, witness, format!("born={start}"))
+        }
+        _ => (Life::Alive, witness, String::new()),
+    }
+}
+
+/// Returns whether nobody listens at the endpoint's address.
+fn is_refused(error: &pool::Error) -> bool {
+    matches!(error, pool::Error::Connect(cause) if cause.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
+/// Sends the request that the endpoint answers while it lives, and returns the complete answer.
+///
+/// The connection is not kept, because the answer names no request; see [`crate::exchange::Channel::keep`].
+///
+/// # Errors
+/// The observed cause, if no complete answer came.
+async fn ask<I: Ingress>(
+    shared: &Shared<I>,
+    connection: &mut Connection,
+    address: SocketAddrV4,
+) -> Result<(StatusCode, Bytes), String> {
+    let request = Request::get(shared.ingress.life_path())
+        .header(HOST, address.to_string())
+        .body(Full::default())
+        .map_err(|cause| cause.to_string())?;
+    let response = connection.send(request).await;
+    let (head, body) = response.map_err(|cause| cause.to_string())?.into_parts();
+    let body = Limited::new(body, MAX_REPORT_BYTES).collect().await;
+    let body = body.map_err(|cause| cause.to_string())?;
+    Ok((head.status, body.to_bytes()))
+}
--- a/crates/peridotdeck-relay/src/control.rs
+++ b/crates/peridotdeck-relay/src/control.rs
@@ -17,7 +17,11 @@
     id::Time,
 };
 
-use crate::{Ingress, Shared, clock, shared::detour_text, tunnel};
+use crate::{
+    Ingress, Shared, clock,
+    shared::detour_text,
+    tunnel::{self, Purpose},
+};
 
 /// Responds to a request to one of the node's own addresses.
 ///
@@ -30,7 +34,11 @@
     if request.uri().path() == tunnel::PATH {
         let query = request.uri().query().unwrap_or_default();
         let key = parameter(query, "endpoint").and_then(|text| Key::from_str_radix(text, 16).ok());
-        return tunnel::accept(&shared, request, key).await;
+        let purpose = match parameter(query, tunnel::VERDICT) {
+            Some(_) => Purpose::Verdict,
+            None => Purpose::Requests,
+        };
+        return tunnel::accept(&shared, request, key, purpose).await;
     }
     page(&shared, &request, &ready)
 }
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -1,6 +1,6 @@
 //! Exchanges with an endpoint: requests up to the answer's head, probes, and cache lists.
 
-use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use async_io::Timer;
 use async_std::future::timeout;
@@ -12,7 +12,7 @@
     http::request,
 };
 use peridotdeck_core::dispatch::{
-    Key, Node,
+    Key,
     attempt::{Assignment, End},
     config::Kind,
     detour::Search,
@@ -22,12 +22,12 @@
 
 use crate::{
     Ingress, Shared,
-    answer::{Failure, Framing},
-    clock,
+    answer::{self, Failure, Framing, Origin},
+    clock, dial,
     fetch::Client,
     ingress::Reply,
-    pool::{self, Connection, Pool},
-    tunnel,
+    pool::{Connection, Pool},
+    tunnel::Purpose,
 };
 
 /// Longest idle time of a connection that is reused for a request which must not run twice.
@@ -65,19 +65,25 @@
     pub framing: Framing,
     /// Whether the answer carries the id of its request.
     pub names_request: bool,
+    /// The endpoint, and when its answer began.
+    pub origin: Origin,
 }
 
 impl Channel {
-    /// Checks that the end of the body is the endpoint's, or shows that the answer is complete.
+    /// Checks that a body which was read to its end is complete.
     ///
     /// # Errors
-    /// If the body ended with a connection that someone else may have closed.
-    pub fn check_end(&self) -> Result<(), Failure> {
-        if self.framing.shows_end() || self.connection.path.shows_end {
+    /// If the body has no framing, and nothing shows that its endpoint lives on.
+    pub async fn check_end<I: Ingress>(
+        &self,
+        shared: &Arc<Shared<I>>,
+        flight: &Flight,
+    ) -> Result<(), Failure> {
+        if self.framing.shows_end() {
             return Ok(());
         }
-        let cause = "connection ended, and the peer does not say that the endpoint closed it";
-        Err(Failure::new(End::Unconfirmed, cause))
+        let path = self.connection.path;
+        answer::check_end(shared, &self.origin, path, flight).await
     }
 
     /// Keeps the connection for later requests, after a complete answer.
@@ -157,6 +163,12 @@
         keep_alive: shared.ingress.keep_alive(&head),
         framing: Framing::of(&head, &body),
         names_request: shared.ingress.names_request(&flight.id, &head),
+        origin: Origin {
+            key: assignment.attempt.key(),
+            address: assignment.address,
+            instance: assignment.instance.clone(),
+            answered: clock::now(),
+        },
     };
     if !channel.names_request {
         shared.metrics.count_unnamed_answer();
@@ -204,41 +216,15 @@
     if let Some(connection) = kept.flatten() {
         return Ok((connection, false));
     }
-    let dialed = match detour {
-        Some(peer) => dial_through(shared, key, peer).await,
-        None => dial_endpoint(shared, key, assignment.address).await,
-    };
+    let dialed = dial::dial(shared, key, assignment.address, detour, Purpose::Requests).await;
     let connection = dialed.map_err(|cause| Failure::new(End::Unreachable, &cause))?;
     Ok((connection, true))
 }
 
-/// Opens a connection that marks its endpoint as suspected if it breaks while idle.
-async fn dial_endpoint<I: Ingress>(
-    shared: &Arc<Shared<I>>,
-    key: Key,
-    address: SocketAddrV4,
-) -> Result<Connection, pool::Error> {
-    let observer = Arc::clone(shared);
-    let dialed = pool::dial(address, move || observer.suspect(key)).await;
-    shared.metrics.count_dial(dialed.is_ok());
-    dialed
-}
-
-/// Opens a connection to an endpoint through a peer.
-async fn dial_through<I: Ingress>(
-    shared: &Arc<Shared<I>>,
-    key: Key,
-    peer: Node,
-) -> Result<Connection, pool::Error> {
-    let dialed = tunnel::dial(shared, key, peer).await;
-    shared.metrics.count_detour(dialed.is_ok());
-    dialed
-}
-
 /// Probes this node's own path to an endpoint; a connection that opens is kept for later requests.
 pub async fn probe<I: Ingress>(shared: &Arc<Shared<I>>, probe: Probe) {
     let Probe { key, address } = probe;
-    let dialed = dial_endpoint(shared, key, address).await;
+    let dialed = dial::directly(shared, key, address).await;
     if let Err(cause) = &dialed {
         log::info!("event=probe_failed endpoint={address} cause=\"{cause}\"");
     }
@@ -267,7 +253,10 @@
         .enumerate()
         .map(|(index, &peer)| async move {
             Timer::after(STAGGER * index as u32).await;
-            (peer, dial_through(shared, key, peer).await)
+            (
+                peer,
+                dial::through(shared, key, peer, Purpose::Requests).await,
+            )
         })
         .collect();
     let mut found = None;
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -156,8 +156,8 @@
         match received {
             Received::Complete(response, channel) => {
                 let framing = self.keep(channel, key);
-                self.finish_attempt(framing.end(), framing.cause());
-                self.record_end(framing.outcome(), response.status().as_u16(), "");
+                self.finish_attempt(End::Finished, "");
+                self.record_end("answered", response.status().as_u16(), "");
                 Ok(Box::new(Outcome::Whole(response, framing)))
             }
             Received::Failed(response, channel) => {
@@ -240,7 +240,7 @@
             }
             Reply::Answer | Reply::Failure => {
                 let body = read_body(body, flight).await?;
-                channel.check_end()?;
+                channel.check_end(shared, flight).await?;
                 let response = Response::from_parts(head, body);
                 return Ok(if answer.reply == Reply::Answer {
                     Received::Complete(response, channel)
--- a/crates/peridotdeck-relay/src/forwarding/logging.rs
+++ b/crates/peridotdeck-relay/src/forwarding/logging.rs
@@ -36,7 +36,7 @@
         self.shared
             .metrics
             .count_request(&flight.route.name, outcome);
-        if matches!(outcome, "answered" | "unconfirmed") {
+        if outcome == "answered" {
             let (class, organisation) = (&flight.route.name, flight.organisation_name());
             self.shared
                 .metrics
--- a/crates/peridotdeck-relay/src/metrics.rs
+++ b/crates/peridotdeck-relay/src/metrics.rs
@@ -20,6 +20,7 @@
     attempts: IntCounterVec,
     dials: IntCounterVec,
     detours: IntCounterVec,
+    judged_ends: IntCounterVec,
     unnamed_answers: IntCounter,
     publisher_failures: IntCounterVec,
     peer_messages: IntCounterVec,
@@ -78,6 +79,11 @@
             "Connections to endpoints through peers by whether they were opened",
             &["opened"],
         );
+        let judged_ends = counter(
+            "peridotdeck_judged_ends_total",
+            "Verdicts on answers without framing, and the connections that brought them",
+            &["verdict", "by"],
+        );
         let unnamed_answers = IntCounter::new(
             "peridotdeck_unnamed_answers_total",
             "Answers of endpoints without the request's id, whose connections were closed",
@@ -112,6 +118,7 @@
             attempts,
             dials,
             detours,
+            judged_ends,
             unnamed_answers,
             publisher_failures,
             peer_messages,
@@ -153,6 +160,11 @@
         self.detours.with_label_values(&[label]).inc();
     }
 
+    /// Counts a verdict on the end of an answer without framing, and the connection that brought it.
+    pub fn count_judged_end(&self, verdict: &str, by: &str) {
+        self.judged_ends.with_label_values(&[verdict, by]).inc();
+    }
+
     /// Counts an answer without the request's id, whose connection is closed.
     pub fn count_unnamed_answer(&self) {
         self.unnamed_answers.inc();
--- a/crates/peridotdeck-relay/src/node.rs
+++ b/crates/peridotdeck-relay/src/node.rs
@@ -77,7 +77,9 @@
     ));
     task::spawn(publisher.clone().follow(Arc::clone(&shared)));
     let (closing, closed) = async_channel::bounded::<()>(1);
-    listen(&options, &shared, &closed)?;
+    // Peers ask a node that leaves for verdicts, so its control address is open until it ends.
+    let (_serving, serves) = async_channel::bounded::<()>(1);
+    listen(&options, &shared, &closed, &serves)?;
     let peers = Peers::bind(options.peers, options.control.port()).await?;
     task::spawn(peers.clone().receive_heartbeats(Arc::clone(&shared)));
     log::info!(
@@ -101,10 +103,14 @@
 }
 
 /// Binds the TCP addresses and starts to accept connections.
+///
+/// The control address is open until the sender of `serves` is dropped, the others until that of
+/// `closed` is.
 fn listen<I: Ingress>(
     options: &Options,
     shared: &Arc<Shared<I>>,
     closed: &Receiver<()>,
+    serves: &Receiver<()>,
 ) -> io::Result<()> {
     let front = server::listen(options.front)?;
     let state = Arc::clone(shared);
@@ -134,6 +140,11 @@
             idle_timeout: CONTROL_IDLE_TIMEOUT,
         };
         let answers = Arc::default();
+        let closed = if address == options.control {
+            serves
+        } else {
+            closed
+        };
         task::spawn(server::accept(
             listener,
             closed.clone(),
--- a/crates/peridotdeck-relay/src/pool.rs
+++ b/crates/peridotdeck-relay/src/pool.rs
@@ -160,6 +160,8 @@
     head: Head,
     /// How the connection leads to the endpoint.
     pub path: Path,
+    /// Time at which the connection was open.
+    pub opened: Time,
     in_use: Arc<AtomicBool>,
     _close_on_drop: CloseOnDrop,
 }
@@ -362,6 +364,7 @@
         sender,
         head,
         path,
+        opened: clock::now(),
         in_use,
         _close_on_drop: CloseOnDrop { _sender: close },
     })
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -111,7 +111,7 @@
                 return Ok(Some(bytes));
             }
             let Some(body) = &mut self.body else {
-                match self.check_end() {
+                match self.check_end().await {
                     Ok(()) => return Ok(self.finish()),
                     Err(failure) => self.recover(&failure).await?,
                 }
@@ -164,30 +164,31 @@
     /// Checks that the endpoint's stream ended where the caller's may end.
     ///
     /// # Errors
-    /// If the stream ended inside an event, or its end proves less than the caller's framing would.
-    fn check_end(&self) -> Result<(), Failure> {
+    /// If the stream ended inside an event, or nothing shows that its endpoint ended it; or if its end
+    /// proves less than the caller's framing would.
+    async fn check_end(&self) -> Result<(), Failure> {
         self.events.check_end()?;
         // The channel is gone after the end has been recorded.
         let Some(channel) = &self.channel else {
             return Ok(());
         };
-        channel.check_end()?;
         if self.framed && !channel.framing.shows_end() {
             let cause = "connection ended where the stream may be complete";
             return Err(Failure::new(End::Unconfirmed, cause));
         }
-        Ok(())
+        let forwarding = &self.forwarding;
+        channel
+            .check_end(&forwarding.shared, &forwarding.flight)
+            .await
     }
 
     /// Records the complete stream, keeps its connection, and returns the remaining bytes.
     fn finish(&mut self) -> Option<Bytes> {
         if let Some(channel) = self.channel.take() {
-            let framing = channel.framing;
             channel.keep(&self.forwarding.shared.pool, self.key);
-            self.forwarding
-                .finish_attempt(framing.end(), framing.cause());
+            self.forwarding.finish_attempt(End::Finished, "");
             self.forwarding.record_stream_end();
-            self.forwarding.record_end(framing.outcome(), 200, "");
+            self.forwarding.record_end("answered", 200, "");
         }
         self.events.take_rest()
     }
--- a/crates/peridotdeck-relay/src/tunnel.rs
+++ b/crates/peridotdeck-relay/src/tunnel.rs
@@ -60,6 +60,18 @@
 /// Protocols that a node offers, by preference.
 const OFFER: HeaderValue = HeaderValue::from_static("tcp/2, tcp");
 
+/// Parameter of a request for a connection that brings a verdict only; older builds don't read it.
+pub const VERDICT: &str = "verdict";
+
+/// What a connection through a peer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// Requests of callers.
+    Requests,
+    /// A verdict on the end of an answer; a peer that leaves opens one too.
+    Verdict,
+}
+
 /// Longest time to open a connection through a peer, which connects to the endpoint meanwhile.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -97,10 +109,11 @@
     shared: &Arc<Shared<I>>,
     key: Key,
     peer: Node,
+    purpose: Purpose,
 ) -> Result<Connection, pool::Error> {
     let observer = Arc::clone(shared);
     let open = async {
-        let (upgraded, head, shows_end) = request_tunnel(shared, key, peer).await?;
+        let (upgraded, head, shows_end) = request_tunnel(shared, key, peer, purpose).await?;
         let path = Path {
             detour: Some(peer),
             shows_end,
@@ -121,6 +134,7 @@
     shared: &Shared<I>,
     key: Key,
     peer: Node,
+    purpose: Purpose,
 ) -> Result<(Upgraded, Head, bool), Error> {
     let address = SocketAddrV4::new(peer, shared.control_port);
     let stream = connect_from(shared.node, address).await?;
@@ -134,7 +148,11 @@
         }
     });
     let mut request = Request::new(Full::<Bytes>::default());
-    let target = format!("{PATH}?endpoint={key:08x}");
+    let purpose = match purpose {
+        Purpose::Requests => String::new(),
+        Purpose::Verdict => format!("&{VERDICT}=1"),
+    };
+    let target = format!("{PATH}?endpoint={key:08x}{purpose}");
     *request.uri_mut() = target.parse().expect("a path and a number");
     let host = HeaderValue::from_str(&address.to_string()).expect("digits");
     let headers = request.headers_mut();
@@ -184,6 +202,7 @@
     shared: &Arc<Shared<I>>,
     mut request: Request<Incoming>,
     key: Option<Key>,
+    purpose: Purpose,
 ) -> Response<Full<Bytes>> {
     let remote = request.extensions().get::<Remote>().map(|remote| remote.0);
     let peer = match remote.map(|address| address.ip()) {
@@ -191,7 +210,7 @@
         _ => Ipv4Addr::UNSPECIFIED,
     };
     let opened = match key {
-        Some(key) => open(shared, peer, key).await.map(|far| (key, far)),
+        Some(key) => open(shared, peer, key, purpose).await.map(|far| (key, far)),
         None => Err(Denial::Unknown),
     };
     match opened {
@@ -220,8 +239,13 @@
     shared: &Arc<Shared<I>>,
     peer: Node,
     key: Key,
+    purpose: Purpose,
 ) -> Result<Async<TcpStream>, Denial> {
-    let address = shared.dispatcher().may_relay(peer, key, clock::now())?;
+    let now = clock::now();
+    let address = match purpose {
+        Purpose::Requests => shared.dispatcher().may_relay(peer, key, now)?,
+        Purpose::Verdict => shared.dispatcher().may_judge(peer, key, now)?,
+    };
     let dialed = pool::connect(address.into()).await;
     shared.metrics.count_dial(dialed.is_ok());
     dialed.map_err(|cause| {
