Pass on nothing from the first place on that does not belong to a stream

Events now passes on nothing from the first event that does not follow, or the first line that no event has. In a framing that is a failure (end=garbled): the connection is not kept, and the stream goes on elsewhere behind the last good event, or breaks. Without framing, bytes may come behind an answer that was complete: the rest is read, at most 64 KiB and 500 ms, and not passed on. If an event beyond the last one is in it, or it began inside an event, the stream was not over and fails as above; a reset or a rest without end is a break; otherwise the stream ended before it, and that end is judged like any end without framing.

--- a/crates/peridotdeck-relay/src/answer.rs
+++ b/crates/peridotdeck-relay/src/answer.rs
@@ -8,4 +8,4 @@
 pub use events::{Events, Foreign};
 pub use failure::Failure;
 pub use framing::Framing;
-pub(crate) use reading::{read_body, read_data, read_first_event};
+pub(crate) use reading::{read_body, read_data, read_first_event, read_rest};
--- a/crates/peridotdeck-relay/src/answer/events.rs
+++ b/crates/peridotdeck-relay/src/answer/events.rs
@@ -18,6 +18,9 @@
 /// Largest event in bytes; an endpoint that sends more without an event's end has failed.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
+/// Most bytes behind a stream without framing that are read for its end.
+const MAX_REST_BYTES: usize = 64 << 10;
+
 /// Longest part of a line in the log that is in no event, in bytes.
 const MAX_LOGGED_BYTES: usize = 40;
 
@@ -67,6 +70,8 @@
     has_event: bool,
     sequence: Sequence,
     foreign: Option<Foreign>,
+    /// Whether the stream was not over before that.
+    goes_on: bool,
 }
 
 impl Events {
@@ -113,8 +118,10 @@
         let line = &self.pending[self.line..end];
         let line = line.strip_suffix(b"\r").unwrap_or(line);
         if line.is_empty() {
-            self.whole = end + 1;
             self.end_event();
+            if self.foreign.is_none() {
+                self.whole = end + 1;
+            }
             return;
         }
         let name_length = line.iter().position(|&byte| byte == b':');
@@ -124,6 +131,7 @@
         }
         if !name.iter().copied().all(is_name) {
             let start = line[..line.len().min(MAX_LOGGED_BYTES)].to_vec();
+            self.goes_on |= self.has_field && self.foreign.is_none();
             self.record_foreign(Cause::NotAnEvent, &start);
             return;
         }
@@ -143,9 +151,14 @@
         }
         let id = self.id.take();
         let id = id.map(|range| &self.pending[range]);
+        if self.foreign.is_some() {
+            let has_id = id.is_some_and(|id| !id.is_empty());
+            self.goes_on |= has_id && self.sequence.order(id) != Order::Repeats;
+            return;
+        }
         let cause = match self.sequence.advance(id) {
             Order::Follows => {
-                self.has_event |= self.foreign.is_none();
+                self.has_event = true;
                 return;
             }
             Order::Repeats => Cause::Repeats,
@@ -163,7 +176,7 @@
         });
     }
 
-    /// Takes all complete events.
+    /// Takes all complete events that belong to the stream.
     pub fn take_complete(&mut self) -> Option<Bytes> {
         let end = std::mem::take(&mut self.whole);
         if end == 0 {
@@ -196,6 +209,33 @@
         (!rest.is_empty()).then(|| Bytes::from(rest))
     }
 
+    /// Removes what does not belong to the stream, at the end of the connection.
+    ///
+    /// # Errors
+    /// If the stream was not over before it.
+    pub fn drop_foreign(&mut self) -> Result<(), Failure> {
+        self.check_rest()?;
+        self.pending.clear();
+        self.foreign = None;
+        Ok(())
+    }
+
+    /// Checks what has come of the bytes that do not belong to the stream.
+    ///
+    /// # Errors
+    /// If they show that the stream was not over before them, or are too many.
+    pub fn check_rest(&self) -> Result<(), Failure> {
+        if self.goes_on {
+            let cause = "stream was not over before what does not belong to it";
+            return Err(Failure::new(End::Garbled, cause));
+        }
+        if self.pending.len() > MAX_REST_BYTES {
+            let cause = "too many bytes behind the stream";
+            return Err(Failure::new(End::Garbled, cause));
+        }
+        Ok(())
+    }
+
     /// Returns whether [`Self::take_complete`] would return something.
     #[must_use]
     pub fn has_complete(&self) -> bool {
--- a/crates/peridotdeck-relay/src/answer/reading.rs
+++ b/crates/peridotdeck-relay/src/answer/reading.rs
@@ -1,5 +1,7 @@
 //! Reads answers of endpoints up to the deadline of their request.
 
+use std::time::Duration;
+
 use async_std::future::timeout;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -13,6 +15,9 @@
 /// A failing endpoint may send bytes without end.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
+/// Longest time to read bytes behind a stream without framing.
+const REST_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Runs `work` until the deadline of the request.
 async fn before_deadline<T>(
     flight: &Flight,
@@ -65,6 +70,29 @@
     before_deadline(flight, read).await
 }
 
+/// Reads what follows a stream without framing, up to the end of the connection.
+///
+/// # Errors
+/// If the stream was not over, or the connection does not end soon and in an orderly way.
+pub(crate) async fn read_rest(
+    body: &mut Incoming,
+    events: &mut Events,
+    flight: &Flight,
+) -> Result<(), Failure> {
+    let read = async {
+        loop {
+            events.check_rest()?;
+            match read_data(body).await? {
+                None => return Ok(()),
+                Some(bytes) => events.push(&bytes)?,
+            }
+        }
+    };
+    let late = |_| Failure::new(End::Garbled, "bytes behind the stream have no end");
+    let limit = REST_TIMEOUT.min(flight.time_left(clock::now()));
+    timeout(limit, read).await.map_err(late)?
+}
+
 /// Returns the next data of a body, or none at its end; trailers are skipped.
 pub(crate) async fn read_data(body: &mut Incoming) -> Result<Option<Bytes>, Failure> {
     loop {
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     Ingress,
-    answer::{Events, Failure, read_data},
+    answer::{Events, Failure, read_data, read_rest},
     clock,
     exchange::Channel,
     forwarding::{Forwarding, StartedStream},
@@ -110,6 +110,12 @@
                 self.record_sent();
                 return Ok(Some(bytes));
             }
+            if self.events.foreign().is_some() {
+                if let Err(failure) = self.end_before_foreign().await {
+                    self.recover(&failure).await?;
+                }
+                continue;
+            }
             let Some(body) = &mut self.body else {
                 match self.check_end() {
                     Ok(()) => return Ok(self.finish()),
@@ -134,6 +140,25 @@
         }
     }
 
+    /// Ends the stream before the first thing that does not belong to it.
+    ///
+    /// Bytes behind a stream without framing are not passed on, and do not say that it was not over.
+    ///
+    /// # Errors
+    /// If the framing, or an event that follows, says that the stream was not over.
+    async fn end_before_foreign(&mut self) -> Result<(), Failure> {
+        let channel = self.channel.as_ref();
+        if channel.is_some_and(|channel| channel.framing.shows_end()) {
+            let cause = "something in the stream does not belong to it";
+            return Err(Failure::new(End::Garbled, cause));
+        }
+        if let Some(mut body) = self.body.take() {
+            let flight = &self.forwarding.flight;
+            read_rest(&mut body, &mut self.events, flight).await?;
+        }
+        self.events.drop_foreign()
+    }
+
     /// Logs what does not belong to the stream, once in each attempt.
     fn log_foreign(&mut self) {
         if let Some(foreign) = self.events.foreign()
