--- a/crates/peridotdeck-relay/src/answer.rs
+++ b/crates/peridotdeck-relay/src/answer.rs
@@ -9,6 +9,6 @@
 pub use events::{Events, Foreign};
 pub use failure::Failure;
 pub use framing::Framing;
-pub(crate) use reading::{read_body, read_data, read_first_event};
+pub(crate) use reading::{read_body, read_data, read_first_event, read_rest};
 pub use verdict::Origin;
 pub(crate) use verdict::check_end;
