--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -4,6 +4,7 @@
 //! decisions, grouped by their trigger:
 //!
 //! - `placing`: a request is admitted or placed;
+//! - `ranking`: the endpoints for a request are compared;
 //! - `waiting`: a request waits or is refused, and its caller may return later;
 //! - `outcomes`: an attempt ends;
 //! - `pauses`: a stream pauses between events;
@@ -27,6 +28,7 @@
 mod placing;
 mod probes;
 mod quarantine;
+mod ranking;
 mod rates;
 mod shutdown;
 mod streams;
--- /dev/null
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/ranking.rs
@@ -0,0 +1,193 @@
+//! The endpoints that a request may use, with the estimate that ranks each.
+
+use rand::Rng;
+
+use super::Dispatcher;
+use crate::{
+    dispatch::{
+        Key,
+        config::Service,
+        endpoint::State,
+        flight::Flight,
+        placement::{CachedTokens, Estimate, Exclusion, View},
+        prefix::{Holding, Index, REFRESH},
+    },
+    id::Time,
+};
+
+/// Largest random addition to a score, so that nodes with the same view choose differently.
+const MAX_SCORE_JITTER: f64 = 8.0;
+
+impl Dispatcher {
+    /// Checks whether an endpoint is eligible for a request, without regard to cold start.
+    ///
+    /// # Errors
+    /// Returns the first reason that excludes the endpoint.
+    pub(super) fn admits(
+        &self,
+        state: &State,
+        flight: &Flight,
+        now: Time,
+    ) -> Result<(), Exclusion> {
+        let info = &state.info;
+        let closed = self
+            .registry
+            .closed()
+            .binary_search(&info.data_centre)
+            .is_ok();
+        let fits = flight
+            .software
+            .is_none_or(|software| software == state.software);
+        let exclusions = [
+            (info.service != flight.service, Exclusion::Service),
+            (!flight.may_run_in(&state.region), Exclusion::Region),
+            (closed, Exclusion::Closed),
+            (info.draining, Exclusion::Draining),
+            (state.is_departing(), Exclusion::Departing),
+            (state.pause_left(now).is_some(), Exclusion::RetryAfter),
+            (!fits, Exclusion::Version),
+            (flight.excludes(state.key), Exclusion::Tried),
+            (!state.path.is_usable(), Exclusion::Resting),
+            (!self.detour_allows(state, flight), Exclusion::Detour),
+        ];
+        match exclusions.iter().find(|(excluded, _)| *excluded) {
+            Some((_, exclusion)) => Err(*exclusion),
+            None => Ok(()),
+        }
+    }
+
+    /// Returns the cached tokens of a prompt at each endpoint.
+    fn cached_tokens(&self, flight: &Flight, now: Time) -> Vec<CachedTokens> {
+        let parts = flight.prompt.shared.iter();
+        let holders: Vec<(u32, &[Holding])> = parts
+            .map(|part| (part.tokens, self.prefixes.holders(part.prefix)))
+            .take_while(|(_, holders)| !holders.is_empty())
+            .collect();
+        let cached = |state: &State| {
+            let mut cached = CachedTokens::default();
+            for (tokens, holders) in &holders {
+                let holder = holders.binary_search_by_key(&state.key, |holder| holder.endpoint);
+                let Ok(index) = holder else {
+                    break;
+                };
+                let age = now.saturating_sub(holders[index].since);
+                if cached.read == cached.sent && Index::is_read(age) {
+                    cached.read = *tokens;
+                }
+                cached.sent = *tokens;
+            }
+            cached
+        };
+        self.states.iter().map(cached).collect()
+    }
+
+    /// Returns the length of a prompt's longest prefix that any endpoint used recently, in tokens.
+    fn recent_tokens(&self, flight: &Flight, now: Time) -> u32 {
+        let is_recent = |used: Time| now.saturating_sub(used) < self.options.reuse_window + REFRESH;
+        let mut parts = flight.prompt.shared.iter().rev();
+        let recent = parts.find(|part| self.prefixes.last_use(part.prefix).is_some_and(is_recent));
+        recent.map_or(0, |part| part.tokens)
+    }
+
+    /// Returns the median slowdown of a service's endpoints; 1.0 if it has none.
+    fn median_slowdown(&self, service: &str) -> f64 {
+        let mut slowdowns: Vec<f64> = self.endpoints_of(service).map(State::slowdown).collect();
+        slowdowns.sort_by(f64::total_cmp);
+        slowdowns.get(slowdowns.len() / 2).copied().unwrap_or(1.0)
+    }
+
+    /// Returns the endpoints of a service.
+    pub(super) fn endpoints_of(&self, service: &str) -> impl Iterator<Item = &State> {
+        self.states
+            .iter()
+            .filter(move |state| state.info.service == service)
+    }
+
+    /// Returns each endpoint of a request's service, with its estimate or the reason to exclude it.
+    fn estimates(
+        &self,
+        flight: &Flight,
+        service: &Service,
+        now: Time,
+    ) -> Vec<(&State, Result<Estimate, Exclusion>)> {
+        let cached = self.cached_tokens(flight, now);
+        let name = &flight.service;
+        let holders = cached
+            .iter()
+            .enumerate()
+            .filter(|(_, held)| held.is_source());
+        let sources: Vec<usize> = holders.map(|(index, _)| index).collect();
+        let view = View {
+            states: &self.states,
+            cached: &cached,
+            sources: &sources,
+            most_cached: cached
+                .iter()
+                .copied()
+                .fold(CachedTokens::default(), CachedTokens::max),
+            recent: self.recent_tokens(flight, now),
+            max_token_gap: self.shortest_sensitive_gap(name),
+            gap_sensitive: self.is_sensitive(&flight.route, name),
+            data_centre: &self.options.data_centre,
+            region: &self.region,
+            plain_ms: self.plain_answer_ms.value(name),
+            whole_answer_ms: self.whole_answer_ms.value(name),
+            median_slowdown: self.median_slowdown(name),
+            now,
+        };
+        let estimate = |state| {
+            self.admits(state, flight, now)
+                .map(|()| view.estimate(state, flight, service))
+        };
+        self.endpoints_of(name)
+            .map(|state| (state, estimate(state)))
+            .collect()
+    }
+
+    /// Returns the eligible endpoints, best first, and the reasons that excluded the others.
+    pub(super) fn rank(
+        &mut self,
+        flight: &Flight,
+        service: &Service,
+        now: Time,
+    ) -> (Vec<(Key, Estimate)>, Vec<Exclusion>) {
+        let mut ranked = Vec::new();
+        let mut exclusions = Vec::new();
+        for (state, estimate) in self.estimates(flight, service, now) {
+            match estimate {
+                Ok(estimate) => ranked.push((state.key, estimate)),
+                Err(exclusion) => exclusions.push(exclusion),
+            }
+        }
+        for (_, estimate) in &mut ranked {
+            estimate.score += MAX_SCORE_JITTER * self.rng.random::<f64>();
+        }
+        ranked.sort_by(|(_, one), (_, other)| one.score.total_cmp(&other.score));
+        (ranked, exclusions)
+    }
+
+    /// Returns the estimate, or the reason for exclusion, of each endpoint for a route.
+    ///
+    /// The endpoints are those of the route's first service. Returns `None` if no route has the
+    /// name, or if the node has no configuration.
+    #[must_use]
+    pub fn explain(
+        &self,
+        route: &str,
+        tokens: u32,
+        now: Time,
+    ) -> Option<Vec<(String, Result<Estimate, Exclusion>)>> {
+        let config = self.registry.config()?;
+        let route = config.routes.iter().find(|known| known.name == route)?;
+        let service = route.split.first()?.service.clone();
+        let mut flight = Flight::new(route.clone(), config.version, now);
+        flight.prompt.tokens = tokens;
+        flight.urgent = config.is_urgent_stream(&flight.route, &service);
+        let unknown = Service::default();
+        let service_config = config.service(&service).unwrap_or(&unknown);
+        flight.service = service;
+        let estimates = self.estimates(&flight, service_config, now).into_iter();
+        let named = estimates.map(|(state, estimate)| (state.info.id.clone(), estimate));
+        Some(named.collect())
+    }
+}
