--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -10,6 +10,7 @@
 //! list. No node waits for another: a node without known peers acts alone.
 
 mod broadcast;
+mod compose;
 mod peer;
 mod receive;
 mod send;
