--- a/crates/peridotdeck-core/tests/testsuite/simulation.rs
+++ b/crates/peridotdeck-core/tests/testsuite/simulation.rs
@@ -3,20 +3,26 @@
 //! The simulation asserts invariants that span nodes at every step. The program itself asserts
 //! those of a single node.
 
+mod endpoints;
+mod network;
+mod publisher;
+
 use std::{collections::BTreeMap, time::Duration};
 
+use endpoints::Run;
+use network::Message;
+pub use network::Network;
 use peridotdeck_core::{
     Action, Event, Node, Strategy, Verdict,
-    engine::Report,
-    event::End,
     flight::Stage,
     id,
     node::{Setup, TICK_INTERVAL},
     request::{Call, Claim, Refusal},
 };
-use peridotdeck_policy::{Class, Config, Organisation, Parts, Policy, Service, digest_name, split};
-use peridotdeck_wire::{Delta, Envelope, Member, Outcome, Part};
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use peridotdeck_policy::Config;
+use peridotdeck_wire::Part;
+pub use publisher::build_config;
+use rand::{SeedableRng, rngs::SmallRng};
 
 /// Slots of each warm engine.
 pub const SLOTS: u32 = 4;
@@ -47,43 +53,6 @@
     highest_revision: id::Revision,
 }
 
-/// A message that is still on its way.
-struct Message {
-    due: Duration,
-    to: id::Node,
-    envelope: Envelope,
-}
-
-/// An attempt at an endpoint.
-struct Run {
-    vm: usize,
-    request: id::Request,
-    attempt: id::Attempt,
-    endpoint: id::Endpoint,
-    end: Duration,
-    state: RunState,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum RunState {
-    Running,
-    /// The attempt did not reach the endpoint.
-    Unreachable,
-    /// The endpoint crashed during the run.
-    Broken,
-}
-
-/// Faults of the network between nodes.
-#[derive(Clone, Copy, Default)]
-pub struct Network {
-    /// Probability that a message is lost.
-    pub loss: f64,
-    /// Probability that a message is delivered twice.
-    pub duplication: f64,
-    /// Longest delivery time in ms; each message's time is random between 0 and this.
-    pub max_delay_ms: u64,
-}
-
 pub struct Simulation {
     pub now: Duration,
     pub vms: Vec<Vm>,
@@ -116,48 +85,6 @@
     rng: SmallRng,
 }
 
-/// Builds a configuration with two engines and one plain endpoint in each data centre.
-///
-/// Each entry of `data_centres` is a name and the number of VMs there.
-pub fn build_config(data_centres: &[(&str, usize)]) -> Config {
-    let mut policy = Policy::new()
-        .class(Class::interactive("counter", 0).first_token_ms(440))
-        .class(Class::interactive("advice", 1).first_token_ms(1_000))
-        .class(Class::interactive("reorder", 0).whole_ms(4_000))
-        .class(
-            Class::bulk("draft", 4)
-                .whole_ms(3_600_000)
-                .min_share_percent(10),
-        )
-        .organisation(
-            Organisation::named("matrah")
-                .key("m")
-                .rate(10_000, 10_000)
-                .concurrency(10_000),
-        )
-        .organisation(
-            Organisation::named("barka")
-                .key("b")
-                .rate(10_000, 10_000)
-                .concurrency(10_000),
-        );
-    let mut model = Service::model("wickmind", "counter");
-    let mut plain = Service::plain("refill-desk", "reorder").unrepeatable("/", "reorder");
-    for (index, (data_centre, _)) in data_centres.iter().enumerate() {
-        policy = policy.place(data_centre, &format!("region-{index}"));
-        for port in 0..2 {
-            let address = format!("127.0.0.1:{}", 9_000 + index * 10 + port);
-            model = model.sized_endpoint(data_centre, &address, SLOTS, COLD_SLOTS);
-        }
-        plain = plain.sized_endpoint(data_centre, &format!("127.0.0.1:{}", 9_500 + index), 64, 64);
-    }
-    policy
-        .service(model)
-        .service(plain)
-        .build()
-        .expect("the test configuration is valid")
-}
-
 impl Simulation {
     pub fn new(data_centres: &[(&str, usize)], seed: u64) -> Self {
         let mut sim = Self {
@@ -270,74 +197,6 @@
         self.vms[vm].paused_until = self.now + time;
     }
 
-    /// Publishes the current configuration under a new revision.
-    pub fn publish(&mut self) {
-        self.revision += 1;
-        let parts: Parts = split(&self.config);
-        for (key, value) in parts {
-            let part = Part {
-                key,
-                revision: self.revision,
-                value: value.to_string(),
-            };
-            match self.parts.iter_mut().find(|old| old.key == part.key) {
-                Some(old) if old.value == part.value => {}
-                Some(old) => *old = part,
-                None => self.parts.push(part),
-            }
-        }
-    }
-
-    /// Gives the VM list a new revision.
-    pub fn advance_vm_list_revision(&mut self) {
-        self.vm_list_revision += 1;
-    }
-
-    fn members(&self) -> Vec<Member> {
-        let vms = self.vms.iter();
-        vms.map(|vm| Member {
-            node: vm.id,
-            place: vm.data_centre.clone(),
-            peers: String::new(),
-            callers: String::new(),
-            leaving: false,
-        })
-        .collect()
-    }
-
-    /// Answers a node's watch as the platform does.
-    fn answer_watch(&mut self, vm: usize) {
-        if self.partitioned.contains(&self.vms[vm].data_centre) {
-            return;
-        }
-        let Some(node) = &self.vms[vm].node else {
-            return;
-        };
-        let from = node.config().revision();
-        let to = self.stale_revision.unwrap_or(self.revision);
-        if from >= to && node.view().vm_list_revision() >= self.vm_list_revision {
-            return;
-        }
-        let parts = self
-            .parts
-            .iter()
-            .filter(|part| part.revision > from && part.revision <= to)
-            .cloned()
-            .collect();
-        let (roster, members) = (self.vm_list_revision, self.members());
-        self.handle_event(
-            vm,
-            Event::Published(Delta {
-                nonce: 0,
-                from,
-                to,
-                parts,
-                roster,
-                members,
-            }),
-        );
-    }
-
     pub fn is_paused(&self, vm: usize) -> bool {
         self.vms[vm].paused_until > self.now
     }
@@ -383,49 +242,6 @@
         }
     }
 
-    fn report_load(&mut self, vm: usize, endpoint: id::Endpoint) {
-        if self.unreachable.contains(&endpoint) || self.is_paused(vm) {
-            return;
-        }
-        let running = self.count_running_at(endpoint);
-        let boot = self.boots.get(&endpoint).copied().unwrap_or(0);
-        let warm = self.slots(endpoint) == SLOTS;
-        self.handle_event(
-            vm,
-            Event::Reported {
-                endpoint,
-                report: Report {
-                    boot,
-                    running,
-                    queued: 0,
-                    warm,
-                },
-            },
-        );
-    }
-
-    /// Returns the number of requests that an endpoint runs.
-    ///
-    /// Requests of paused nodes count, since the endpoint runs them all the same.
-    fn count_running_at(&self, endpoint: id::Endpoint) -> u32 {
-        let at_endpoint = self.runs.iter().filter(|run| run.endpoint == endpoint);
-        at_endpoint
-            .filter(|run| run.state == RunState::Running && run.end > self.now)
-            .count() as u32
-    }
-
-    /// Returns the number of slots that an engine can use.
-    ///
-    /// Each request that it finishes adds one, until it is warm.
-    fn slots(&self, endpoint: id::Endpoint) -> u32 {
-        let finished = self
-            .finished_by_endpoint
-            .get(&endpoint)
-            .copied()
-            .unwrap_or(0);
-        (COLD_SLOTS + finished).min(SLOTS)
-    }
-
     fn record_ending(&mut self, request: id::Request, ending: Ending) {
         let old = self.endings.insert(request, ending);
         // A request may still end after its caller has disconnected.
@@ -433,182 +249,6 @@
         assert!(is_first, "request {request:x} ended twice");
     }
 
-    fn dispatch(
-        &mut self,
-        vm: usize,
-        request: id::Request,
-        attempt: id::Attempt,
-        endpoint: id::Endpoint,
-    ) {
-        let node = self.vms[vm]
-            .node
-            .as_ref()
-            .expect("the node that dispatches is running");
-        let flight = node
-            .request_table()
-            .flights()
-            .iter()
-            .find(|flight| flight.request == request);
-        let key = flight
-            .and_then(|flight| flight.call.claim.as_ref())
-            .map(|claim| claim.key.clone());
-        let unreachable = self.unreachable.contains(&endpoint);
-        if !unreachable {
-            *self.runs_by_endpoint.entry(endpoint).or_default() += 1;
-            self.reached.push(request);
-            if let Some(key) = key {
-                let runs = self.runs_by_key.entry(key).or_default();
-                *runs += 1;
-                assert_eq!(*runs, 1, "a request that must run at most once ran twice");
-            }
-        }
-        let (end, state) = if unreachable {
-            (self.now, RunState::Unreachable)
-        } else {
-            (self.now + self.service_time, RunState::Running)
-        };
-        self.runs.push(Run {
-            vm,
-            request,
-            attempt,
-            endpoint,
-            end,
-            state,
-        });
-        self.check_capacity(endpoint);
-    }
-
-    /// Asserts that all nodes together send an engine no more requests than it has slots.
-    ///
-    /// A warm engine may get two more, as explained below.
-    fn check_capacity(&self, endpoint: id::Endpoint) {
-        let running = self.count_running_at(endpoint);
-        let is_engine = self.config.services.iter().any(|service| {
-            service.name == "wickmind"
-                && service.endpoints.iter().any(|engine| engine.id == endpoint)
-        });
-        // If nothing runs on an endpoint that restarts, owners notice the restart only from its
-        // next load report, which they fetch once a second.
-        let crashed = self.crashed_at.get(&endpoint).copied();
-        if crashed.is_some_and(|time| self.now < time + Duration::from_millis(1_100)) {
-            return;
-        }
-        // While the owner does not answer, two nodes may send to a warm endpoint without a grant;
-        // the endpoint queues these requests. A cold endpoint must never get more than its slots.
-        let ungranted = if self.slots(endpoint) == SLOTS { 2 } else { 0 };
-        let limit = self.slots(endpoint) + ungranted;
-        assert!(
-            !is_engine || running <= limit,
-            "endpoint {endpoint} runs {running} requests; its limit is {limit}\n{}",
-            self.describe(endpoint)
-        );
-    }
-
-    /// Describes the runs at an endpoint and the owners' view of it, for a failed assertion.
-    fn describe(&self, endpoint: id::Endpoint) -> String {
-        let mut lines = vec![format!("now {:?}", self.now)];
-        for run in self.runs.iter().filter(|run| run.endpoint == endpoint) {
-            lines.push(format!(
-                "VM {} runs {:x} until {:?}",
-                run.vm, run.attempt, run.end
-            ));
-        }
-        for (index, vm) in self.vms.iter().enumerate() {
-            let Some(node) = &vm.node else { continue };
-            for pool in node.pools().schedulers() {
-                for engine in pool
-                    .engines()
-                    .iter()
-                    .filter(|engine| engine.id() == endpoint)
-                {
-                    let (phase, in_flight) = (engine.phase(), engine.in_flight());
-                    lines.push(format!("VM {index} owns: {phase:?}, {in_flight} in flight"));
-                }
-            }
-            for flight in node.request_table().flights() {
-                lines.push(format!(
-                    "VM {index} {:x} {:?}",
-                    flight.request, flight.stage
-                ));
-            }
-        }
-        lines.join("\n")
-    }
-
-    fn stop_attempt(&mut self, attempt: id::Attempt) {
-        if let Some(index) = self.runs.iter().position(|run| run.attempt == attempt) {
-            let run = self.runs.swap_remove(index);
-            let disconnected = self.endings.get(&run.request) == Some(&Ending::Disconnected);
-            let outcome = if disconnected {
-                Outcome::Cancelled
-            } else {
-                Outcome::Preempted
-            };
-            self.end_attempt(&run, outcome);
-        }
-    }
-
-    fn end_attempt(&mut self, run: &Run, outcome: Outcome) {
-        if outcome == Outcome::Finished {
-            *self.finished_by_endpoint.entry(run.endpoint).or_default() += 1;
-            self.record_ending(run.request, Ending::Finished);
-        }
-        let end = End {
-            outcome,
-            tokens: 0,
-            time_to_first_token: Some(Duration::from_millis(30)),
-            duration: self.service_time,
-            answer: Some((200, "done".to_owned())),
-        };
-        self.handle_event(
-            run.vm,
-            Event::Ended {
-                attempt: run.attempt,
-                end,
-            },
-        );
-    }
-
-    /// Crashes an endpoint; the attempts that it runs end as broken.
-    pub fn crash_endpoint(&mut self, endpoint: id::Endpoint) {
-        self.finished_by_endpoint.insert(endpoint, 0);
-        *self.boots.entry(endpoint).or_default() += 1;
-        self.crashed_at.insert(endpoint, self.now);
-        let now = self.now;
-        for run in self.runs.iter_mut().filter(|run| run.endpoint == endpoint) {
-            (run.end, run.state) = (now, RunState::Broken);
-        }
-        self.finish_runs();
-    }
-
-    fn send_message(&mut self, vm: usize, to: &Member, body: peridotdeck_wire::Body) {
-        let from = &mut self.vms[vm];
-        from.sequence += 1;
-        let envelope = Envelope {
-            sender: from.id,
-            incarnation: from.incarnation,
-            place: digest_name(&from.data_centre) as u32,
-            sequence: from.sequence,
-            body,
-        };
-        let is_partitioned = from.data_centre != to.place
-            && (self.partitioned.contains(&from.data_centre)
-                || self.partitioned.contains(&to.place));
-        if is_partitioned || self.rng.random_bool(self.network.loss) {
-            return;
-        }
-        let copies = 1 + usize::from(self.rng.random_bool(self.network.duplication));
-        for _ in 0..copies {
-            let delay = Duration::from_millis(self.rng.random_range(0..=self.network.max_delay_ms));
-            let message = Message {
-                due: self.now + delay,
-                to: to.node,
-                envelope: envelope.clone(),
-            };
-            self.messages.push(message);
-        }
-    }
-
     /// Advances the simulated time in steps of 1 ms.
     pub fn advance_ms(&mut self, ms: u64) {
         let end = self.now + Duration::from_millis(ms);
@@ -650,37 +290,6 @@
         }
     }
 
-    fn deliver_messages(&mut self) {
-        let now = self.now;
-        let paused: Vec<id::Node> = (0..self.vms.len())
-            .filter(|&vm| self.is_paused(vm))
-            .map(|vm| self.vms[vm].id)
-            .collect();
-        let due = |message: &mut Message| message.due <= now && !paused.contains(&message.to);
-        let messages: Vec<Message> = self.messages.extract_if(.., due).collect();
-        for message in messages {
-            if let Some(vm) = self.vms.iter().position(|vm| vm.id == message.to) {
-                self.handle_event(vm, Event::Message(message.envelope));
-            }
-        }
-    }
-
-    fn finish_runs(&mut self) {
-        let due: Vec<Run> = {
-            let (now, vms) = (self.now, &self.vms);
-            let ready = |run: &mut Run| run.end <= now && vms[run.vm].paused_until <= now;
-            self.runs.extract_if(.., ready).collect()
-        };
-        for run in due {
-            let outcome = match run.state {
-                RunState::Running => Outcome::Finished,
-                RunState::Unreachable => Outcome::Unreachable,
-                RunState::Broken => Outcome::Broken,
-            };
-            self.end_attempt(&run, outcome);
-        }
-    }
-
     /// Sends a request to a VM's node; returns none if its process is dead or paused.
     pub fn send(&mut self, vm: usize, call: Call) -> Option<id::Request> {
         if self.is_paused(vm) {
