--- a/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
+++ b/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
@@ -1,69 +1,24 @@
 //! Heartbeats: nodes discover each other, announce their load and detect silent peers.
 
+mod fleet;
+
 use std::time::Duration;
 
+use fleet::Fleet;
 use peridotdeck_core::dispatch::{
-    Dispatcher, Node,
+    Dispatcher,
     attempt::{End, Placement},
     data_centre,
     dispatcher::Options,
     rate::Terms,
     registry::{Area, Endpoint, Fact, Position},
 };
-use peridotdeck_wire::{beat::Beat, pack, unpack};
 
 use crate::dispatch::{
     REGIONS, admit, config, configure, copies, decoded_request, dispatcher, endpoint, ms, node,
     options, prompt, report,
 };
 
-/// Nodes whose heartbeats arrive at once, except to and from the nodes in `cut`.
-struct Fleet {
-    nodes: Vec<(Node, Dispatcher)>,
-    cut: Vec<Node>,
-    /// Bytes of all heartbeats sent, delivered or not.
-    bytes: usize,
-}
-
-impl Fleet {
-    fn new(nodes: Vec<Dispatcher>) -> Self {
-        let numbered = nodes.into_iter().enumerate();
-        Self {
-            nodes: numbered
-                .map(|(index, dispatcher)| (node(index as u8 + 1), dispatcher))
-                .collect(),
-            cut: Vec::new(),
-            bytes: 0,
-        }
-    }
-
-    fn run(&mut self, from_ms: u64, to_ms: u64) {
-        for now_ms in (from_ms..to_ms).step_by(25) {
-            for sender in 0..self.nodes.len() {
-                let heartbeats = copies(self.nodes[sender].1.tick(ms(now_ms)).heartbeats);
-                for (to, heartbeat) in heartbeats {
-                    self.deliver(sender, to, &heartbeat, ms(now_ms));
-                }
-            }
-        }
-    }
-
-    fn deliver(&mut self, sender: usize, to: Node, heartbeat: &Beat, now: Duration) {
-        let bytes = pack(heartbeat).expect("fits a datagram");
-        self.bytes += bytes.len();
-        if self.cut.contains(&to) || self.cut.contains(&self.nodes[sender].0) {
-            return;
-        }
-        let heartbeat = unpack(&bytes).expect("the encoding that was just packed");
-        let Some(index) = self.nodes.iter().position(|(node, _)| *node == to) else {
-            return;
-        };
-        for response in self.nodes[index].1.receive(&heartbeat, now).0 {
-            self.nodes[sender].1.receive(&response, now);
-        }
-    }
-}
-
 fn endpoints() -> Vec<Endpoint> {
     ["a", "b", "c"]
         .iter()
@@ -209,7 +164,6 @@
     assert!(matches!(node.place(&mut flight, now), Placement::Send(_)));
 }
 
-/// Whatever a heartbeat reports, it fits a datagram; [`Fleet::deliver`] checks each.
 /// Crashes an endpoint under each of some prompts; half of them are answered elsewhere.
 fn crash_endpoints(node: &mut Dispatcher, count: u64, now: Duration) {
     let send = |node: &mut Dispatcher, number: u64| {
@@ -234,6 +188,7 @@
     }
 }
 
+/// Whatever a heartbeat reports, it fits a datagram; [`Fleet::deliver`] checks each.
 #[test]
 fn fullest_heartbeats_fit_datagrams() {
     let ids: Vec<String> = (0..120).map(|number| format!("e{number}")).collect();
