--- a/crates/peridotdeck-core/tests/testsuite/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world.rs
@@ -1,12 +1,14 @@
 //! Nodes of three data centres, callers, and endpoints that name rates or run several versions.
 
 mod brittle;
+mod endpoint;
 mod paths;
 mod publisher;
 mod streams;
 
 use std::{net::Ipv4Addr, time::Duration};
 
+pub use endpoint::Endpoint;
 use paths::Event;
 pub use paths::{Cut, Outcome};
 use peridotdeck_core::dispatch::{
@@ -14,7 +16,6 @@
     attempt::{Attempt, End, Placement},
     flight::Flight,
     rate::Terms,
-    registry,
 };
 use peridotdeck_wire::{beat::Beat, pack};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -32,36 +33,6 @@
 
 const STEP: Duration = ms(25);
 
-pub struct Endpoint {
-    pub info: registry::Endpoint,
-    /// Requests per second that it names.
-    pub rate: Option<f64>,
-    /// Rejections in a second that it survives, if it says that it is brittle.
-    pub brittle: Option<u32>,
-    /// Requests beyond its slots that it lets wait.
-    pub queue: usize,
-    /// Times of its rejections, and of its falls.
-    pub rejected: Vec<Duration>,
-    pub falls: Vec<Duration>,
-    /// Requests that it got: when, from which node, and their rank.
-    pub got: Vec<(Duration, usize, u8)>,
-}
-
-impl Endpoint {
-    /// Returns an endpoint that names nothing and lets any number wait.
-    fn new(info: registry::Endpoint) -> Self {
-        Self {
-            info,
-            rate: None,
-            brittle: None,
-            queue: usize::MAX,
-            rejected: Vec::new(),
-            falls: Vec::new(),
-            got: Vec::new(),
-        }
-    }
-}
-
 struct Open {
     node: usize,
     flight: Flight,
