End an attempt of the own interface at an event that is no part of its answer

Callers saw: a 200 that is complete, with an engine's error or a broken event in place of the rest (a collected completion without a word of it), with events of another answer, or with text behind the event that names the reason to finish, from an engine that went on with an ended answer.

Cause: an event's data were passed on unread (streams), or read where they happened to fit (collected completions), and the end marker alone decided.

Change: attempt::chunk reads each event once for both; one whose data are no chunk, report an error, name another answer after events that named the attempt, or add text after the finish ends the attempt as crossed (it may have run, and counts for no crash). Another engine goes on, or the caller gets the error event without the end marker. Log line: stream_flawed, with the cause.

The cost for each event was not measured.

--- a/crates/peridotdeck-router/src/attempt.rs
+++ b/crates/peridotdeck-router/src/attempt.rs
@@ -1,14 +1,17 @@
 //! One attempt to run a request at an endpoint.
 //!
 //! A response counts only on the connection that sent its request, and is rejected if it carries
-//! the id of another attempt. A stream is complete only after its end marker. A connection on which
-//! nothing arrives for too long counts as dead.
+//! the id of another attempt. A stream is complete only after its end marker, and an event that is
+//! no part of the answer ends the attempt. A connection on which nothing arrives for too long counts
+//! as dead.
 
 mod answer;
+mod chunk;
 mod completion;
 mod plain;
 
-pub use answer::{Answer, Disconnected, FullResponse};
+pub use answer::{Answer, Disconnected, FullResponse, Rejection};
+pub use chunk::Flaw;
 pub use completion::CompletionRequest;
 pub use plain::PlainRequest;
 
--- a/crates/peridotdeck-router/src/attempt/answer.rs
+++ b/crates/peridotdeck-router/src/attempt/answer.rs
@@ -8,6 +8,7 @@
 use peridotdeck_http::body::{self, ChunkSender};
 use serde_json::{Value, json};
 
+use super::chunk::{Chunk, Flaw};
 use crate::{api_error::ApiError, metrics::Sample};
 
 /// A complete response, held in memory.
@@ -25,6 +26,27 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Disconnected;
 
+/// Why an event was not added to an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rejection {
+    /// The caller can receive no more.
+    Disconnected,
+    /// The event is no part of the answer.
+    Flawed(Flaw),
+}
+
+impl From<Disconnected> for Rejection {
+    fn from(_: Disconnected) -> Self {
+        Self::Disconnected
+    }
+}
+
+impl From<Flaw> for Rejection {
+    fn from(flaw: Flaw) -> Self {
+        Self::Flawed(flaw)
+    }
+}
+
 /// The answer to one request: what the caller has received so far and how to send the rest.
 #[derive(Debug)]
 pub struct Answer {
@@ -35,6 +57,8 @@
     chat: bool,
     text: String,
     finish_reason: Option<String>,
+    /// Whether an event of the current attempt has named the attempt.
+    names_attempt: bool,
     tokens: u32,
     arrived: Instant,
     first_token: Option<Instant>,
@@ -60,6 +84,7 @@
             chat,
             text: String::new(),
             finish_reason: None,
+            names_attempt: false,
             tokens: 0,
             arrived: Instant::now(),
             first_token: None,
@@ -73,23 +98,33 @@
         self.tokens
     }
 
+    /// Expects the events of a further attempt.
+    pub fn begin_attempt(&mut self) {
+        self.names_attempt = false;
+    }
+
     /// Adds one event of an endpoint's stream and counts it as one token.
     ///
     /// The attempt's id is replaced by the request's id, which has the same length, so that the
     /// caller sees one id even if several attempts contribute.
     ///
     /// # Errors
-    /// [`Disconnected`] if the caller's connection is closed; the event is not counted then.
-    pub async fn push_event(&mut self, data: &[u8], attempt: &str) -> Result<(), Disconnected> {
+    /// If the caller's connection is closed, or the event is no part of the answer; the event is not
+    /// counted then.
+    pub async fn push_event(&mut self, data: &[u8], attempt: &str) -> Result<(), Rejection> {
+        let chunk = self.check(data, attempt)?;
         if self.streams {
-            let mut chunk = Vec::with_capacity(data.len() + 8);
-            chunk.extend_from_slice(b"data: ");
-            chunk.extend_from_slice(data);
-            chunk.extend_from_slice(b"\n\n");
-            replace_id(&mut chunk, attempt, self.request);
-            self.send_chunk(chunk).await?;
+            let mut event = Vec::with_capacity(data.len() + 8);
+            event.extend_from_slice(b"data: ");
+            event.extend_from_slice(data);
+            event.extend_from_slice(b"\n\n");
+            replace_id(&mut event, attempt, self.request);
+            self.send_chunk(event).await?;
         } else {
-            self.append_text(data);
+            self.text.push_str(chunk.text());
+        }
+        if let Some(reason) = chunk.finish_reason() {
+            self.finish_reason = Some(reason.to_owned());
         }
         self.tokens += 1;
         let now = Instant::now();
@@ -98,6 +133,20 @@
         Ok(())
     }
 
+    /// Returns the chunk in an endpoint's event, unless the event is no part of the answer.
+    fn check<'a>(&mut self, data: &'a [u8], attempt: &str) -> Result<Chunk<'a>, Flaw> {
+        let chunk = Chunk::parse(data)?;
+        let names_attempt = chunk.id().map(|id| id.contains(attempt));
+        if self.names_attempt && names_attempt == Some(false) {
+            return Err(Flaw::OtherAnswer);
+        }
+        if self.finish_reason.is_some() && !chunk.text().is_empty() {
+            return Err(Flaw::AfterFinish);
+        }
+        self.names_attempt |= names_attempt == Some(true);
+        Ok(chunk)
+    }
+
     async fn send_chunk(&mut self, chunk: Vec<u8>) -> Result<(), Disconnected> {
         if self.chunks.is_none() {
             let (chunks, body) = body::channel();
@@ -112,22 +161,6 @@
         chunks.send(Ok(chunk)).await.map_err(|_| Disconnected)
     }
 
-    fn append_text(&mut self, data: &[u8]) {
-        let Ok(chunk) = serde_json::from_slice::<Value>(data) else {
-            return;
-        };
-        let choice = &chunk["choices"][0];
-        let text = if self.chat {
-            &choice["delta"]["content"]
-        } else {
-            &choice["text"]
-        };
-        self.text.push_str(text.as_str().unwrap_or_default());
-        if let Some(reason) = choice["finish_reason"].as_str() {
-            self.finish_reason = Some(reason.to_owned());
-        }
-    }
-
     async fn send_response(&mut self, response: Response) -> Result<(), Disconnected> {
         let sender = self.response_sender.take().ok_or(Disconnected)?;
         sender.send(response).await.map_err(|_| Disconnected)
--- a/crates/peridotdeck-router/src/attempt/completion.rs
+++ b/crates/peridotdeck-router/src/attempt/completion.rs
@@ -12,7 +12,7 @@
 use peridotdeck_wire::Outcome;
 
 use super::{
-    Answer, FullResponse, MAX_ANSWER_BYTES, Parameters, attempt_end, confirms_not_run,
+    Answer, FullResponse, MAX_ANSWER_BYTES, Parameters, Rejection, attempt_end, confirms_not_run,
     names_other_attempt, send,
 };
 use crate::{dial::Dial, prompt::Prompt};
@@ -43,6 +43,7 @@
     pub async fn run<D: Dial>(&self, dial: &D, params: &Parameters, answer: &mut Answer) -> End {
         let started = Instant::now();
         let delivered_before = answer.tokens();
+        answer.begin_attempt();
         let mut first_token = None;
         let outcome = match self.send_request(dial, params, delivered_before).await {
             Ok(response) => {
@@ -142,10 +143,15 @@
                     return Outcome::Finished;
                 }
                 Ok(Some(Ok(Event::Message(message)))) => {
-                    first_token.get_or_insert_with(Instant::now);
-                    if answer.push_event(message.data(), &id).await.is_err() {
-                        return Outcome::Cancelled;
+                    match answer.push_event(message.data(), &id).await {
+                        Ok(()) => {}
+                        Err(Rejection::Disconnected) => return Outcome::Cancelled,
+                        Err(Rejection::Flawed(flaw)) => {
+                            log::warn!("event=stream_flawed attempt={id} cause={flaw}");
+                            return Outcome::Crossed;
+                        }
                     }
+                    first_token.get_or_insert_with(Instant::now);
                 }
             }
         }
