Ask an endpoint for its start before a stream goes on there

Callers saw streams with events of two software versions, which began before endpoints started again in place, with newer software, while the store answered 503. A node took the entry for what runs at its address. Class of fault: a following-on that is assumed because nothing contradicts it.

Change: where a stream goes on, by the node's own continuation or a caller's take-up, and no read of the store has shown the whole list in the last second, the node opens a new connection to the endpoint, asks it for the time of its start, and sends the request on that same connection only if the endpoint's key is made of that time. Another time is remembered, and no stream goes on at that process's entry any more. Peers' heartbeats do not count, since peers confirm each other while the store is away. Each such continuation costs a small request, also while the store answers: nothing else tells a node which process answers, and an entry is up to a second late. What begins at an endpoint that has started again, before its entry says so, still counts as begun at the old version: docs/design/VERSIONS.md, "Left".

--- a/crates/peridotdeck-core/src/dispatch/attempt.rs
+++ b/crates/peridotdeck-core/src/dispatch/attempt.rs
@@ -78,6 +78,8 @@
     pub instance: String,
     /// Version of the endpoint's software.
     pub version: String,
+    /// Whether the endpoint must first say that it has not started again, as a stream goes on there.
+    pub confirm: bool,
     /// Endpoint from which the chosen one should fetch the cached prompt prefix.
     pub source: Option<SocketAddrV4>,
     /// Rank of the request at the endpoint; 0 is served first.
@@ -137,6 +139,10 @@
     Rejected,
     /// Another endpoint uses the address now and did not run the request.
     Misdirected,
+    /// The endpoint has started again since its entry was written, so the stream may not go on there.
+    ///
+    /// The request was not sent.
+    Replaced,
     /// No connection could be opened, so the request did not run.
     Unreachable,
     /// The request did not leave this node, for a reason that does not concern the endpoint.
@@ -163,9 +169,11 @@
     pub fn verdict(self) -> Verdict {
         match self {
             Self::Finished | Self::Failed => Verdict::Ran,
-            Self::Rejected | Self::Misdirected | Self::Unreachable | Self::Unsent => {
-                Verdict::NotRun
-            }
+            Self::Rejected
+            | Self::Misdirected
+            | Self::Replaced
+            | Self::Unreachable
+            | Self::Unsent => Verdict::NotRun,
             _ => Verdict::MayHaveRun,
         }
     }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
@@ -123,6 +123,9 @@
             if end == End::Silent {
                 state.record_silence(now);
             }
+            if end == End::Replaced {
+                state.mark_replaced();
+            }
             match end {
                 End::Broken | End::Unconfirmed | End::Silent | End::Unsent => {
                     state.path.suspect(now);
@@ -134,7 +137,7 @@
         match end {
             End::Unreachable if attempt.detour.is_some() => self.end_detour(key, now),
             End::Unreachable => self.record_unreachable(key, now),
-            End::Misdirected => self.prefixes.remove_endpoint(key),
+            End::Misdirected | End::Replaced => self.prefixes.remove_endpoint(key),
             End::Rejected | End::Silent => self.forget_unread(attempt, flight),
             _ => {}
         }
@@ -178,9 +181,9 @@
         match end.verdict() {
             Verdict::NotRun => {
                 let enough_time = flight.time_left(now) > MIN_ATTEMPT_TIME;
-                let was_sent = !matches!(end, End::Unreachable | End::Unsent);
+                let was_sent = !matches!(end, End::Unreachable | End::Unsent | End::Replaced);
                 if !was_sent {
-                    // The endpoint may soon be reached over another path.
+                    // The endpoint may soon be reached over another path; a replaced one is not placed to again.
                     flight.tried.pop();
                 }
                 flight.rejections += u32::from(was_sent);
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -184,7 +184,8 @@
             .is_ok();
         let fits = flight
             .software
-            .is_none_or(|software| software == state.software);
+            .is_none_or(|software| software == state.software)
+            && !(flight.goes_on() && state.is_replaced());
         let exclusions = [
             (info.service != flight.service, Exclusion::Service),
             (!flight.may_run_in(&state.region), Exclusion::Region),
@@ -405,6 +406,7 @@
             unread: estimate.unread,
             urgent: u32::from(flight.urgent),
         };
+        let confirm = flight.goes_on() && !self.is_roster_confirmed(now);
         let state = self
             .state_mut(key)
             .expect("only known endpoints are ranked");
@@ -423,6 +425,7 @@
             address: state.info.address,
             instance: state.info.id.clone(),
             version: state.info.version.clone(),
+            confirm,
             source,
             rank: flight.rank,
             hedge_after,
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -133,9 +133,16 @@
         if self.step.lacks_change(known, now) {
             return false;
         }
+        self.is_roster_confirmed(now) || self.fleet.is_in_touch(now)
+    }
+
+    /// Returns whether a read of the publisher has shown the whole endpoint list lately.
+    ///
+    /// Peers confirm each other's lists also while the publisher is away, and endpoints may start again
+    /// meanwhile with other software.
+    pub(super) fn is_roster_confirmed(&self, now: Time) -> bool {
         let running = self.fleet.running_since(CONFIRMED, now);
         running.is_some_and(|since| self.step.is_confirmed_since(since))
-            || self.fleet.is_in_touch(now)
     }
 
     /// Returns whether endpoints of a stream's version may be listed soon, as this node is out of step.
--- a/crates/peridotdeck-core/src/dispatch/endpoint.rs
+++ b/crates/peridotdeck-core/src/dispatch/endpoint.rs
@@ -119,6 +119,7 @@
     presumed: Option<(Time, Time)>,
     cold_bucket: Bucket,
     departing: bool,
+    replaced: bool,
     paused_until: Time,
     silent_until: Time,
 }
@@ -143,6 +144,7 @@
             presumed: None,
             cold_bucket: Bucket::full(1.0, now),
             departing: false,
+            replaced: false,
             paused_until: Time::ZERO,
             silent_until: Time::ZERO,
         }
@@ -236,6 +238,17 @@
         self.departing = true;
     }
 
+    /// Returns whether another process runs under the endpoint's id by now, perhaps of other software.
+    #[must_use]
+    pub fn is_replaced(&self) -> bool {
+        self.replaced
+    }
+
+    /// Marks the endpoint's process as replaced, which never ends; the next one has a key of its own.
+    pub fn mark_replaced(&mut self) {
+        self.replaced = true;
+    }
+
     /// Returns how long the endpoint still wants nothing from this node, if it has said so.
     #[must_use]
     pub fn pause_left(&self, now: Time) -> Option<Duration> {
--- a/crates/peridotdeck-core/src/dispatch/flight.rs
+++ b/crates/peridotdeck-core/src/dispatch/flight.rs
@@ -161,6 +161,12 @@
         earlier.contains(&key)
     }
 
+    /// Returns whether the request goes on with a stream that has begun before.
+    #[must_use]
+    pub fn goes_on(&self) -> bool {
+        self.software.is_some() || self.resumes.is_some()
+    }
+
     /// Returns whether the request may run again after `runs` runs.
     #[must_use]
     pub fn may_run_after(&self, runs: u32) -> bool {
--- a/crates/peridotdeck-core/tests/testsuite/attempt_ends.rs
+++ b/crates/peridotdeck-core/tests/testsuite/attempt_ends.rs
@@ -31,7 +31,12 @@
 
 #[test]
 fn booking_that_did_not_run_is_retried() {
-    for end in [End::Unreachable, End::Rejected, End::Misdirected] {
+    for end in [
+        End::Unreachable,
+        End::Rejected,
+        End::Misdirected,
+        End::Replaced,
+    ] {
         assert_eq!(next_step_after("booking", end), Next::Retry, "{end}");
     }
 }
--- a/crates/peridotdeck-core/tests/testsuite/random_dispatch.rs
+++ b/crates/peridotdeck-core/tests/testsuite/random_dispatch.rs
@@ -31,11 +31,12 @@
 
 const NODES: usize = 4;
 const ROUTES: [&str; 4] = ["urgent", "bulk", "lookup", "booking"];
-const ENDS: [End; 11] = [
+const ENDS: [End; 12] = [
     End::Finished,
     End::Failed,
     End::Rejected,
     End::Misdirected,
+    End::Replaced,
     End::Unreachable,
     End::Broken,
     End::Unconfirmed,
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -26,6 +26,7 @@
     clock,
     fetch::Client,
     ingress::Reply,
+    life,
     pool::{self, Connection, Pool},
     tunnel,
 };
@@ -129,6 +130,9 @@
     resume: Option<&str>,
 ) -> Result<Answer, Failure> {
     let (mut connection, is_new) = reuse_or_dial(shared, flight, assignment).await?;
+    if assignment.confirm {
+        life::confirm(&shared.ingress, &mut connection, assignment).await?;
+    }
     let left = flight.time_left(clock::now());
     if left.is_zero() {
         return Err(Failure::new(End::Unsent, "no time left to send"));
@@ -199,8 +203,9 @@
         Kind::Idempotent | Kind::Stream => MAX_IDLE_REPEATABLE,
     };
     let detour = assignment.attempt.detour();
-    // The id does not tell the answers to two attempts of one request apart.
-    let kept = (!flight.returns_to(key)).then(|| shared.pool.reuse(key, detour, max_idle));
+    // The id does not tell the answers to two attempts of one request apart. A kept connection may have ended.
+    let may_reuse = !flight.returns_to(key) && !assignment.confirm;
+    let kept = may_reuse.then(|| shared.pool.reuse(key, detour, max_idle));
     if let Some(connection) = kept.flatten() {
         return Ok((connection, false));
     }
--- a/crates/peridotdeck-relay/src/ingress.rs
+++ b/crates/peridotdeck-relay/src/ingress.rs
@@ -88,6 +88,14 @@
     /// If the body is not such a list.
     fn decode_cache_list(&self, body: &[u8]) -> Result<Vec<Prefix>, serde_json::Error>;
 
+    /// Returns the path at which an endpoint answers while it lives.
+    fn life_path(&self) -> &'static str;
+
+    /// Decodes the time of an endpoint's start, in milliseconds, from its answer at that path.
+    ///
+    /// An answer need not name it.
+    fn decode_start(&self, body: &[u8]) -> Option<u64>;
+
     /// Returns the status and headers that announce a refusal to a caller.
     fn refusal_head(&self, id: Option<&str>, refusal: &Refusal) -> (hyper::StatusCode, HeaderMap);
 }
--- a/crates/peridotdeck-relay/src/lib.rs
+++ b/crates/peridotdeck-relay/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod forwarding;
 pub mod front;
 pub mod ingress;
+pub mod life;
 pub mod logging;
 pub mod metrics;
 pub mod node;
--- a/crates/peridotdeck-relay/src/pool.rs
+++ b/crates/peridotdeck-relay/src/pool.rs
@@ -179,6 +179,14 @@
         Ok(response)
     }
 
+    /// Waits until the next request can be sent, after a complete answer.
+    ///
+    /// # Errors
+    /// If the connection has ended.
+    pub async fn ready(&mut self) -> Result<(), hyper::Error> {
+        self.sender.ready().await
+    }
+
     /// Returns whether the connection is open, as far as is known, and no request is in progress.
     #[must_use]
     pub fn is_ready(&self) -> bool {
