--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -229,6 +229,7 @@
             unread: estimate.unread,
             urgent: u32::from(flight.urgent),
         };
+        let confirm = flight.goes_on() && !self.is_roster_confirmed(now);
         let state = self
             .state_mut(key)
             .expect("only known endpoints are ranked");
@@ -247,6 +248,7 @@
             address: state.info.address,
             instance: state.info.id.clone(),
             version: state.info.version.clone(),
+            confirm,
             source,
             rank: flight.rank,
             hedge_after,
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/ranking.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/ranking.rs
@@ -37,7 +37,8 @@
             .is_ok();
         let fits = flight
             .software
-            .is_none_or(|software| software == state.software);
+            .is_none_or(|software| software == state.software)
+            && !(flight.goes_on() && state.is_replaced());
         let exclusions = [
             (info.service != flight.service, Exclusion::Service),
             (!flight.may_run_in(&state.region), Exclusion::Region),
