Join no continuation on the own interface whose numbers do not follow

Callers saw: an answer in which tokens come twice or are missing, complete and with the end marker, after an engine had broken off and the next one began anew, repeated the last token or left one out; and an event twice within a run.

Cause: nothing numbers the tokens. The protocol has resume_from, a count, and the events were counted as they came.

Change: an event whose id is a number is judged by the rule of the core (sequence::Sequence), over all attempts: one that is not beyond the last, or that shows a gap at a join, ends the attempt as crossed, and another engine goes on. Ids that are no numbers are left alone: the parser repeats the last id for events without one, and engines may send one id for the whole answer. Engines without ids are joined as before; nothing tells more there. The fake engine numbers its events by the whole answer, and has a fault for a continuation at the wrong token (shift).

--- a/crates/peridotdeck-fake/src/engine/api.rs
+++ b/crates/peridotdeck-fake/src/engine/api.rs
@@ -102,7 +102,7 @@
     state: Arc<State>,
     id: String,
     (priority, class): (u8, String),
-    body: Completion,
+    mut body: Completion,
     chat: bool,
 ) -> tide::Result {
     let prompt = body.text();
@@ -124,6 +124,9 @@
             &json!({"error": {"message": "cannot continue"}}),
         ));
     }
+    if body.resume_from > 0 {
+        body.resume_from = body.resume_from.saturating_add_signed(state.take_shift());
+    }
     let (id, prompt) = if state.take_cross() {
         (
             "crossed".to_owned(),
@@ -199,7 +202,8 @@
             }
             let last = index + 1 == total;
             let chunk = chunk(&owned, &text::token(&prompt, index), last, chat);
-            if feed.send(Ok(chunk)).await.is_err() {
+            let event = format!("id: {}\ndata: {chunk}\n\n", index + 1);
+            if feed.send(Ok(event.into_bytes())).await.is_err() {
                 return;
             }
         }
@@ -213,7 +217,7 @@
     response
 }
 
-fn chunk(id: &str, token: &str, last: bool, chat: bool) -> Vec<u8> {
+fn chunk(id: &str, token: &str, last: bool, chat: bool) -> Value {
     let reason = if last { json!("stop") } else { Value::Null };
     let mut choice = json!({"index": 0, "finish_reason": reason});
     if chat {
@@ -221,8 +225,7 @@
     } else {
         choice["text"] = json!(token);
     }
-    let value = json!({"id": id, "object": object(chat, true), "choices": [choice]});
-    format!("data: {value}\n\n").into_bytes()
+    json!({"id": id, "object": object(chat, true), "choices": [choice]})
 }
 
 async fn models(request: Request<Arc<State>>) -> tide::Result {
--- a/crates/peridotdeck-fake/src/engine/state.rs
+++ b/crates/peridotdeck-fake/src/engine/state.rs
@@ -87,6 +87,8 @@
     Silence,
     /// The next continuation of an answer gets this status instead.
     Deny(u16),
+    /// The next continuation of an answer begins so many tokens too late; too early if negative.
+    Shift(i32),
 }
 
 /// What an engine has counted.
@@ -140,6 +142,7 @@
     silence: u64,
     cross: bool,
     denial: Option<u16>,
+    shift: i32,
     fence: u64,
     cache: Vec<u64>,
     events: Vec<(Instant, CacheEvent)>,
@@ -186,6 +189,7 @@
             silence: 0,
             cross: false,
             denial: None,
+            shift: 0,
             fence: 0,
             cache: Vec::new(),
             events: Vec::new(),
@@ -228,6 +232,7 @@
             }
             Fault::Cross => self.lock().cross = true,
             Fault::Deny(status) => self.lock().denial = Some(status),
+            Fault::Shift(tokens) => self.lock().shift = tokens,
             Fault::Silence => self.lock().silence += 1,
         }
     }
@@ -271,6 +276,11 @@
         self.lock().denial.take()
     }
 
+    /// Takes the tokens by which a continuation begins too late.
+    pub fn take_shift(&self) -> i32 {
+        std::mem::take(&mut self.lock().shift)
+    }
+
     /// Takes the fault that crosses one answer.
     pub fn take_cross(&self) -> bool {
         std::mem::take(&mut self.lock().cross)
--- a/crates/peridotdeck-router/benches/relay.rs
+++ b/crates/peridotdeck-router/benches/relay.rs
@@ -23,7 +23,7 @@
         while let Some(Ok(event)) = events.next().await {
             if let async_sse::Event::Message(message) = event {
                 answer
-                    .push_event(message.data(), "00000000000000aa")
+                    .push_event(None, message.data(), "00000000000000aa")
                     .await
                     .expect("the reader stays connected");
             }
--- a/crates/peridotdeck-router/src/attempt/answer.rs
+++ b/crates/peridotdeck-router/src/attempt/answer.rs
@@ -4,7 +4,10 @@
 
 use async_channel::Sender;
 use http_types::{Response, StatusCode};
-use peridotdeck_core::id;
+use peridotdeck_core::{
+    id,
+    sequence::{Order, Sequence},
+};
 use peridotdeck_http::body::{self, ChunkSender};
 use serde_json::{Value, json};
 
@@ -59,6 +62,8 @@
     finish_reason: Option<String>,
     /// Whether an event of the current attempt has named the attempt.
     names_attempt: bool,
+    /// Events of all attempts, by the numbers that engines give them.
+    sequence: Sequence,
     tokens: u32,
     arrived: Instant,
     first_token: Option<Instant>,
@@ -85,6 +90,7 @@
             text: String::new(),
             finish_reason: None,
             names_attempt: false,
+            sequence: Sequence::default(),
             tokens: 0,
             arrived: Instant::now(),
             first_token: None,
@@ -101,18 +107,26 @@
     /// Expects the events of a further attempt.
     pub fn begin_attempt(&mut self) {
         self.names_attempt = false;
+        self.sequence = self.sequence.continued();
     }
 
     /// Adds one event of an endpoint's stream and counts it as one token.
     ///
+    /// `number` is the event's number in the whole answer, if the endpoint numbers its events.
+    ///
     /// The attempt's id is replaced by the request's id, which has the same length, so that the
     /// caller sees one id even if several attempts contribute.
     ///
     /// # Errors
     /// If the caller's connection is closed, or the event is no part of the answer; the event is not
     /// counted then.
-    pub async fn push_event(&mut self, data: &[u8], attempt: &str) -> Result<(), Rejection> {
-        let chunk = self.check(data, attempt)?;
+    pub async fn push_event(
+        &mut self,
+        number: Option<&str>,
+        data: &[u8],
+        attempt: &str,
+    ) -> Result<(), Rejection> {
+        let chunk = self.check(number, data, attempt)?;
         if self.streams {
             let mut event = Vec::with_capacity(data.len() + 8);
             event.extend_from_slice(b"data: ");
@@ -134,7 +148,12 @@
     }
 
     /// Returns the chunk in an endpoint's event, unless the event is no part of the answer.
-    fn check<'a>(&mut self, data: &'a [u8], attempt: &str) -> Result<Chunk<'a>, Flaw> {
+    fn check<'a>(
+        &mut self,
+        number: Option<&str>,
+        data: &'a [u8],
+        attempt: &str,
+    ) -> Result<Chunk<'a>, Flaw> {
         let chunk = Chunk::parse(data)?;
         let names_attempt = chunk.id().map(|id| id.contains(attempt));
         if self.names_attempt && names_attempt == Some(false) {
@@ -143,6 +162,11 @@
         if self.finish_reason.is_some() && !chunk.text().is_empty() {
             return Err(Flaw::AfterFinish);
         }
+        match self.sequence.advance(number.map(str::as_bytes)) {
+            Order::Follows => {}
+            Order::Repeats => return Err(Flaw::Repeats),
+            Order::Gap => return Err(Flaw::Gap),
+        }
         self.names_attempt |= names_attempt == Some(true);
         Ok(chunk)
     }
--- a/crates/peridotdeck-router/src/attempt/chunk.rs
+++ b/crates/peridotdeck-router/src/attempt/chunk.rs
@@ -17,6 +17,10 @@
     OtherAnswer,
     /// It has text although the answer has finished.
     AfterFinish,
+    /// Its number is not beyond the last one.
+    Repeats,
+    /// Its number shows that events before it are missing.
+    Gap,
 }
 
 /// The data of an event, as far as the router reads them.
--- a/crates/peridotdeck-router/src/attempt/completion.rs
+++ b/crates/peridotdeck-router/src/attempt/completion.rs
@@ -143,7 +143,8 @@
                     return Outcome::Finished;
                 }
                 Ok(Some(Ok(Event::Message(message)))) => {
-                    match answer.push_event(message.data(), &id).await {
+                    let number = message.id().as_deref().filter(|id| is_number(id));
+                    match answer.push_event(number, message.data(), &id).await {
                         Ok(()) => {}
                         Err(Rejection::Disconnected) => return Outcome::Cancelled,
                         Err(Rejection::Flawed(flaw)) => {
@@ -190,3 +191,8 @@
         }
     }
 }
+
+/// Returns whether an event's id numbers it; other ids may be the same for a whole answer.
+fn is_number(id: &str) -> bool {
+    id.bytes().all(|byte| byte.is_ascii_digit())
+}
--- a/crates/peridotdeck-router/tests/testsuite/streams.rs
+++ b/crates/peridotdeck-router/tests/testsuite/streams.rs
@@ -49,6 +49,29 @@
     });
 }
 
+/// Guards against a continuation that repeats tokens or leaves some out.
+#[test]
+fn continuation_at_the_wrong_token_stays_out_of_a_stream() {
+    for tokens in [i32::MIN, -1, 1] {
+        block_on(async {
+            let engines = [slow_engine(), slow_engine(), slow_engine()];
+            let cluster = Cluster::start(&engines, 1).await;
+            let prompt = "a fourth draft about 150 words";
+            let address = cluster.address();
+            let response = send(address, chat_request(address, prompt, true)).await;
+            task::sleep(Duration::from_millis(150)).await;
+            for engine in &cluster.engines {
+                engine.inject(Fault::Shift(tokens));
+            }
+            let mut engines = cluster.engines.iter();
+            let busy = engines.find(|engine| engine.load().running > 0).unwrap();
+            busy.inject(Fault::Crash);
+            let answer = read_stream(response).await;
+            assert_eq!(answer, Some(text::answer(prompt, 0)), "{tokens}");
+        });
+    }
+}
+
 /// Guards against an error of the next engine that ends a stream without a word, or gets into it.
 #[test]
 fn error_of_the_next_engine_stays_out_of_a_stream() {
