Break a stream whose last event has no id instead of beginning it anew

A caller got events twice where a broken stream went on at another endpoint, if its last event had no id, or one that cannot be sent: the continuation was asked for behind an older event or from the start, and joined, as nothing contradicted it. Such a stream now breaks (Sequence::can_continue); one of which nothing has been passed on still moves to another endpoint.

--- a/crates/peridotdeck-core/src/sequence.rs
+++ b/crates/peridotdeck-core/src/sequence.rs
@@ -32,6 +32,8 @@
     has_jump: bool,
     /// Whether the next id is the first one of a continuation.
     joins: bool,
+    /// Whether the last event has no id.
+    is_unnamed: bool,
 }
 
 impl Sequence {
@@ -81,7 +83,9 @@
         if order != Order::Follows {
             return order;
         }
-        if let Some(id) = id.filter(|id| !id.is_empty()) {
+        let id = id.filter(|id| !id.is_empty());
+        self.is_unnamed = id.is_none();
+        if let Some(id) = id {
             self.has_jump |= self.ids > 0 && !is_next(&self.last, id);
             self.ids = self.ids.saturating_add(1);
             self.last.clear();
@@ -91,6 +95,13 @@
         order
     }
 
+    /// Returns whether another attempt can go on behind the last event, or there is none yet.
+    #[must_use]
+    pub fn can_continue(&self) -> bool {
+        let is_sendable = self.last.is_empty() || self.last().is_some();
+        !self.is_unnamed && is_sendable
+    }
+
     /// Returns the id of the last event that has one and can be sent to an endpoint.
     #[must_use]
     pub fn last(&self) -> Option<&str> {
--- a/crates/peridotdeck-core/tests/testsuite/sequence.rs
+++ b/crates/peridotdeck-core/tests/testsuite/sequence.rs
@@ -71,3 +71,22 @@
     assert_eq!(Sequence::after("").last(), None);
     assert_eq!(Sequence::after("5").continued().last(), Some("5"));
 }
+
+/// Guards against a stream that begins anew since its last event cannot be named.
+#[test]
+fn only_named_events_are_continued() {
+    let cases: [(&[Option<&[u8]>], bool); 5] = [
+        (&[], true),
+        (&[Some(b"1")], true),
+        (&[Some(b"1"), None], false),
+        (&[None, Some(b"2")], true),
+        (&[Some(b"\xff")], false),
+    ];
+    for (ids, expected) in cases {
+        let mut sequence = Sequence::default();
+        for &id in ids {
+            sequence.advance(id);
+        }
+        assert_eq!(sequence.can_continue(), expected, "{ids:?}");
+    }
+}
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -228,7 +228,8 @@
         self.body = None;
         self.forwarding.finish_attempt(failure.end, &failure.cause);
         let flight = &self.forwarding.flight;
-        let may_resume = flight.route.resumable || !self.first_sent;
+        let can_resume = flight.route.resumable && self.events.sequence().can_continue();
+        let may_resume = can_resume || !self.first_sent;
         if failure.end != End::TimedOut
             && may_resume
             && self.forwarding.next_step(failure.end) == Next::Retry
