Frame each answer on the caller's own connection

A program between node and caller that knows no resets closes for an endpoint that resets, or a node that is killed, and the answer looked complete, since no framing was passed on as no framing. A caller of HTTP/1.1 now gets chunks, or a length, whatever the endpoint's framing is; the last chunk is written only where the end is the endpoint's own, by its framing or by a verdict. Callers of HTTP/1.0 keep the close, and the reset where it would be untrue. An encoding that the relay does not know shows no end, so no verdict makes it one.

`forwarder_completes_no_answer` failed and passes. Assertions that no framing in is no framing out, and what they are now: - `whole_answers`, `event_streams`, `cut_answers::answer_without_framing_is_passed_on_with_framing`: framed and whole. - `cut_answers::stream_without_framing_that_breaks_is_broken`: framed and not whole, rather than reset. - `cut_answers::answer_that_is_cut_never_looks_whole`: an endpoint that lives on and closes inside an answer without framing is believed, at each byte between events; the test allowed the same as an unframed orderly close, which callers take for complete, and demanded that no framing said so. Nothing tells such an end from a whole answer.

--- a/crates/peridotdeck-relay/src/answer/framing.rs
+++ b/crates/peridotdeck-relay/src/answer/framing.rs
@@ -13,13 +13,15 @@
     Chunks,
     /// The body ends with its connection, so its end does not show whether it is complete.
     Connection,
+    /// The head names an encoding that the relay does not know, so no end is the body's.
+    Unknown,
 }
 
 impl Framing {
     /// Returns whether the end of the body shows that it is complete.
     #[must_use]
     pub fn shows_end(self) -> bool {
-        self != Self::Connection
+        matches!(self, Self::Length | Self::Chunks)
     }
 
     /// Returns the framing of an answer whose body has not been read yet.
@@ -34,6 +36,8 @@
         let is_chunked = last.is_some_and(|name| name.trim().eq_ignore_ascii_case("chunked"));
         if is_chunked && head.version == Version::HTTP_11 {
             Self::Chunks
+        } else if head.headers.contains_key(TRANSFER_ENCODING) {
+            Self::Unknown
         } else {
             Self::Connection
         }
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -74,7 +74,7 @@
     /// Checks that a body which was read to its end is complete.
     ///
     /// # Errors
-    /// If the body has no framing, and nothing shows that its endpoint lives on.
+    /// If the body has no framing, and nothing shows that its endpoint lives on; or an unknown framing.
     pub async fn check_end<I: Ingress>(
         &self,
         shared: &Arc<Shared<I>>,
@@ -83,6 +83,10 @@
         if self.framing.shows_end() {
             return Ok(());
         }
+        if self.framing == Framing::Unknown {
+            let cause = "the answer's encoding shows no end";
+            return Err(Failure::new(End::Garbled, cause));
+        }
         let path = self.connection.path;
         answer::check_end(shared, &self.origin, path, flight).await
     }
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -44,8 +44,8 @@
 /// Outcome of a request for the caller.
 #[derive(Debug)]
 pub enum Outcome<I: Ingress> {
-    /// An answer of an endpoint, and whether its framing showed that it is complete.
-    Whole(Response<Bytes>, Framing),
+    /// A complete answer of an endpoint.
+    Whole(Response<Bytes>),
     /// The head of a stream, and the relay of its events.
     Stream(response::Parts, Box<Relay<I>>),
     /// No answer, for the reason that the refusal states.
@@ -155,13 +155,13 @@
         let key = assignment.attempt.key();
         match received {
             Received::Complete(response, channel) => {
-                let framing = self.keep(channel, key);
+                self.keep(channel, key);
                 self.finish_attempt(End::Finished, "");
                 self.record_end("answered", response.status().as_u16(), "");
-                Ok(Box::new(Outcome::Whole(response, framing)))
+                Ok(Box::new(Outcome::Whole(response)))
             }
             Received::Failed(response, channel) => {
-                let framing = self.keep(channel, key);
+                self.keep(channel, key);
                 self.finish_attempt(End::Failed, "");
                 if self.next_step(End::Failed) == Next::Retry {
                     return Err(Box::new(self));
@@ -171,7 +171,7 @@
                     response.status().as_u16(),
                     "endpoint answered with an error",
                 );
-                Ok(Box::new(Outcome::Whole(response, framing)))
+                Ok(Box::new(Outcome::Whole(response)))
             }
             Received::Stream(started) => {
                 let head = started.head.clone();
@@ -181,12 +181,10 @@
         }
     }
 
-    /// Keeps the connection of a complete answer, and returns the answer's framing.
-    fn keep(&mut self, channel: Channel, key: Key) -> Framing {
-        let framing = channel.framing;
-        self.framing = Some(framing);
+    /// Keeps the connection of a complete answer.
+    fn keep(&mut self, channel: Channel, key: Key) {
+        self.framing = Some(channel.framing);
         channel.keep(&self.shared.pool, key);
-        framing
     }
 
     /// Makes one attempt at the assigned endpoint.
@@ -307,7 +305,8 @@
             let assignment = self.place().await?;
             let (shared, message) = (&self.shared, &self.message);
             let sequence = sequence.continued();
-            let work = Self::receive_answer(shared, message, &self.flight, &assignment, sequence);
+            let flight = &self.flight;
+            let work = Self::receive_answer(shared, message, flight, &assignment, sequence);
             let failure = match work.await {
                 Ok(Received::Stream(started)) => return Ok((assignment.attempt.key(), *started)),
                 Ok(_) => Failure::new(End::Failed, "answer is not a stream"),
--- a/crates/peridotdeck-relay/src/front.rs
+++ b/crates/peridotdeck-relay/src/front.rs
@@ -3,11 +3,10 @@
 use std::{error::Error, sync::Arc};
 
 use async_std::future::timeout;
-use futures_lite::stream::{Once, once};
-use http_body_util::{BodyExt, Either, Full, StreamBody};
+use http_body_util::{BodyExt, Either, Full};
 use hyper::{
-    HeaderMap, Request, Response,
-    body::{Body, Bytes, Frame, Incoming},
+    HeaderMap, Request, Response, Version,
+    body::{Body, Bytes, Incoming},
     header::{self, HeaderValue},
     http::{request, response},
 };
@@ -23,9 +22,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    Ingress, Shared,
-    answer::Framing,
-    clock,
+    Ingress, Shared, clock,
     exchange::Message,
     forwarding::{Forwarding, Outcome},
     server, stream,
@@ -34,11 +31,8 @@
 /// Error of a response body; [`Either`] boxes the errors of the two bodies that it joins.
 type BodyError = Box<dyn Error + Send + Sync>;
 
-/// Body of a response: held in memory, or held without a known end, or relayed.
-type ResponseBody<B> = Either<Full<Bytes>, Either<StreamBody<Once<FrameResult>>, B>>;
-
-/// The only frame of a body that is held in memory.
-type FrameResult = Result<Frame<Bytes>, stream::Error>;
+/// Body of a response: held in memory, or relayed.
+type ResponseBody<B> = Either<Full<Bytes>, B>;
 
 /// Names of headers that apply to one connection only and are not forwarded.
 const HOP_BY_HOP_HEADERS: [&str; 8] = [
@@ -86,11 +80,12 @@
             let message = Message { head, body };
             let forwarding = Forwarding::new(Arc::clone(&shared), message, flight);
             match Box::pin(forwarding.run()).await {
-                Outcome::Whole(response, framing) => whole_response(response, framing),
+                Outcome::Whole(response) => {
+                    let (head, body) = response.into_parts();
+                    forwarded_response(head, Either::Left(Full::new(body)))
+                }
                 Outcome::Stream(head, relay) => {
-                    let framed = relay.is_framed();
-                    let body = Either::Right(Either::Right(relay.into_body()));
-                    forwarded_response(head, body, framed)
+                    forwarded_response(head, Either::Right(relay.into_body()))
                 }
                 Outcome::Refused(refusal) => refusal_response(&shared, id.as_deref(), &refusal),
             }
@@ -170,31 +165,12 @@
     }
 }
 
-/// Returns an endpoint's answer as the response for the caller.
-///
-/// A length is sent only if the endpoint's framing showed that the body is complete.
-fn whole_response<B>(response: Response<Bytes>, framing: Framing) -> Response<ResponseBody<B>>
-where
-    B: Body<Data = Bytes, Error = stream::Error>,
-{
-    let (head, bytes) = response.into_parts();
-    let framed = framing.shows_end();
-    let body = if framed {
-        Either::Left(Full::new(bytes))
-    } else {
-        Either::Right(Either::Left(StreamBody::new(once(Ok(Frame::data(bytes))))))
-    };
-    forwarded_response(head, body, framed)
-}
-
-/// Returns a response with an endpoint's head, and with framing only if its end is known.
-fn forwarded_response<B>(mut head: response::Parts, body: B, framed: bool) -> Response<B> {
+/// Returns a response with an endpoint's head, and the framing of the caller's own connection.
+fn forwarded_response<B>(mut head: response::Parts, body: B) -> Response<B> {
     remove_connection_headers(&mut head.headers);
-    let mut response = Response::from_parts(head, body);
-    if !framed {
-        server::end_with_connection(&mut response);
-    }
-    response
+    // hyper frames a body of unknown length in chunks for this version only.
+    head.version = Version::HTTP_11;
+    Response::from_parts(head, body)
 }
 
 /// Returns the response that announces a refusal to the caller.
--- a/crates/peridotdeck-relay/src/server.rs
+++ b/crates/peridotdeck-relay/src/server.rs
@@ -1,6 +1,6 @@
 //! An HTTP/1 server with limits for each connection and a graceful shutdown.
 //!
-//! A response whose end is not known may end with its connection, see [`end_with_connection`]. The
+//! A response of unknown length ends with its connection if its caller's version knows no chunks. The
 //! connection is closed in an orderly way only when the body has ended and is written. Any other end
 //! is a reset, also the end of the process, because an orderly close would look like the body's end.
 
@@ -24,7 +24,6 @@
 use hyper::{
     Method, Request, Response, StatusCode, Version,
     body::{Body, Bytes, Incoming},
-    header::{CONNECTION, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
@@ -52,15 +51,6 @@
     pub idle_timeout: Duration,
 }
 
-/// Sends a response without framing, so that it ends with its connection.
-///
-/// hyper frames a body of unknown length in chunks for any version but HTTP/1.0.
-pub fn end_with_connection<B>(response: &mut Response<B>) {
-    *response.version_mut() = Version::HTTP_10;
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(CONNECTION, close);
-}
-
 /// Opens a listening socket at an address.
 ///
 /// # Errors
@@ -160,8 +150,7 @@
         async move {
             let response = response.await;
             let has_body = !is_head && may_have_body(response.status());
-            let is_chunked = knows_chunks && response.version() != Version::HTTP_10;
-            if has_body && !is_chunked && response.body().size_hint().exact().is_none() {
+            if has_body && !knows_chunks && response.body().size_hint().exact().is_none() {
                 socket.reset_on_close()?;
                 busy.end_with_connection();
                 let id = response.extensions().get::<Label>();
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -5,9 +5,8 @@
 //! the caller receives one answer with the head of the first endpoint. Otherwise the caller's
 //! connection is aborted, so that a broken stream cannot be mistaken for a complete one.
 //!
-//! A stream that ends with its connection may be complete or not. It is forwarded in the same
-//! framing, so that the caller is not told more than the endpoint said; and it does not end a
-//! stream that began with a framing which promises completeness.
+//! The caller's framing is the node's own. A stream that ends with its connection is complete for the
+//! caller only if its endpoint lives on, see [`crate::answer`].
 
 use async_io::Timer;
 use futures_lite::{future, stream};
@@ -49,8 +48,6 @@
     channel: Option<Channel>,
     body: Option<Incoming>,
     events: Events,
-    /// Whether the caller's answer has a framing that shows whether it is complete.
-    framed: bool,
     first_sent: bool,
     last_sent: Time,
     /// Whether something that does not belong to the stream has been logged in this attempt.
@@ -66,7 +63,6 @@
         Self {
             forwarding,
             key,
-            framed: started.channel.framing.shows_end(),
             channel: Some(started.channel),
             body: started.body,
             events: started.events,
@@ -77,12 +73,6 @@
         }
     }
 
-    /// Returns whether the caller's answer needs a framing that shows whether it is complete.
-    #[must_use]
-    pub fn is_framed(&self) -> bool {
-        self.framed
-    }
-
     /// Returns the events as a response body.
     #[must_use]
     pub fn into_body(self) -> impl Body<Data = Bytes, Error = Error> + Send + 'static {
@@ -189,18 +179,13 @@
     /// Checks that the endpoint's stream ended where the caller's may end.
     ///
     /// # Errors
-    /// If the stream ended inside an event, or nothing shows that its endpoint ended it; or if its end
-    /// proves less than the caller's framing would.
+    /// If the stream ended inside an event, or nothing shows that its endpoint ended it.
     async fn check_end(&self) -> Result<(), Failure> {
         self.events.check_end()?;
         // The channel is gone after the end has been recorded.
         let Some(channel) = &self.channel else {
             return Ok(());
         };
-        if self.framed && !channel.framing.shows_end() {
-            let cause = "connection ended where the stream may be complete";
-            return Err(Failure::new(End::Unconfirmed, cause));
-        }
         let forwarding = &self.forwarding;
         channel
             .check_end(&forwarding.shared, &forwarding.flight)
@@ -234,7 +219,8 @@
             && may_resume
             && self.forwarding.next_step(failure.end) == Next::Retry
         {
-            match self.forwarding.resume(self.events.sequence()).await {
+            let sequence = self.events.sequence();
+            match self.forwarding.resume(sequence).await {
                 Ok((key, started)) => {
                     self.continue_with(key, started);
                     return Ok(());
