Take a continuation without events for the end of its stream

A stream that broke after its last event was cut where the next endpoint had nothing to add and answered without framing: no event and no framing was a failure. A continuation of events that the caller has may be empty, if its end is the endpoint's own. A first attempt without any event, and one that begins anew because no id is known, fail as before.

--- a/crates/peridotdeck-relay/src/answer/reading.rs
+++ b/crates/peridotdeck-relay/src/answer/reading.rs
@@ -7,7 +7,7 @@
 use hyper::body::{Bytes, Incoming};
 use peridotdeck_core::dispatch::{attempt::End, flight::Flight};
 
-use super::{Events, Failure, Framing};
+use super::{Events, Failure};
 use crate::clock;
 
 /// Largest answer that is read as a whole, in bytes.
@@ -42,17 +42,18 @@
 /// Reads up to the first complete event, and returns whether more may follow.
 ///
 /// # Errors
-/// If the stream ends inside the first event, or before it without a framing that shows the end.
+/// If the stream ends inside the first event, or before it where that is no end. Without a framing that
+/// shows the end, only a stream that goes on after an event may have none.
 pub(crate) async fn read_first_event(
     body: &mut Incoming,
-    framing: Framing,
+    may_be_empty: bool,
     events: &mut Events,
     flight: &Flight,
 ) -> Result<bool, Failure> {
     let read = async {
         loop {
             match read_data(body).await? {
-                None if framing.shows_end() => {
+                None if may_be_empty => {
                     events.check_end()?;
                     return Ok(false);
                 }
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -194,7 +194,7 @@
         let last = self.shared.ingress.last_event(&self.message.head);
         let sequence = last.map_or_else(Sequence::default, Sequence::after);
         let (shared, message) = (&self.shared, &self.message);
-        let work = Self::receive_answer(shared, message, &self.flight, assignment, sequence);
+        let work = Self::receive_answer(shared, message, &self.flight, assignment, sequence, false);
         let cut = async {
             self.shared.requests_end().await;
             Err(Failure::new(End::Abandoned, "grace period ended"))
@@ -213,12 +213,15 @@
     }
 
     /// Sends the request to the assigned endpoint and receives its answer or the start of its stream.
+    ///
+    /// `is_begun` says whether the caller has events of the stream, so that no further one need come.
     async fn receive_answer(
         shared: &Arc<Shared<I>>,
         message: &Message,
         flight: &Flight,
         assignment: &Assignment,
         sequence: Sequence,
+        is_begun: bool,
     ) -> Result<Received, Failure> {
         let answer = exchange::send(shared, message, flight, assignment, sequence.last()).await?;
         let (head, mut body) = answer.response.into_parts();
@@ -227,7 +230,8 @@
             Reply::Answer if is_stream(flight, &head) => {
                 // Until the first event is forwarded, another endpoint may still answer instead.
                 let mut events = Events::after(sequence);
-                let read = read_first_event(&mut body, channel.framing, &mut events, flight).await;
+                let may_be_empty = is_begun || channel.framing.shows_end();
+                let read = read_first_event(&mut body, may_be_empty, &mut events, flight).await;
                 if let (Err(_), Some(foreign)) = (&read, events.foreign()) {
                     logging::log_foreign(&flight.id, &assignment.instance, foreign);
                 }
@@ -297,16 +301,19 @@
     /// Resumes a broken stream at another endpoint, after the last event of a sequence.
     ///
     /// Returns the key of the endpoint and the stream. Without an id the endpoint starts the stream anew.
+    /// `is_begun` says whether the caller has events of it.
     pub(crate) async fn resume(
         &mut self,
         sequence: &Sequence,
+        is_begun: bool,
     ) -> Result<(Key, StartedStream), Refusal> {
         loop {
             let assignment = self.place().await?;
             let (shared, message) = (&self.shared, &self.message);
             let sequence = sequence.continued();
             let flight = &self.flight;
-            let work = Self::receive_answer(shared, message, flight, &assignment, sequence);
+            let work =
+                Self::receive_answer(shared, message, flight, &assignment, sequence, is_begun);
             let failure = match work.await {
                 Ok(Received::Stream(started)) => return Ok((assignment.attempt.key(), *started)),
                 Ok(_) => Failure::new(End::Failed, "answer is not a stream"),
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -220,7 +220,8 @@
             && self.forwarding.next_step(failure.end) == Next::Retry
         {
             let sequence = self.events.sequence();
-            match self.forwarding.resume(sequence).await {
+            let is_begun = self.first_sent && sequence.last().is_some();
+            match self.forwarding.resume(sequence, is_begun).await {
                 Ok((key, started)) => {
                     self.continue_with(key, started);
                     return Ok(());
