--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -44,8 +44,8 @@
 /// Outcome of a request for the caller.
 #[derive(Debug)]
 pub enum Outcome<I: Ingress> {
-    /// An answer of an endpoint, and whether its framing showed that it is complete.
-    Whole(Response<Bytes>, Framing),
+    /// A complete answer of an endpoint.
+    Whole(Response<Bytes>),
     /// The head of a stream, and the relay of its events.
     Stream(response::Parts, Box<Relay<I>>),
     /// No answer, for the reason that the refusal states.
@@ -155,13 +155,13 @@
         let key = assignment.attempt.key();
         match received {
             Received::Complete(response, channel) => {
-                let framing = self.keep(channel, key);
+                self.keep(channel, key);
                 self.finish_attempt(End::Finished, "");
                 self.record_end("answered", response.status().as_u16(), "");
-                Ok(Box::new(Outcome::Whole(response, framing)))
+                Ok(Box::new(Outcome::Whole(response)))
             }
             Received::Failed(response, channel) => {
-                let framing = self.keep(channel, key);
+                self.keep(channel, key);
                 self.finish_attempt(End::Failed, "");
                 if self.next_step(End::Failed) == Next::Retry {
                     return Err(Box::new(self));
@@ -171,7 +171,7 @@
                     response.status().as_u16(),
                     "endpoint answered with an error",
                 );
-                Ok(Box::new(Outcome::Whole(response, framing)))
+                Ok(Box::new(Outcome::Whole(response)))
             }
             Received::Stream(started) => {
                 let head = started.head.clone();
@@ -181,12 +181,10 @@
         }
     }
 
-    /// Keeps the connection of a complete answer, and returns the answer's framing.
-    fn keep(&mut self, channel: Channel, key: Key) -> Framing {
-        let framing = channel.framing;
-        self.framing = Some(framing);
+    /// Keeps the connection of a complete answer.
+    fn keep(&mut self, channel: Channel, key: Key) {
+        self.framing = Some(channel.framing);
         channel.keep(&self.shared.pool, key);
-        framing
     }
 
     /// Makes one attempt at the assigned endpoint.
@@ -196,7 +194,7 @@
         let last = self.shared.ingress.last_event(&self.message.head);
         let sequence = last.map_or_else(Sequence::default, Sequence::after);
         let (shared, message) = (&self.shared, &self.message);
-        let work = Self::receive_answer(shared, message, &self.flight, assignment, sequence);
+        let work = Self::receive_answer(shared, message, &self.flight, assignment, sequence, false);
         let cut = async {
             self.shared.requests_end().await;
             Err(Failure::new(End::Abandoned, "grace period ended"))
@@ -215,12 +213,15 @@
     }
 
     /// Sends the request to the assigned endpoint and receives its answer or the start of its stream.
+    ///
+    /// `is_begun` says whether the caller has events of the stream, so that no further one need come.
     async fn receive_answer(
         shared: &Arc<Shared<I>>,
         message: &Message,
         flight: &Flight,
         assignment: &Assignment,
         sequence: Sequence,
+        is_begun: bool,
     ) -> Result<Received, Failure> {
         let answer = exchange::send(shared, message, flight, assignment, sequence.last()).await?;
         let (head, mut body) = answer.response.into_parts();
@@ -229,7 +230,8 @@
             Reply::Answer if is_stream(flight, &head) => {
                 // Until the first event is forwarded, another endpoint may still answer instead.
                 let mut events = Events::after(sequence);
-                let read = read_first_event(&mut body, channel.framing, &mut events, flight).await;
+                let may_be_empty = is_begun || channel.framing.shows_end();
+                let read = read_first_event(&mut body, may_be_empty, &mut events, flight).await;
                 if let (Err(_), Some(foreign)) = (&read, events.foreign()) {
                     logging::log_foreign(&flight.id, &assignment.instance, foreign);
                 }
@@ -299,15 +301,19 @@
     /// Resumes a broken stream at another endpoint, after the last event of a sequence.
     ///
     /// Returns the key of the endpoint and the stream. Without an id the endpoint starts the stream anew.
+    /// `is_begun` says whether the caller has events of it.
     pub(crate) async fn resume(
         &mut self,
         sequence: &Sequence,
+        is_begun: bool,
     ) -> Result<(Key, StartedStream), Refusal> {
         loop {
             let assignment = self.place().await?;
             let (shared, message) = (&self.shared, &self.message);
             let sequence = sequence.continued();
-            let work = Self::receive_answer(shared, message, &self.flight, &assignment, sequence);
+            let flight = &self.flight;
+            let work =
+                Self::receive_answer(shared, message, flight, &assignment, sequence, is_begun);
             let failure = match work.await {
                 Ok(Received::Stream(started)) => return Ok((assignment.attempt.key(), *started)),
                 Ok(_) => Failure::new(End::Failed, "answer is not a stream"),
