--- a/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
+++ b/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
@@ -123,6 +123,28 @@
     );
 }
 
+/// Guards against a heartbeat of an earlier start, late on its way, that takes a node for leaving.
+#[test]
+fn heartbeat_of_an_earlier_start_is_ignored() {
+    let mut fleet = fleet(2);
+    fleet.run(0, 1_000);
+    fleet.nodes[3].1.leave(ms(60_000));
+    let beats = copies(fleet.nodes[3].1.tick(ms(1_025)).heartbeats);
+    let late = beats.into_iter().find(|(to, _)| *to == node(1));
+    let (_, late) = late.expect("a node that leaves says so to its data centre");
+    fleet.deliver(3, node(1), &late, ms(1_025));
+    let restarted = Options {
+        incarnation: 1_000,
+        ..options(4, REGIONS[0].0)
+    };
+    fleet.nodes[3].1 = configure(Dispatcher::new(restarted, ms(1_050)), &endpoints());
+    fleet.run(1_050, 3_000);
+    fleet.deliver(3, node(1), &late, ms(3_000));
+    let here = data_centre(REGIONS[0].0);
+    let live = fleet.nodes[0].1.fleet().live_nodes(here, ms(3_000));
+    assert_eq!(live, [node(1), node(4)]);
+}
+
 #[test]
 fn load_is_known_soon_within_a_data_centre_and_elsewhere_as_a_sum() {
     let mut fleet = fleet(2);
