Ignore late heartbeats of a node's earlier start

Peers saw: a node that has started again counts as leaving, with the load of its earlier start, until its next heartbeat.

Cause: incarnations are random numbers without an order, and any other one was taken for a new start.

Change: a peer's former incarnation is remembered, and its heartbeats are ignored. Not covered: one of a start before that.

Measured: fleet_beats::heartbeat_of_an_earlier_start_is_ignored failed before; all 219 tests of the core pass.

--- a/crates/peridotdeck-core/src/dispatch/fleet/peer.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/peer.rs
@@ -11,6 +11,8 @@
     pub(super) node: Node,
     pub(super) data_centre: Option<DataCentre>,
     pub(super) incarnation: u64,
+    /// Incarnation before the current one; 0 if none is known.
+    pub(super) former_incarnation: u64,
     pub(super) sequence: u64,
     pub(super) received: Option<Time>,
     pub(super) last_known: Time,
@@ -32,6 +34,7 @@
             node,
             data_centre,
             incarnation: 0,
+            former_incarnation: 0,
             sequence: 0,
             received: None,
             last_known: now,
--- a/crates/peridotdeck-core/src/dispatch/fleet/receive.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/receive.rs
@@ -16,7 +16,8 @@
 impl Fleet {
     /// Applies a peer's heartbeat and returns the changes that it leads to.
     ///
-    /// A heartbeat that is older than the last one of the same incarnation is ignored.
+    /// A heartbeat that is older than the last one of the same incarnation is ignored, and so is one
+    /// of the incarnation before it, which was late on its way.
     pub fn receive(&mut self, beat: &beat::Beat, now: Time) -> Changes {
         let node = Node::from(beat.node);
         let Some(index) = self.find_or_add_peer(node, Some(beat.place), now) else {
@@ -24,11 +25,15 @@
         };
         let peer = &mut self.peers[index];
         let restarted = peer.incarnation != beat.incarnation;
-        if !restarted && beat.sequence <= peer.sequence {
+        let is_former = restarted && beat.incarnation == peer.former_incarnation;
+        if is_former || (!restarted && beat.sequence <= peer.sequence) {
             return Changes::default();
         }
         let was_live = self.is_live(&self.peers[index], now);
         let peer = &mut self.peers[index];
+        if restarted {
+            peer.former_incarnation = peer.incarnation;
+        }
         peer.incarnation = beat.incarnation;
         peer.sequence = beat.sequence;
         peer.received = Some(now);
