Take only the endpoint's own start for its life, on a new connection

Callers could get a cut answer as complete if another process answered at the endpoint's address by the time of the verdict: any answer counted that did not name another start, also a refusal or one without a start.

On a connection that was opened after the end, an endpoint is alive only if it answers 200 and names the start that its entry names; anything else is asked again, and is unknown in the end.

--- a/crates/peridotdeck-relay/src/answer/verdict.rs
+++ b/crates/peridotdeck-relay/src/answer/verdict.rs
@@ -134,8 +134,10 @@
     let is_older = |kept: &Connection| kept.path == path && kept.opened <= origin.answered;
     if let Some(mut connection) = kept.filter(is_older) {
         let asked = timeout(KEPT_TIMEOUT, ask(shared, &mut connection, origin.address)).await;
-        if let Ok(Ok((status, body))) = asked {
-            return find(shared, origin, Witness::Kept, status, &body);
+        if let Ok(Ok((status, body))) = asked
+            && let Ok(finding) = find(shared, origin, Witness::Kept, status, &body)
+        {
+            return finding;
         }
     }
     let mut cause = String::new();
@@ -175,26 +177,35 @@
         Err(cause) => return Err(cause.to_string()),
     };
     let (status, body) = ask(shared, &mut connection, origin.address).await?;
-    Ok(find(shared, origin, Witness::New, status, &body))
+    find(shared, origin, Witness::New, status, &body)
 }
 
 /// Returns what a complete answer says of the endpoint's process.
+///
+/// On a connection that is older than the end, each answer is the same process's. On a new one, only
+/// the start that the entry names is: another process may listen at the address by now.
+///
+/// # Errors
+/// The observed cause, if the answer says nothing.
 fn find<I: Ingress>(
     shared: &Shared<I>,
     origin: &Origin,
     witness: Witness,
     status: StatusCode,
     body: &[u8],
-) -> Finding {
+) -> Result<Finding, String> {
     // An entry may be without the time of a start.
     let is_known = dispatch::key(&origin.instance, 0) != origin.key;
     let start = shared.ingress.decode_start(body);
-    let start = start.filter(|_| is_known && status == StatusCode::OK);
+    let start = start.filter(|_| status == StatusCode::OK);
     match start {
-        Some(start) if dispatch::key(&origin.instance, start) != origin.key => {
-            (Life::Ended, witness, format!("born={start}"))
+        Some(start) if is_known && dispatch::key(&origin.instance, start) != origin.key => {
+            Ok((Life::Ended, witness, format!("born={start}")))
+        }
+        None if is_known && witness == Witness::New => {
+            Err(format!("status {} names no start", status.as_u16()))
         }
-        _ => (Life::Alive, witness, String::new()),
+        _ => Ok((Life::Alive, witness, String::new())),
     }
 }
 
