End no stream of which a further event is due

A continuation may be empty only if nothing shows that more is due: an event that had begun, a gap, or an event beyond the last one behind something foreign. It belongs to the stream only with the first id that follows; a time to reconnect is no event. Ids in the log are quoted and cut to 40 characters, as an id may hold anything.

--- a/crates/peridotdeck-core/src/sequence.rs
+++ b/crates/peridotdeck-core/src/sequence.rs
@@ -42,7 +42,7 @@
     pub fn after(last: &str) -> Self {
         let mut sequence = Self::default();
         sequence.advance(Some(last.as_bytes()));
-        sequence
+        sequence.continued()
     }
 
     /// Returns the sequence in which another attempt goes on.
@@ -95,6 +95,12 @@
         order
     }
 
+    /// Returns whether no id has shown yet that the continuation in progress follows.
+    #[must_use]
+    pub fn is_joining(&self) -> bool {
+        self.joins && !self.last.is_empty()
+    }
+
     /// Returns whether another attempt can go on behind the last event, or there is none yet.
     #[must_use]
     pub fn can_continue(&self) -> bool {
--- a/crates/peridotdeck-relay/src/answer.rs
+++ b/crates/peridotdeck-relay/src/answer.rs
@@ -6,6 +6,7 @@
 mod reading;
 mod verdict;
 
+pub(crate) use events::logged_id;
 pub use events::{Events, Foreign};
 pub use failure::Failure;
 pub use framing::Framing;
--- a/crates/peridotdeck-relay/src/answer/events.rs
+++ b/crates/peridotdeck-relay/src/answer/events.rs
@@ -21,7 +21,7 @@
 /// Most bytes behind a stream without framing that are read for its end.
 const MAX_REST_BYTES: usize = 64 << 10;
 
-/// Longest part of a line in the log that is in no event, in bytes.
+/// Longest part of an id or a line in the log, in bytes.
 const MAX_LOGGED_BYTES: usize = 40;
 
 /// Why something in a stream does not belong to it.
@@ -45,11 +45,13 @@
     pub after: Option<String>,
     /// The event's id, or the start of the line.
     pub got: String,
+    /// Whether the stream was not over before it.
+    pub goes_on: bool,
 }
 
 impl Display for Foreign {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        let after = self.after.as_deref().unwrap_or("none");
+        let after = logged_id(self.after.as_deref());
         write!(f, "after={after} got={:?} cause={}", self.got, self.cause)
     }
 }
@@ -66,19 +68,22 @@
     id: Option<Range<usize>>,
     /// Whether the event that is not complete has a field.
     has_field: bool,
-    /// Whether an event of this attempt belongs to the stream.
+    /// Whether an event of this attempt shows that the attempt belongs to the stream.
     has_event: bool,
+    /// Whether the stream is known to have a further event.
+    is_due: bool,
     sequence: Sequence,
     foreign: Option<Foreign>,
-    /// Whether the stream was not over before that.
-    goes_on: bool,
 }
 
 impl Events {
     /// Creates a buffer for the events that follow those of a sequence.
+    ///
+    /// `is_due` says whether at least one must follow.
     #[must_use]
-    pub fn after(sequence: Sequence) -> Self {
+    pub fn after(sequence: Sequence, is_due: bool) -> Self {
         Self {
+            is_due,
             sequence,
             ..Self::default()
         }
@@ -131,11 +136,11 @@
         }
         if !name.iter().copied().all(is_name) {
             let start = line[..line.len().min(MAX_LOGGED_BYTES)].to_vec();
-            self.goes_on |= self.has_field && self.foreign.is_none();
-            self.record_foreign(Cause::NotAnEvent, &start);
+            self.record_foreign(Cause::NotAnEvent, &start, self.has_field);
             return;
         }
-        self.has_field = true;
+        // A time to reconnect is no event.
+        self.has_field |= name != b"retry";
         if name == b"id" {
             let value = value.strip_prefix(b":").unwrap_or(value);
             let length = value.strip_prefix(b" ").unwrap_or(value).len();
@@ -151,28 +156,31 @@
         }
         let id = self.id.take();
         let id = id.map(|range| &self.pending[range]);
-        if self.foreign.is_some() {
+        if let Some(foreign) = &mut self.foreign {
             let has_id = id.is_some_and(|id| !id.is_empty());
-            self.goes_on |= has_id && self.sequence.order(id) != Order::Repeats;
+            foreign.goes_on |= has_id && self.sequence.order(id) != Order::Repeats;
             return;
         }
         let cause = match self.sequence.advance(id) {
             Order::Follows => {
-                self.has_event = true;
+                self.has_event |= !self.sequence.is_joining();
+                self.is_due = false;
                 return;
             }
             Order::Repeats => Cause::Repeats,
             Order::Gap => Cause::Gap,
         };
-        let id = id.unwrap_or_default().to_vec();
-        self.record_foreign(cause, &id);
+        let id = id.unwrap_or_default();
+        let id = id[..id.len().min(MAX_LOGGED_BYTES)].to_vec();
+        self.record_foreign(cause, &id, cause == Cause::Gap);
     }
 
-    fn record_foreign(&mut self, cause: Cause, got: &[u8]) {
+    fn record_foreign(&mut self, cause: Cause, got: &[u8], goes_on: bool) {
         self.foreign.get_or_insert_with(|| Foreign {
             cause,
             after: self.sequence.last().map(str::to_owned),
             got: String::from_utf8_lossy(got).into_owned(),
+            goes_on,
         });
     }
 
@@ -194,18 +202,22 @@
     /// Comments and line breaks after the last event belong to none.
     ///
     /// # Errors
-    /// If the last event is incomplete.
+    /// If the last event is incomplete, or one is missing.
     pub fn check_end(&self) -> Result<(), Failure> {
         let mut lines = self.pending.split(|&byte| matches!(byte, b'\n' | b'\r'));
         if lines.any(|line| !line.is_empty() && !line.starts_with(b":")) {
             return Err(Failure::new(End::Broken, "stream ended inside an event"));
         }
+        if self.is_due {
+            let cause = "stream ended before an event that had begun";
+            return Err(Failure::new(End::Broken, cause));
+        }
         Ok(())
     }
 
     /// Takes the remaining bytes at the end of the stream.
     pub fn take_rest(&mut self) -> Option<Bytes> {
-        let rest = std::mem::take(&mut self.pending);
+        let rest = self.clear();
         (!rest.is_empty()).then(|| Bytes::from(rest))
     }
 
@@ -215,17 +227,34 @@
     /// If the stream was not over before it.
     pub fn drop_foreign(&mut self) -> Result<(), Failure> {
         self.check_rest()?;
-        self.pending.clear();
+        self.clear();
         self.foreign = None;
         Ok(())
     }
 
+    /// Takes the bytes that are left.
+    fn clear(&mut self) -> Vec<u8> {
+        self.line = 0;
+        self.whole = 0;
+        self.id = None;
+        std::mem::take(&mut self.pending)
+    }
+
+    /// Returns whether what has come shows that at least one more event is due.
+    #[must_use]
+    pub fn is_unfinished(&self) -> bool {
+        match &self.foreign {
+            Some(foreign) => self.is_due || foreign.goes_on,
+            None => self.check_end().is_err(),
+        }
+    }
+
     /// Checks what has come of the bytes that do not belong to the stream.
     ///
     /// # Errors
     /// If they show that the stream was not over before them, or are too many.
     pub fn check_rest(&self) -> Result<(), Failure> {
-        if self.goes_on {
+        if self.foreign.as_ref().is_some_and(|foreign| foreign.goes_on) {
             let cause = "stream was not over before what does not belong to it";
             return Err(Failure::new(End::Garbled, cause));
         }
@@ -263,6 +292,12 @@
     }
 }
 
+/// Returns an id for the log, which may hold any characters and any number of them.
+pub(crate) fn logged_id(id: Option<&str>) -> String {
+    let start = |id: &str| -> String { id.chars().take(MAX_LOGGED_BYTES).collect() };
+    id.map_or_else(|| "none".to_owned(), |id| format!("{:?}", start(id)))
+}
+
 /// Returns whether the name of an event's field may have a byte.
 fn is_name(byte: u8) -> bool {
     byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_')
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -193,8 +193,9 @@
     async fn make_attempt(&self, assignment: &Assignment) -> Option<Result<Received, Failure>> {
         let last = self.shared.ingress.last_event(&self.message.head);
         let sequence = last.map_or_else(Sequence::default, Sequence::after);
+        let events = Events::after(sequence, false);
         let (shared, message) = (&self.shared, &self.message);
-        let work = Self::receive_answer(shared, message, &self.flight, assignment, sequence, false);
+        let work = Self::receive_answer(shared, message, &self.flight, assignment, events, false);
         let cut = async {
             self.shared.requests_end().await;
             Err(Failure::new(End::Abandoned, "grace period ended"))
@@ -220,16 +221,16 @@
         message: &Message,
         flight: &Flight,
         assignment: &Assignment,
-        sequence: Sequence,
+        mut events: Events,
         is_begun: bool,
     ) -> Result<Received, Failure> {
-        let answer = exchange::send(shared, message, flight, assignment, sequence.last()).await?;
+        let last = events.sequence().last();
+        let answer = exchange::send(shared, message, flight, assignment, last).await?;
         let (head, mut body) = answer.response.into_parts();
         let channel = answer.channel;
         let end = match answer.reply {
             Reply::Answer if is_stream(flight, &head) => {
                 // Until the first event is forwarded, another endpoint may still answer instead.
-                let mut events = Events::after(sequence);
                 let may_be_empty = is_begun || channel.framing.shows_end();
                 let read = read_first_event(&mut body, may_be_empty, &mut events, flight).await;
                 if let (Err(_), Some(foreign)) = (&read, events.foreign()) {
@@ -298,22 +299,21 @@
         }
     }
 
-    /// Resumes a broken stream at another endpoint, after the last event of a sequence.
+    /// Resumes a broken stream at another endpoint, after the last one of the events so far.
     ///
     /// Returns the key of the endpoint and the stream. Without an id the endpoint starts the stream anew.
     /// `is_begun` says whether the caller has events of it.
     pub(crate) async fn resume(
         &mut self,
-        sequence: &Sequence,
+        events: &Events,
         is_begun: bool,
     ) -> Result<(Key, StartedStream), Refusal> {
         loop {
             let assignment = self.place().await?;
             let (shared, message) = (&self.shared, &self.message);
-            let sequence = sequence.continued();
+            let events = Events::after(events.sequence().continued(), events.is_unfinished());
             let flight = &self.flight;
-            let work =
-                Self::receive_answer(shared, message, flight, &assignment, sequence, is_begun);
+            let work = Self::receive_answer(shared, message, flight, &assignment, events, is_begun);
             let failure = match work.await {
                 Ok(Received::Stream(started)) => return Ok((assignment.attempt.key(), *started)),
                 Ok(_) => Failure::new(End::Failed, "answer is not a stream"),
--- a/crates/peridotdeck-relay/src/forwarding/logging.rs
+++ b/crates/peridotdeck-relay/src/forwarding/logging.rs
@@ -10,7 +10,7 @@
 use super::Forwarding;
 use crate::{
     Ingress,
-    answer::{Events, Foreign},
+    answer::{Events, Foreign, logged_id},
     clock,
     shared::detour_text,
 };
@@ -108,8 +108,8 @@
             "event=stream_joined id={} endpoint={} after={} first={}",
             self.flight.id,
             self.endpoint,
-            after.unwrap_or("none"),
-            events.first_id().as_deref().unwrap_or("none"),
+            logged_id(after),
+            logged_id(events.first_id().as_deref()),
         );
     }
 
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -220,9 +220,8 @@
             && may_resume
             && self.forwarding.next_step(failure.end) == Next::Retry
         {
-            let sequence = self.events.sequence();
-            let is_begun = self.first_sent && sequence.last().is_some();
-            match self.forwarding.resume(sequence, is_begun).await {
+            let is_begun = self.first_sent && self.events.sequence().last().is_some();
+            match self.forwarding.resume(&self.events, is_begun).await {
                 Ok((key, started)) => {
                     self.continue_with(key, started);
                     return Ok(());
