--- a/crates/peridotdeck-relay/src/answer/verdict.rs
+++ b/crates/peridotdeck-relay/src/answer/verdict.rs
@@ -182,8 +182,8 @@
 
 /// Returns what a complete answer says of the endpoint's process.
 ///
-/// On a connection that is older than the end, each answer is the same process's. On a new one, only
-/// the start that the entry names is: another process may listen at the address by now.
+/// Another process may listen at the address by now; only the start that the entry names shows that
+/// the same one answers.
 ///
 /// # Errors
 /// The observed cause, if the answer says nothing.
@@ -202,9 +202,7 @@
         Some(start) if is_known && dispatch::key(&origin.instance, start) != origin.key => {
             Ok((Life::Ended, witness, format!("born={start}")))
         }
-        None if is_known && witness == Witness::New => {
-            Err(format!("status {} names no start", status.as_u16()))
-        }
+        None if is_known => Err(format!("status {} names no start", status.as_u16())),
         _ => Ok((Life::Alive, witness, String::new())),
     }
 }
