--- a/crates/peridotdeck-fake/src/engine.rs
+++ b/crates/peridotdeck-fake/src/engine.rs
@@ -10,9 +10,13 @@
 //! - `POST /fault`
 
 mod api;
+mod cache;
+mod seat;
+mod setting;
 mod state;
 
-pub use state::{Counts, Fault, Load, Setting};
+pub use setting::Setting;
+pub use state::{Counts, Fault, Load};
 
 use std::{io, net::SocketAddr, sync::Arc};
 
--- a/crates/peridotdeck-fake/src/engine/api.rs
+++ b/crates/peridotdeck-fake/src/engine/api.rs
@@ -11,7 +11,10 @@
 use serde_json::{Value, json};
 use tide::{Request, Response, StatusCode};
 
-use super::state::{Fault, Seat, State};
+use super::{
+    seat::Seat,
+    state::{Fault, State},
+};
 use crate::{json, text};
 
 /// Header with the attempt's id, which the answer echoes.
--- a/crates/peridotdeck-fake/src/engine/state.rs
+++ b/crates/peridotdeck-fake/src/engine/state.rs
@@ -8,68 +8,13 @@
 
 use async_std::task;
 use peridotdeck_http::server::AcceptState;
-use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
 
-use crate::text::BYTES_PER_TOKEN;
-
-/// Part by which a full batch slows each step.
-const BATCH_SLOWDOWN: f64 = 0.5;
-
-/// Requests finished by a cold engine that turn it warm, as a multiple of its slots.
-const WARM_AFTER: u32 = 2;
-
-/// Bytes of the prompt's beginning that name a cached prefix.
-const PREFIX_BYTES: usize = 64;
-
-/// Cache events kept for readers.
-const EVENTS: usize = 256;
-
-/// Behaviour of an engine.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Setting {
-    /// Name of the model.
-    pub model: String,
-    /// Seed of jitter and event gaps.
-    pub seed: u64,
-    /// Requests that run at one time when warm.
-    pub slots: u32,
-    /// Requests that a cold engine bears; it bears one more for each that it finishes.
-    pub cold_slots: u32,
-    /// Whether it starts cold.
-    pub starts_cold: bool,
-    /// Prefill time per prompt token in microseconds.
-    pub prefill_us: u32,
-    /// Time between tokens of a lone request in microseconds.
-    pub step_us: u32,
-    /// Prefixes kept in the cache.
-    pub cache: usize,
-    /// Age of a load report in milliseconds.
-    pub report_lag: u32,
-    /// Time from a crash to the cold restart in milliseconds.
-    pub restart: u32,
-    /// Whether it refuses an order with an old fencing number.
-    pub fences: bool,
-}
-
-impl Default for Setting {
-    fn default() -> Self {
-        Self {
-            model: "model".to_owned(),
-            seed: 1,
-            slots: 8,
-            cold_slots: 2,
-            starts_cold: false,
-            prefill_us: 300,
-            step_us: 8_000,
-            cache: 32,
-            report_lag: 500,
-            restart: 2_000,
-            fences: false,
-        }
-    }
-}
+use super::{
+    cache::{Cache, CacheEvent},
+    seat::{Seat, Waiting},
+    setting::Setting,
+};
 
 /// A fault of an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
@@ -119,37 +64,24 @@
     pub warm: bool,
 }
 
-/// A cache event: a prefix came or went.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CacheEvent {
-    /// Number of the event; a gap shows that events were lost.
-    pub sequence: u64,
-    /// Digest of the prefix.
-    pub prefix: u64,
-    /// Whether it is now cached.
-    pub cached: bool,
-}
-
+/// The part of the state that changes.
 #[derive(Debug)]
-struct Inner {
-    boot: u64,
-    running: u32,
-    waiting: Vec<(u8, u64)>,
+pub(super) struct Inner {
+    pub(super) boot: u64,
+    pub(super) running: u32,
+    pub(super) waiting: Vec<(u8, u64)>,
     next_ticket: u64,
-    cold: bool,
-    finished: u32,
-    slowdown: f64,
-    silence: u64,
+    pub(super) cold: bool,
+    pub(super) finished: u32,
+    pub(super) slowdown: f64,
+    pub(super) silence: u64,
     cross: bool,
     denial: Option<u16>,
     shift: i32,
     fence: u64,
-    cache: Vec<u64>,
-    events: Vec<(Instant, CacheEvent)>,
-    sequence: u64,
+    pub(super) cache: Cache,
     reports: Vec<(Instant, Load)>,
-    rng: SmallRng,
-    counts: Counts,
+    pub(super) counts: Counts,
 }
 
 /// An engine's state, shared by its requests.
@@ -165,16 +97,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Dead;
 
-/// A place in the batch; dropping it gives the place up.
-#[derive(Debug)]
-pub struct Seat {
-    state: Arc<State>,
-    boot: u64,
-    silence: u64,
-    class: String,
-    finished: bool,
-}
-
 impl State {
     /// Starts an engine's state.
     pub fn new(setting: Setting) -> Self {
@@ -191,11 +113,8 @@
             denial: None,
             shift: 0,
             fence: 0,
-            cache: Vec::new(),
-            events: Vec::new(),
-            sequence: 0,
+            cache: Cache::new(setting.seed),
             reports: Vec::new(),
-            rng: SmallRng::seed_from_u64(setting.seed),
             counts: Counts::default(),
         };
         Self {
@@ -210,7 +129,7 @@
         *self.gate.lock().unwrap_or_else(PoisonError::into_inner) = Some(gate);
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -298,10 +217,7 @@
             inner.waiting.sort_unstable();
             (inner.boot, ticket)
         };
-        let waiting = Waiting {
-            state: self,
-            ticket,
-        };
+        let waiting = Waiting::new(self, ticket);
         let falls = self.overloads_cold();
         if falls {
             Arc::clone(self).crash();
@@ -343,13 +259,7 @@
         inner.running += 1;
         inner.counts.runs += 1;
         let silence = inner.silence;
-        Ok(Some(Seat {
-            state: Arc::clone(self),
-            boot,
-            silence,
-            class: class.to_owned(),
-            finished: false,
-        }))
+        Ok(Some(Seat::new(Arc::clone(self), boot, silence, class)))
     }
 
     /// Returns the load as it was some time ago.
@@ -373,12 +283,8 @@
 
     /// Returns the cache events after a sequence number, late and with gaps.
     pub fn events(&self, after: u64) -> Vec<CacheEvent> {
-        let inner = self.lock();
         let lag = Duration::from_millis(self.setting.report_lag.into());
-        let late = inner.events.iter().filter(|(at, _)| at.elapsed() >= lag);
-        late.map(|(_, event)| *event)
-            .filter(|event| event.sequence > after)
-            .collect()
+        self.lock().cache.events(after, lag)
     }
 
     /// Accepts or refuses an order by its fencing number.
@@ -393,131 +299,11 @@
 
     /// Adds an imported prefix to the cache.
     pub fn import(&self, prefix: u64) {
-        self.lock().keep(prefix, self.setting.cache);
+        self.lock().cache.keep(prefix, self.setting.cache);
     }
 
     /// Returns whether a prefix can be exported.
     pub fn holds(&self, prefix: u64) -> bool {
-        self.lock().cache.contains(&prefix)
-    }
-}
-
-impl Inner {
-    fn keep(&mut self, prefix: u64, limit: usize) -> bool {
-        let hit = self.cache.contains(&prefix);
-        self.cache.retain(|&each| each != prefix);
-        self.cache.push(prefix);
-        if !hit {
-            self.publish(prefix, true);
-        }
-        if self.cache.len() > limit {
-            let evicted = self.cache.remove(0);
-            self.publish(evicted, false);
-        }
-        hit
-    }
-
-    fn publish(&mut self, prefix: u64, cached: bool) {
-        /// Chance that an event is lost.
-        const LOSS: f64 = 0.1;
-        self.sequence += 1;
-        if self.rng.random_bool(LOSS) {
-            return;
-        }
-        let event = CacheEvent {
-            sequence: self.sequence,
-            prefix,
-            cached,
-        };
-        self.events.push((Instant::now(), event));
-        let extra = self.events.len().saturating_sub(EVENTS);
-        self.events.drain(..extra);
-    }
-}
-
-/// A request in the queue; dropping it leaves the queue.
-#[derive(Debug)]
-struct Waiting<'a> {
-    state: &'a State,
-    ticket: (u8, u64),
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.state
-            .lock()
-            .waiting
-            .retain(|each| *each != self.ticket);
-    }
-}
-
-impl Seat {
-    /// Computes the prompt, less a cached prefix; tells whether the engine lived through it.
-    pub async fn prefill(&self, prompt: &str, resumed: u32) -> bool {
-        let mut end = PREFIX_BYTES.min(prompt.len());
-        while !prompt.is_char_boundary(end) {
-            end -= 1;
-        }
-        let prefix = xxhash_rust::xxh3::xxh3_64(&prompt.as_bytes()[..end]);
-        let size = (prompt.len() / BYTES_PER_TOKEN) as u32 + resumed;
-        let time = {
-            let mut inner = self.state.lock();
-            let hit = inner.keep(prefix, self.state.setting.cache);
-            let computed = if hit { size / 2 } else { size };
-            inner.counts.prefilled += u64::from(computed);
-            Duration::from_micros((computed * self.state.setting.prefill_us).into())
-                .mul_f64(inner.slowdown)
-        };
-        task::sleep(time).await;
-        self.lives()
-    }
-
-    /// Generates one token; tells whether the engine lived through it.
-    pub async fn step(&self) -> bool {
-        let time = {
-            let inner = self.state.lock();
-            let fill = f64::from(inner.running) / f64::from(self.state.setting.slots.max(1));
-            let step = Duration::from_micros(self.state.setting.step_us.into());
-            step.mul_f64((1.0 + BATCH_SLOWDOWN * fill) * inner.slowdown)
-        };
-        task::sleep(time).await;
-        self.rest_if_silenced().await;
-        let lives = self.lives();
-        if lives {
-            let mut inner = self.state.lock();
-            *inner.counts.tokens.entry(self.class.clone()).or_default() += 1;
-        }
-        lives
-    }
-
-    async fn rest_if_silenced(&self) {
-        if self.state.lock().silence != self.silence {
-            std::future::pending::<()>().await;
-        }
-    }
-
-    /// Returns whether the engine has not died since the request entered.
-    pub fn lives(&self) -> bool {
-        self.state.lock().boot == self.boot
-    }
-
-    /// Ends the request well.
-    pub fn finish(mut self) {
-        self.finished = true;
-    }
-}
-
-impl Drop for Seat {
-    fn drop(&mut self) {
-        let slots = self.state.setting.slots;
-        let mut inner = self.state.lock();
-        if inner.boot != self.boot {
-            return;
-        }
-        inner.running -= 1;
-        if self.finished && inner.cold {
-            inner.finished += 1;
-            inner.cold = inner.finished < WARM_AFTER * slots;
-        }
+        self.lock().cache.holds(prefix)
     }
 }
