Charge the announced end of an endpoint to no request that had run for a while

Callers of requests that ran at endpoints as these ended were not sent again, and refused as suspected of crashing endpoints after three such ends, although each endpoint had said before that it would leave.

Cause: the end of a process breaks its answers, and each break that a refused probe confirms was attributed as a crash, whatever the endpoint had announced in its entry (`draining`) or in an answer.

Evidence: crashing_parts::announced_end_of_an_endpoint_is_no_crash (three ends, 3 s after the request was sent, announced by answer or entry, known before the break or after it) failed before: 1 of 3 requests was sent again in each of the four ways, and the fourth request was refused in each. Now 3 of 3 are, and none is refused.

Change: a break at an endpoint that has announced its end is no crash, unless the request was sent less than 1 s before the break.

Weighed: an endpoint may also crash while it leaves, by a request that came just before the announcement. A planned end comes seconds after its announcement, and nothing is sent from there on, so the exception concerns planned ends only where the announcement was not known 1 s before. A request sent within that second is still suspected, a plain answer too.

Measured: all 222 tests of the core pass; existing tests of crashes are unchanged.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/quarantine.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/quarantine.rs
@@ -23,6 +23,9 @@
 /// Time after a broken attempt during which a failed probe counts as a crash of the endpoint.
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
 
+/// Time from its sending in which a request may crash an endpoint that is about to end anyway.
+const EARLY: Duration = Duration::from_secs(1);
+
 /// Time that an endpoint must stay up after it has begun an answer, to clear the prompt's parts.
 const PROOF_DELAY: Duration = Duration::from_millis(200);
 
@@ -40,6 +43,8 @@
     broken_at: Time,
     /// Whether the answer broke for certain, or may have been complete.
     certain: bool,
+    /// Whether the request had just been sent.
+    early: bool,
 }
 
 /// Parts of a prompt on which an endpoint has begun an answer.
@@ -140,6 +145,7 @@
                 suspicion.certain
                     && suspicion.subjects.contains(&subject)
                     && self.crashes.would_count(subject, suspicion.broken_at)
+                    && self.may_be_crash(suspicion)
             });
             let mut keys: Vec<Key> = pending.map(|suspicion| suspicion.key).collect();
             keys.sort_unstable();
@@ -186,6 +192,20 @@
         }
     }
 
+    /// Returns whether the end of a suspicion's endpoint may be a crash, rather than an announced end.
+    ///
+    /// Nothing is sent to an endpoint from its announcement on, and it serves on for some time. So a
+    /// request that it had just begun may have crashed it, and older ones have not. An endpoint that
+    /// crashes announces nothing: what becomes known only after the end was announced before it.
+    fn may_be_crash(&self, suspicion: &Suspicion) -> bool {
+        let key = suspicion.key;
+        let has_announced = || {
+            let state = self.state(key);
+            self.departures.contains(key) || state.is_some_and(|state| state.info.draining)
+        };
+        suspicion.early || !has_announced()
+    }
+
     /// Suspects a request whose attempt broke or may have, and the parts of its prompt unless an
     /// endpoint had answered on them.
     pub(super) fn suspect_request(
@@ -206,6 +226,7 @@
             subjects: suspected.collect(),
             broken_at: now,
             certain: end == End::Broken,
+            early: now.saturating_sub(attempt.sent) < EARLY,
         });
     }
 
@@ -213,10 +234,11 @@
     pub(super) fn attribute_crash(&mut self, key: Key, now: Time) {
         let of_endpoint = |suspicion: &mut Suspicion| suspicion.key == key;
         let suspicions: Vec<Suspicion> = self.suspicions.extract_if(.., of_endpoint).collect();
-        let recent = suspicions
-            .into_iter()
-            .filter(|suspicion| now.saturating_sub(suspicion.broken_at) < CRASH_WINDOW);
-        for subject in recent.flat_map(|suspicion| suspicion.subjects) {
+        let is_recent = |suspicion: &Suspicion| {
+            now.saturating_sub(suspicion.broken_at) < CRASH_WINDOW && self.may_be_crash(suspicion)
+        };
+        let recent: Vec<Suspicion> = suspicions.into_iter().filter(is_recent).collect();
+        for subject in recent.into_iter().flat_map(|suspicion| suspicion.subjects) {
             self.crashes.record(subject, key, now);
             self.fleet.mark_urgent();
         }
