Ask endpoints for their report in one place

The request that asks an endpoint for its start existed twice, before a stream goes on (`life`) and after an answer that ended with its connection (`answer::verdict`). Both now use `report`. The limits of size and time, the check of the status before the body is read, and the wait for a ready connection stay with each caller.

--- a/crates/peridotdeck-relay/src/answer/verdict.rs
+++ b/crates/peridotdeck-relay/src/answer/verdict.rs
@@ -8,8 +8,7 @@
 
 use async_io::Timer;
 use async_std::future::timeout;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, StatusCode, body::Bytes, header::HOST};
+use hyper::{StatusCode, body::Bytes};
 use peridotdeck_core::{
     dispatch::{self, Key, attempt::End, flight::Flight},
     id::Time,
@@ -20,6 +19,7 @@
 use crate::{
     Ingress, Shared, clock, dial,
     pool::{self, Connection, Path},
+    report,
     shared::detour_text,
     tunnel::Purpose,
 };
@@ -133,7 +133,11 @@
     // A connection that was opened later may lead to another process.
     let is_older = |kept: &Connection| kept.path == path && kept.opened <= origin.answered;
     if let Some(mut connection) = kept.filter(is_older) {
-        let asked = timeout(KEPT_TIMEOUT, ask(shared, &mut connection, origin.address)).await;
+        let asked = timeout(
+            KEPT_TIMEOUT,
+            read_report(shared, &mut connection, origin.address),
+        )
+        .await;
         if let Ok(Ok((status, body))) = asked
             && let Ok(finding) = find(shared, origin, Witness::Kept, status, &body)
         {
@@ -176,7 +180,7 @@
         }
         Err(cause) => return Err(cause.to_string()),
     };
-    let (status, body) = ask(shared, &mut connection, origin.address).await?;
+    let (status, body) = read_report(shared, &mut connection, origin.address).await?;
     find(shared, origin, Witness::New, status, &body)
 }
 
@@ -212,24 +216,19 @@
     matches!(error, pool::Error::Connect(cause) if cause.kind() == std::io::ErrorKind::ConnectionRefused)
 }
 
-/// Sends the request that the endpoint answers while it lives, and returns the complete answer.
+/// Asks the endpoint for its report, and returns the status and body of the complete answer.
 ///
 /// The connection is not kept, because the answer names no request; see [`crate::exchange::Channel::keep`].
 ///
 /// # Errors
 /// The observed cause, if no complete answer came.
-async fn ask<I: Ingress>(
+async fn read_report<I: Ingress>(
     shared: &Shared<I>,
     connection: &mut Connection,
     address: SocketAddrV4,
 ) -> Result<(StatusCode, Bytes), String> {
-    let request = Request::get(shared.ingress.life_path())
-        .header(HOST, address.to_string())
-        .body(Full::default())
-        .map_err(|cause| cause.to_string())?;
-    let response = connection.send(request).await;
-    let (head, body) = response.map_err(|cause| cause.to_string())?.into_parts();
-    let body = Limited::new(body, MAX_REPORT_BYTES).collect().await;
-    let body = body.map_err(|cause| cause.to_string())?;
-    Ok((head.status, body.to_bytes()))
+    let answer = report::ask(&shared.ingress, connection, address).await?;
+    let status = answer.status();
+    let body = report::read(answer, MAX_REPORT_BYTES).await?;
+    Ok((status, body))
 }
--- a/crates/peridotdeck-relay/src/lib.rs
+++ b/crates/peridotdeck-relay/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod peers;
 pub mod pool;
 pub mod publisher;
+mod report;
 pub mod server;
 pub mod shared;
 pub mod shutdown;
--- a/crates/peridotdeck-relay/src/life.rs
+++ b/crates/peridotdeck-relay/src/life.rs
@@ -8,18 +8,13 @@
 use std::time::Duration;
 
 use async_std::future::timeout;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{
-    Request, StatusCode,
-    body::Bytes,
-    header::{HOST, HeaderValue},
-};
+use hyper::StatusCode;
 use peridotdeck_core::dispatch::{
     attempt::{Assignment, End},
     key,
 };
 
-use crate::{Ingress, answer::Failure, pool::Connection};
+use crate::{Ingress, answer::Failure, pool::Connection, report};
 
 /// Longest time for the endpoint's statement; it needs no free slot.
 const TIMEOUT: Duration = Duration::from_millis(500);
@@ -36,7 +31,7 @@
     connection: &mut Connection,
     assignment: &Assignment,
 ) -> Result<(), Failure> {
-    let asked = timeout(TIMEOUT, ask(ingress, connection, assignment)).await;
+    let asked = timeout(TIMEOUT, read_start(ingress, connection, assignment)).await;
     let report = asked.unwrap_or_else(|_| Err("not answered in time".to_owned()));
     let start = report.map_err(|cause| {
         let cause = format!("start of the endpoint not known: {cause}");
@@ -57,22 +52,16 @@
 }
 
 /// Returns the start that the endpoint names, if any; the connection is then ready for the next request.
-async fn ask<I: Ingress>(
+async fn read_start<I: Ingress>(
     ingress: &I,
     connection: &mut Connection,
     assignment: &Assignment,
 ) -> Result<Option<u64>, String> {
-    let mut request = Request::new(Full::<Bytes>::default());
-    *request.uri_mut() = ingress.life_path().parse().expect("a path");
-    let host = HeaderValue::from_str(&assignment.address.to_string()).expect("digits");
-    request.headers_mut().insert(HOST, host);
-    let answer = connection.send(request).await;
-    let answer = answer.map_err(|cause| cause.to_string())?;
+    let answer = report::ask(ingress, connection, assignment.address).await?;
     if answer.status() != StatusCode::OK {
         return Err(format!("status {}", answer.status().as_u16()));
     }
-    let body = Limited::new(answer.into_body(), MAX_BYTES).collect().await;
-    let body = body.map_err(|cause| cause.to_string())?.to_bytes();
+    let body = report::read(answer, MAX_BYTES).await?;
     connection
         .ready()
         .await
