Take a repeated id for an event's own only if its data are the same

An engine that numbers some of its events, such as all but the usage chunk or only the first one, had its whole answer cut: callers got an error in place of the answer, or a stream without its end marker.

Cause: `async-sse` keeps the last id for an event without one, as browsers do, so that such an event looked like a repeat of the one before it.

Evidence: `stream_of_which_some_events_have_numbers_is_whole` plays four ways to number a part of the events, in chunks and with a length, as streams and collected.

Change: an id that is the last one's counts only if the data are the last one's too. An event that comes twice with its own id ends the attempt as before (`joined_streams`). A decoder of our own, tried first, told the two apart without the data; the library stays, at the price that an engine which numbers a part of its events and sends two equal ones in a row is taken for one that repeats.

--- a/crates/peridotdeck-router/src/attempt/completion.rs
+++ b/crates/peridotdeck-router/src/attempt/completion.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use async_sse::Event;
+use async_sse::{Event, Message};
 use async_std::future::timeout;
 use futures_lite::{AsyncReadExt, StreamExt};
 use http_types::{Method, Request, Response, mime};
@@ -128,6 +128,7 @@
         let id = params.id();
         let body = response.take_body().take(MAX_STREAM_BYTES);
         let mut events = async_sse::decode(Ending::new(body));
+        let mut last: Option<Message> = None;
         loop {
             let idle_timeout = if first_token.is_some() {
                 params.idle_timeout
@@ -143,7 +144,7 @@
                     return Outcome::Finished;
                 }
                 Ok(Some(Ok(Event::Message(message)))) => {
-                    let number = message.id().as_deref().filter(|id| is_number(id));
+                    let number = own_id(&message, last.as_ref()).filter(|id| is_number(id));
                     match answer.push_event(number, message.data(), &id).await {
                         Ok(()) => {}
                         Err(Rejection::Disconnected) => return Outcome::Cancelled,
@@ -153,6 +154,7 @@
                         }
                     }
                     first_token.get_or_insert_with(Instant::now);
+                    last = Some(message);
                 }
             }
         }
@@ -192,6 +194,16 @@
     }
 }
 
+/// Returns the id that an event names itself.
+///
+/// The decoder repeats the last id for an event without one, as browsers do. Such an event has other data
+/// than the one before it; an event that came twice has the same.
+fn own_id<'a>(message: &'a Message, last: Option<&Message>) -> Option<&'a str> {
+    let is_repeated =
+        last.is_some_and(|last| last.id() == message.id() && last.data() != message.data());
+    message.id().as_deref().filter(|_| !is_repeated)
+}
+
 /// Returns whether an event's id numbers it; other ids may be the same for a whole answer.
 fn is_number(id: &str) -> bool {
     id.bytes().all(|byte| byte.is_ascii_digit())
--- a/crates/peridotdeck-router/tests/testsuite/joined_streams.rs
+++ b/crates/peridotdeck-router/tests/testsuite/joined_streams.rs
@@ -17,13 +17,13 @@
 use crate::cluster::{Cluster, chat_request, fast_engine, send};
 
 /// Stands for the attempt's id in a script.
-const ATTEMPT: &str = "ATTEMPT-OF-16-CH";
+pub const ATTEMPT: &str = "ATTEMPT-OF-16-CH";
 
 /// The events that make up the whole answer.
 const WHOLE: [u32; 6] = [1, 2, 3, 4, 5, 6];
 
 /// The text of the whole answer.
-const WORDS: &str = "w1 w2 w3 w4 w5 w6 ";
+pub const WORDS: &str = "w1 w2 w3 w4 w5 w6 ";
 
 /// Engines of a test, enough for each attempt to find a sound one.
 const ENGINES: u32 = 40;
@@ -31,14 +31,14 @@
 /// Id of the first of them.
 const FIRST_ID: u32 = 1_000;
 
-const MARKER: &str = "data: [DONE]\n\n";
+pub const MARKER: &str = "data: [DONE]\n\n";
 
 /// Answer to a question for load.
 const LOAD: &str = r#"{"boot":1,"running":0,"queued":0,"warm":true}"#;
 
 /// How an answer shows where its body ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
+pub enum Framing {
     Chunks,
     Length,
     /// More bytes were promised: the engine's process ends in the middle.
@@ -49,7 +49,7 @@
 
 impl Framing {
     /// Returns the answer with a body, and with bytes that follow the body.
-    fn answer(self, body: &str, behind: &str) -> String {
+    pub fn answer(self, body: &str, behind: &str) -> String {
         let head = |header: &str| {
             format!(
                 "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
@@ -69,7 +69,7 @@
 }
 
 /// Returns one event; an id of 0 stands for none.
-fn event(answer: &str, id: u32, word: u32, reason: &str) -> String {
+pub fn event(answer: &str, id: u32, word: u32, reason: &str) -> String {
     let id = if id == 0 {
         String::new()
     } else {
@@ -136,13 +136,13 @@
 }
 
 /// A router with scripted engines.
-struct Scripts {
+pub struct Scripts {
     cluster: Cluster,
     answers: Arc<Mutex<Vec<String>>>,
 }
 
 impl Scripts {
-    async fn start() -> Self {
+    pub async fn start() -> Self {
         let mut cluster = Cluster::start(&[fast_engine()], 1).await;
         let answers = Arc::new(Mutex::new(Vec::new()));
         let mut services = cluster.config.services.iter_mut();
@@ -175,7 +175,7 @@
     /// Returns the words that a caller takes for a whole answer, or `None`.
     ///
     /// The retries of the class `draft` have no budget.
-    async fn play(
+    pub async fn play(
         &self,
         (name, class): (&str, &str),
         answers: &[String],
--- a/crates/peridotdeck-router/tests/testsuite/main.rs
+++ b/crates/peridotdeck-router/tests/testsuite/main.rs
@@ -10,4 +10,5 @@
 mod late_requests;
 mod operators;
 mod second_refusals;
+mod sound_streams;
 mod streams;
--- /dev/null
+++ b/crates/peridotdeck-router/tests/testsuite/sound_streams.rs
@@ -0,0 +1,55 @@
+//! A whole answer stays whole, whatever its engine sends beside the words.
+
+use async_std::task::block_on;
+
+use crate::joined_streams::{ATTEMPT, Framing, MARKER, Scripts, WORDS, event};
+
+/// Framings that show the end of an answer.
+const FRAMINGS: [Framing; 2] = [Framing::Chunks, Framing::Length];
+
+/// Answers of an engine, each with its name and what the caller of a stream sees of it.
+type Cases = Vec<(String, String, String)>;
+
+/// Plays each body in both framings, as a stream and as a collected completion.
+fn play(cases: &Cases) {
+    let differences = block_on(async {
+        let scripts = Scripts::start().await;
+        let mut differences = Vec::new();
+        for (name, body, expected) in cases {
+            for (framing, streams) in FRAMINGS.iter().flat_map(|&f| [(f, true), (f, false)]) {
+                let answer = framing.answer(&(body.clone() + MARKER), "");
+                let prompt = format!("{name} {framing:?} {streams}");
+                let seen = scripts.play((&prompt, "counter"), &[answer], streams).await;
+                let expected = if streams { expected } else { WORDS };
+                if seen.as_deref() != Some(expected) {
+                    differences.push(format!("{prompt}: {seen:?}"));
+                }
+            }
+        }
+        differences
+    });
+    let played = 2 * FRAMINGS.len() * cases.len();
+    let count = differences.len();
+    assert!(count == 0, "{count} of {played}: {differences:#?}");
+}
+
+/// Returns events with these numbers, of which 0 stands for none, and with the words from 1 on.
+fn numbered(ids: [u32; 6]) -> String {
+    let events = ids.iter().zip(1..);
+    events
+        .map(|(&id, word)| event(ATTEMPT, id, word, "null"))
+        .collect()
+}
+
+/// Guards against an event without a number that is taken for a repeat of the one before it.
+#[test]
+fn stream_of_which_some_events_have_numbers_is_whole() {
+    let cases = [
+        ("first", [1, 0, 0, 0, 0, 0]),
+        ("all but the last", [1, 2, 3, 4, 5, 0]),
+        ("each second", [1, 0, 3, 0, 5, 0]),
+        ("last", [0, 0, 0, 0, 0, 6]),
+    ];
+    let case = |(name, ids): (&str, _)| (name.to_owned(), numbered(ids), WORDS.to_owned());
+    play(&cases.map(case).to_vec());
+}
