Count null and odd fields of a chunk as missing

An engine that sends `"choices": null`, `"index": null`, an empty finish reason before the end, or an id that is a number, had its whole answer cut.

Cause: since an event whose fields have other types is no chunk, and text after any finish reason, even an empty one, is behind the end.

Evidence: `chunks_without_words_are_part_of_an_answer` puts eight kinds of chunks at three places into a whole answer, in chunks and with a length, as streams and collected. Usage chunks with empty choices, chunks without choices, role-only deltas and unknown fields were whole before.

Change: a field that is null or of another type counts as missing, and so does an empty finish reason. An error object still ends the attempt (`joined_streams`).

--- a/crates/peridotdeck-router/src/attempt/answer.rs
+++ b/crates/peridotdeck-router/src/attempt/answer.rs
@@ -148,12 +148,7 @@
     }
 
     /// Returns the chunk in an endpoint's event, unless the event is no part of the answer.
-    fn check<'a>(
-        &mut self,
-        number: Option<&str>,
-        data: &'a [u8],
-        attempt: &str,
-    ) -> Result<Chunk<'a>, Flaw> {
+    fn check(&mut self, number: Option<&str>, data: &[u8], attempt: &str) -> Result<Chunk, Flaw> {
         let chunk = Chunk::parse(data)?;
         let names_attempt = chunk.id().map(|id| id.contains(attempt));
         if self.names_attempt && names_attempt == Some(false) {
--- a/crates/peridotdeck-router/src/attempt/chunk.rs
+++ b/crates/peridotdeck-router/src/attempt/chunk.rs
@@ -1,8 +1,7 @@
 //! One event of an engine's stream, and why it may be no part of the answer.
 
-use std::borrow::Cow;
-
 use serde::{Deserialize, de::IgnoredAny};
+use serde_json::Value;
 use strum::Display;
 
 /// Why an event is no part of the answer; the attempt ends with it.
@@ -24,39 +23,34 @@
 }
 
 /// The data of an event, as far as the router reads them.
+///
+/// A field that is null, or has another type than its text or number, counts as missing.
 #[derive(Debug, Deserialize)]
-pub struct Chunk<'a> {
-    #[serde(borrow)]
-    id: Option<Cow<'a, str>>,
+pub struct Chunk {
+    id: Option<Value>,
     error: Option<IgnoredAny>,
-    #[serde(borrow, default)]
-    choices: Vec<Choice<'a>>,
+    choices: Option<Vec<Choice>>,
 }
 
 #[derive(Debug, Deserialize)]
-struct Choice<'a> {
-    #[serde(default)]
-    index: u32,
-    #[serde(borrow)]
-    text: Option<Cow<'a, str>>,
-    #[serde(borrow)]
-    delta: Option<Delta<'a>>,
-    #[serde(borrow)]
-    finish_reason: Option<Cow<'a, str>>,
+struct Choice {
+    index: Option<Value>,
+    text: Option<Value>,
+    delta: Option<Delta>,
+    finish_reason: Option<Value>,
 }
 
 #[derive(Debug, Deserialize)]
-struct Delta<'a> {
-    #[serde(borrow)]
-    content: Option<Cow<'a, str>>,
+struct Delta {
+    content: Option<Value>,
 }
 
-impl<'a> Chunk<'a> {
+impl Chunk {
     /// Parses the data of an event.
     ///
     /// # Errors
     /// [`Flaw::NotChunk`] or [`Flaw::EngineError`].
-    pub fn parse(data: &'a [u8]) -> Result<Self, Flaw> {
+    pub fn parse(data: &[u8]) -> Result<Self, Flaw> {
         let chunk: Self = serde_json::from_slice(data).map_err(|_| Flaw::NotChunk)?;
         if chunk.error.is_some() {
             return Err(Flaw::EngineError);
@@ -67,7 +61,7 @@
     /// Returns the id that the event names, unless it names none.
     #[must_use]
     pub fn id(&self) -> Option<&str> {
-        self.id.as_deref().filter(|id| !id.is_empty())
+        self.id.as_ref()?.as_str().filter(|id| !id.is_empty())
     }
 
     /// Returns the text that the event adds to the first choice.
@@ -76,20 +70,22 @@
         let Some(choice) = self.first_choice() else {
             return "";
         };
-        let content = choice
-            .delta
-            .as_ref()
-            .and_then(|delta| delta.content.as_ref());
-        content.or(choice.text.as_ref()).map_or("", AsRef::as_ref)
+        let delta = choice.delta.as_ref();
+        let content = delta.and_then(|delta| delta.content.as_ref());
+        let text = content.or(choice.text.as_ref());
+        text.and_then(Value::as_str).unwrap_or_default()
     }
 
-    /// Returns why the first choice has finished, if it has.
+    /// Returns why the first choice has finished, if it has; some engines send an empty reason before.
     #[must_use]
     pub fn finish_reason(&self) -> Option<&str> {
-        self.first_choice()?.finish_reason.as_deref()
+        let reason = self.first_choice()?.finish_reason.as_ref()?;
+        reason.as_str().filter(|reason| !reason.is_empty())
     }
 
-    fn first_choice(&self) -> Option<&Choice<'a>> {
-        self.choices.iter().find(|choice| choice.index == 0)
+    fn first_choice(&self) -> Option<&Choice> {
+        let index = |choice: &Choice| choice.index.as_ref().and_then(Value::as_u64);
+        let mut choices = self.choices.iter().flatten();
+        choices.find(|choice| index(choice).unwrap_or_default() == 0)
     }
 }
--- a/crates/peridotdeck-router/tests/testsuite/sound_streams.rs
+++ b/crates/peridotdeck-router/tests/testsuite/sound_streams.rs
@@ -53,3 +53,54 @@
     let case = |(name, ids): (&str, _)| (name.to_owned(), numbered(ids), WORDS.to_owned());
     play(&cases.map(case).to_vec());
 }
+
+/// Returns whole answers with something behind the third word, in front of the first and at the end.
+fn beside(name: &str, lines: &str, passed: &str) -> Cases {
+    let words = numbered([0; 6]);
+    let [first, third, last] = [0, words.len() / 2, words.len()];
+    let seen = if passed.is_empty() {
+        String::new()
+    } else {
+        format!("data: {passed}?")
+    };
+    let case = |(at, word): (usize, usize)| {
+        let body = [&words[..at], lines, &words[at..]].concat();
+        let expected = [&WORDS[..word], &seen, &WORDS[word..]].concat();
+        (format!("{name} at {word}"), body, expected)
+    };
+    [(first, 0), (third, 9), (last, 18)].map(case).to_vec()
+}
+
+/// Guards against a whole answer that is cut at a sound chunk with nothing for the router.
+#[test]
+fn chunks_without_words_are_part_of_an_answer() {
+    let mut cases = Vec::new();
+    for (name, chunk) in [
+        ("usage", r#"{"choices":[],"usage":{"total_tokens":7}}"#),
+        (
+            "null choices",
+            r#"{"choices":null,"usage":{"total_tokens":7}}"#,
+        ),
+        ("no choices", r#"{"object":"chat.completion.chunk"}"#),
+        (
+            "role",
+            r#"{"choices":[{"index":0,"delta":{"role":"assistant"},"finish_reason":null}]}"#,
+        ),
+        (
+            "null fields",
+            r#"{"id":null,"error":null,"choices":[{"index":null,"delta":null,"text":null}]}"#,
+        ),
+        (
+            "unknown",
+            r#"{"x":{"y":[1]},"choices":[{"index":0,"delta":{"z":0},"logprobs":{}}]}"#,
+        ),
+        (
+            "empty reason",
+            r#"{"choices":[{"index":0,"delta":{},"finish_reason":""}]}"#,
+        ),
+        ("number as id", r#"{"id":7,"choices":[]}"#),
+    ] {
+        cases.extend(beside(name, &format!("data: {chunk}\n\n"), chunk));
+    }
+    play(&cases);
+}
