Skip events with empty data

An engine that sends an event with empty data, such as `data:` to keep the connection alive, had its whole answer cut.

Cause: since each event must be a chunk, and empty data are none.

Evidence: `lines_without_chunks_are_no_part_of_an_answer` puts eight kinds of lines at three places into a whole answer, in chunks and with a length, as streams and collected. Comments, events of a kind without data, times to reconnect, ids without data and unknown fields were whole before.

Change: an event with empty data is neither passed on nor counted; it shows only that the engine is alive.

--- a/crates/peridotdeck-router/src/attempt/completion.rs
+++ b/crates/peridotdeck-router/src/attempt/completion.rs
@@ -143,6 +143,8 @@
                     answer.finish(&self.prompt.model, self.prompt.tokens).await;
                     return Outcome::Finished;
                 }
+                // An event without content only shows that the engine is alive.
+                Ok(Some(Ok(Event::Message(message)))) if message.data().is_empty() => {}
                 Ok(Some(Ok(Event::Message(message)))) => {
                     let number = own_id(&message, last.as_ref()).filter(|id| is_number(id));
                     match answer.push_event(number, message.data(), &id).await {
--- a/crates/peridotdeck-router/tests/testsuite/sound_streams.rs
+++ b/crates/peridotdeck-router/tests/testsuite/sound_streams.rs
@@ -104,3 +104,22 @@
     }
     play(&cases);
 }
+
+/// Guards against a whole answer that is cut at lines with no chunk.
+#[test]
+fn lines_without_chunks_are_no_part_of_an_answer() {
+    let mut cases = Vec::new();
+    for (name, lines) in [
+        ("empty data", "data:\n\n"),
+        ("data without a colon", "data\n\n"),
+        ("comment", ": ping\n\n"),
+        ("kind", "event: ping\n\n"),
+        ("kind of empty data", "event: ping\ndata: \n\n"),
+        ("time to reconnect", "retry: 10\n\n"),
+        ("id", "id: 1\n\n"),
+        ("unknown field", "weight versions: 3\n\n"),
+    ] {
+        cases.extend(beside(name, lines, ""));
+    }
+    play(&cases);
+}
