Believe no answer in another transfer encoding

An answer of a plain service, or one that is not reassembled, whose head names another transfer encoding than `chunked` reached its caller as a whole empty answer, or as encoded bytes that nothing names as such.

Cause: any `Transfer-Encoding` counted as framing. `async-h1` hides a body whose last encoding is not written as `chunked`, so its end was seen at once.

Evidence: `answer_in_another_encoding_is_not_complete` reads seven heads with three bodies. Completions that are reassembled need `[DONE]` in any case (read, not played with these heads).

Change: `check_framing` accepts a length, or nothing but `chunked`.

Result: 0 of 21.

--- a/crates/peridotdeck-http/src/client.rs
+++ b/crates/peridotdeck-http/src/client.rs
@@ -125,17 +125,19 @@
     Ok(body)
 }
 
-/// Checks that a response shows where its body ends.
+/// Checks that a response shows where its body ends, and that its body is not encoded further.
 fn check_framing(response: &Response) -> io::Result<()> {
-    let is_framed = [CONTENT_LENGTH, TRANSFER_ENCODING]
-        .into_iter()
-        .any(|name| response.header(name).is_some());
+    let is_framed = match response.header(TRANSFER_ENCODING) {
+        // `async-h1` hides a body whose last encoding is not written like this.
+        Some(encodings) => encodings.iter().all(|encoding| encoding == "chunked"),
+        None => response.header(CONTENT_LENGTH).is_some(),
+    };
     if is_framed || response.status() == StatusCode::NoContent {
         return Ok(());
     }
     Err(io::Error::new(
         io::ErrorKind::InvalidData,
-        "response has neither a length nor chunks",
+        "response has neither a length nor only chunks",
     ))
 }
 
--- a/crates/peridotdeck-router/tests/testsuite/cut_answers.rs
+++ b/crates/peridotdeck-router/tests/testsuite/cut_answers.rs
@@ -202,3 +202,29 @@
     let (head, body) = &answers()[2];
     assert_eq!(read(format!("{head}{body}")), None);
 }
+
+/// Guards against an empty answer, or an encoded one, in place of one whose encoding no caller learns.
+///
+/// The HTTP library hides a body whose last encoding is not written as `chunked`.
+#[test]
+fn answer_in_another_encoding_is_not_complete() {
+    let chunks = &answers()[1].1;
+    let mut wrong = Vec::new();
+    for encoding in [
+        "gzip",
+        "identity",
+        "Chunked",
+        "gzip, chunked",
+        "chunked, gzip",
+        "gzip\r\ntransfer-encoding: chunked",
+        "chunked\r\ntransfer-encoding: gzip",
+    ] {
+        for body in [BODY, chunks, ""] {
+            let head = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: {encoding}\r\n\r\n");
+            if let Some(answer) = read(head + body) {
+                wrong.push(format!("{encoding:?} {body:?}: {answer:?}"));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{} of 21: {wrong:#?}", wrong.len());
+}
