Take a byte order mark for the start of a stream

An endpoint whose stream begins with a byte order mark, which the format of event streams allows, had its whole stream refused: callers got a 502.

Cause: the mark counted as a part of the first field's name, and a name with such bytes as a line of no event, as the first line of another answer is.

Change: `Events` looks past a mark at the very start of an attempt's stream. The caller gets it at the start of its stream only: an attempt that goes on behind others (`Events::resumed`) drops it. Elsewhere a mark is foreign as before.

--- a/crates/peridotdeck-relay/src/answer/events.rs
+++ b/crates/peridotdeck-relay/src/answer/events.rs
@@ -21,6 +21,9 @@
 /// Most bytes behind a stream without framing that are read for its end.
 const MAX_REST_BYTES: usize = 64 << 10;
 
+/// May stand before the first line of a stream.
+const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
+
 /// Longest part of an id or a line in the log, in bytes.
 const MAX_LOGGED_BYTES: usize = 40;
 
@@ -56,10 +59,23 @@
     }
 }
 
+/// What becomes of a byte order mark before the first line.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Mark {
+    /// The caller's stream begins with it.
+    #[default]
+    Kept,
+    /// It would stand in the middle of the caller's stream.
+    Dropped,
+    /// The first line has begun.
+    Past,
+}
+
 /// Buffer that splits the bytes of a stream after complete events.
 #[derive(Debug, Default)]
 pub struct Events {
     pending: Vec<u8>,
+    mark: Mark,
     /// Position of the first line that is not complete.
     line: usize,
     /// Position after the last complete event.
@@ -89,6 +105,15 @@
         }
     }
 
+    /// Creates a buffer for the attempt that goes on behind these events.
+    #[must_use]
+    pub fn resumed(&self) -> Self {
+        Self {
+            mark: Mark::Dropped,
+            ..Self::after(self.sequence.continued(), self.is_unfinished())
+        }
+    }
+
     /// Appends bytes as they were received.
     ///
     /// # Errors
@@ -96,6 +121,15 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), Failure> {
         let mut from = self.pending.len();
         self.pending.extend_from_slice(bytes);
+        if self.mark != Mark::Past {
+            // A mark may come byte by byte.
+            if self.pending.starts_with(BYTE_ORDER_MARK) {
+                self.line = self.begin_behind_mark();
+                from = self.line;
+            } else if !BYTE_ORDER_MARK.starts_with(&self.pending) {
+                self.mark = Mark::Past;
+            }
+        }
         while let Some(length) = self.pending[from..].iter().position(|&byte| byte == b'\n') {
             let end = from + length;
             self.read_line(end);
@@ -118,6 +152,15 @@
         Ok(())
     }
 
+    /// Returns where the first line begins; only the start of the whole stream keeps its mark.
+    fn begin_behind_mark(&mut self) -> usize {
+        if std::mem::replace(&mut self.mark, Mark::Past) == Mark::Dropped {
+            self.pending.drain(..BYTE_ORDER_MARK.len());
+            return 0;
+        }
+        BYTE_ORDER_MARK.len()
+    }
+
     /// Reads the line that ends at a position.
     fn read_line(&mut self, end: usize) {
         let line = &self.pending[self.line..end];
@@ -204,7 +247,9 @@
     /// # Errors
     /// If the last event is incomplete, or one is missing.
     pub fn check_end(&self) -> Result<(), Failure> {
-        let mut lines = self.pending.split(|&byte| matches!(byte, b'\n' | b'\r'));
+        let pending = self.pending.strip_prefix(BYTE_ORDER_MARK);
+        let pending = pending.unwrap_or(&self.pending);
+        let mut lines = pending.split(|&byte| matches!(byte, b'\n' | b'\r'));
         if lines.any(|line| !line.is_empty() && !line.starts_with(b":")) {
             return Err(Failure::new(End::Broken, "stream ended inside an event"));
         }
@@ -286,7 +331,10 @@
     /// Returns the id of the first event that can be taken.
     #[must_use]
     pub fn first_id(&self) -> Option<Cow<'_, str>> {
-        let mut lines = self.pending.split(|&byte| byte == b'\n');
+        let pending = self.pending.strip_prefix(BYTE_ORDER_MARK);
+        let mut lines = pending
+            .unwrap_or(&self.pending)
+            .split(|&byte| byte == b'\n');
         let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
         Some(String::from_utf8_lossy(value.trim_ascii()))
     }
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -311,7 +311,7 @@
         loop {
             let assignment = self.place().await?;
             let (shared, message) = (&self.shared, &self.message);
-            let events = Events::after(events.sequence().continued(), events.is_unfinished());
+            let events = events.resumed();
             let flight = &self.flight;
             let work = Self::receive_answer(shared, message, flight, &assignment, events, is_begun);
             let failure = match work.await {
