--- a/crates/peridotdeck-core/src/dispatch/dispatcher/quarantine.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/quarantine.rs
@@ -23,8 +23,8 @@
 /// Time after a broken attempt during which a failed probe counts as a crash of the endpoint.
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
 
-/// Time from its sending in which a request may crash an endpoint that is about to end anyway.
-const EARLY: Duration = Duration::from_secs(1);
+/// Longest time from its sending after which a request is suspected of an end that its endpoint announced.
+const MAX_CRASH_DELAY: Duration = Duration::from_secs(1);
 
 /// Time that an endpoint must stay up after it has begun an answer, to clear the prompt's parts.
 const PROOF_DELAY: Duration = Duration::from_millis(200);
@@ -43,8 +43,8 @@
     broken_at: Time,
     /// Whether the answer broke for certain, or may have been complete.
     certain: bool,
-    /// Whether the request had just been sent.
-    early: bool,
+    /// Whether the request had been sent less than [`MAX_CRASH_DELAY`] before.
+    is_recent: bool,
 }
 
 /// Parts of a prompt on which an endpoint has begun an answer.
@@ -203,7 +203,7 @@
             let state = self.state(key);
             self.departures.contains(key) || state.is_some_and(|state| state.info.draining)
         };
-        suspicion.early || !has_announced()
+        suspicion.is_recent || !has_announced()
     }
 
     /// Suspects a request whose attempt broke or may have, and the parts of its prompt unless an
@@ -226,7 +226,7 @@
             subjects: suspected.collect(),
             broken_at: now,
             certain: end == End::Broken,
-            early: now.saturating_sub(attempt.sent) < EARLY,
+            is_recent: now.saturating_sub(attempt.sent) < MAX_CRASH_DELAY,
         });
     }
 
