Charge an announced end to requests that had not begun

A request that crashes endpoints as it begins, and waits there for over a second, was charged with none of the crashes of endpoints that had announced their end: it went on to the next one.

Cause: the age of a request counted from its sending, but it runs from its first event. And the time of the break is that of the verdict, up to 2 s after the connection's end.

Evidence: crash_of_a_leaving_endpoint_counts (three ends 3.3 s after the sending, no event before, announced in four ways): a fourth request was admitted in 4 of 4, and is refused in 4 of 4 now.

Change: the age counts from the first event, and 3 s of it are suspected, of which a verdict may take 2. announced_end_of_an_endpoint_is_no_crash plays requests that have begun, since the others may be crashes; part_is_stopped_beside_leaving_endpoints passes as before.

Measured: 13 of 13 tests of crashing_parts.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/quarantine.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/quarantine.rs
@@ -23,8 +23,9 @@
 /// Time after a broken attempt during which a failed probe counts as a crash of the endpoint.
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
 
-/// Longest time from its sending after which a request is suspected of an end that its endpoint announced.
-const MAX_CRASH_DELAY: Duration = Duration::from_secs(1);
+/// Longest time from its first event in which a request is suspected of an end that its endpoint had
+/// announced; the verdict on an end may take most of it.
+const MAX_CRASH_DELAY: Duration = Duration::from_secs(3);
 
 /// Time that an endpoint must stay up after it has begun an answer, to clear the prompt's parts.
 const PROOF_DELAY: Duration = Duration::from_millis(200);
@@ -43,8 +44,8 @@
     broken_at: Time,
     /// Whether the answer broke for certain, or may have been complete.
     certain: bool,
-    /// Whether the request had been sent less than [`MAX_CRASH_DELAY`] before.
-    is_recent: bool,
+    /// Whether the request had not begun, or less than [`MAX_CRASH_DELAY`] before.
+    has_just_begun: bool,
 }
 
 /// Parts of a prompt on which an endpoint has begun an answer.
@@ -194,8 +195,8 @@
 
     /// Returns whether the end of a suspicion's endpoint may be a crash, rather than an announced end.
     ///
-    /// Nothing is sent to an endpoint from its announcement on, and it serves on for some time. So a
-    /// request that it had just begun may have crashed it, and older ones have not. An endpoint that
+    /// Nothing is sent to an endpoint from its announcement on, and it serves on for some time. A request
+    /// crashes it as it begins, so one that has run for a while has not. An endpoint that
     /// crashes announces nothing: what becomes known only after the end was announced before it.
     fn may_be_crash(&self, suspicion: &Suspicion) -> bool {
         let key = suspicion.key;
@@ -203,7 +204,7 @@
             let state = self.state(key);
             self.departures.contains(key) || state.is_some_and(|state| state.info.draining)
         };
-        suspicion.is_recent || !has_announced()
+        suspicion.has_just_begun || !has_announced()
     }
 
     /// Suspects a request whose attempt broke or may have, and the parts of its prompt unless an
@@ -219,6 +220,7 @@
         self.begun.retain(|begun| begun.key != key);
         let is_cleared = |answered: Time| now.saturating_sub(answered) >= PROOF_DELAY;
         let parts_cleared = attempt.answered.is_some_and(is_cleared);
+        let is_recent = |answered: Time| now.saturating_sub(answered) < MAX_CRASH_DELAY;
         let suspected = subjects(flight.fingerprint, &flight.prompt)
             .filter(|subject| !parts_cleared || matches!(subject, Subject::Request(_)));
         self.suspicions.push(Suspicion {
@@ -226,7 +228,7 @@
             subjects: suspected.collect(),
             broken_at: now,
             certain: end == End::Broken,
-            is_recent: now.saturating_sub(attempt.sent) < MAX_CRASH_DELAY,
+            has_just_begun: attempt.answered.is_none_or(is_recent),
         });
     }
 
@@ -234,11 +236,11 @@
     pub(super) fn attribute_crash(&mut self, key: Key, now: Time) {
         let of_endpoint = |suspicion: &mut Suspicion| suspicion.key == key;
         let suspicions: Vec<Suspicion> = self.suspicions.extract_if(.., of_endpoint).collect();
-        let is_recent = |suspicion: &Suspicion| {
+        let counts = |suspicion: &Suspicion| {
             now.saturating_sub(suspicion.broken_at) < CRASH_WINDOW && self.may_be_crash(suspicion)
         };
-        let recent: Vec<Suspicion> = suspicions.into_iter().filter(is_recent).collect();
-        for subject in recent.into_iter().flat_map(|suspicion| suspicion.subjects) {
+        let counted: Vec<Suspicion> = suspicions.into_iter().filter(counts).collect();
+        for subject in counted.into_iter().flat_map(|suspicion| suspicion.subjects) {
             self.crashes.record(subject, key, now);
             self.fleet.mark_urgent();
         }
