Pass on no byte order mark behind a stream

A mark behind the last event reached the caller as a part of a complete stream, in each framing.

Cause: the check of a stream's end left a mark out wherever the pending bytes began with one.

Evidence: mark_behind_a_stream_is_not_passed_on failed in the first framing that it plays.

--- a/crates/peridotdeck-relay/src/answer/events.rs
+++ b/crates/peridotdeck-relay/src/answer/events.rs
@@ -59,14 +59,14 @@
     }
 }
 
-/// What becomes of a byte order mark before the first line.
+/// Whether a byte order mark may stand next in a stream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Mark {
-    /// The caller's stream begins with it.
+    /// The caller's stream may begin with it.
     #[default]
-    Kept,
-    /// It would stand in the middle of the caller's stream.
-    Dropped,
+    Allowed,
+    /// It is removed, since it would stand in the middle of the caller's stream.
+    Removed,
     /// The first line has begun.
     Past,
 }
@@ -76,6 +76,8 @@
 pub struct Events {
     pending: Vec<u8>,
     mark: Mark,
+    /// Position behind the mark, if the pending bytes begin with it.
+    start: usize,
     /// Position of the first line that is not complete.
     line: usize,
     /// Position after the last complete event.
@@ -109,7 +111,7 @@
     #[must_use]
     pub fn resumed(&self) -> Self {
         Self {
-            mark: Mark::Dropped,
+            mark: Mark::Removed,
             ..Self::after(self.sequence.continued(), self.is_unfinished())
         }
     }
@@ -122,13 +124,8 @@
         let mut from = self.pending.len();
         self.pending.extend_from_slice(bytes);
         if self.mark != Mark::Past {
-            // A mark may come byte by byte.
-            if self.pending.starts_with(BYTE_ORDER_MARK) {
-                self.line = self.begin_behind_mark();
-                from = self.line;
-            } else if !BYTE_ORDER_MARK.starts_with(&self.pending) {
-                self.mark = Mark::Past;
-            }
+            self.skip_mark();
+            from = self.start;
         }
         while let Some(length) = self.pending[from..].iter().position(|&byte| byte == b'\n') {
             let end = from + length;
@@ -152,13 +149,18 @@
         Ok(())
     }
 
-    /// Returns where the first line begins; only the start of the whole stream keeps its mark.
-    fn begin_behind_mark(&mut self) -> usize {
-        if std::mem::replace(&mut self.mark, Mark::Past) == Mark::Dropped {
-            self.pending.drain(..BYTE_ORDER_MARK.len());
-            return 0;
+    /// Looks for the byte order mark before the first line; it may come byte by byte.
+    fn skip_mark(&mut self) {
+        if self.pending.starts_with(BYTE_ORDER_MARK) {
+            if std::mem::replace(&mut self.mark, Mark::Past) == Mark::Removed {
+                self.pending.drain(..BYTE_ORDER_MARK.len());
+            } else {
+                self.start = BYTE_ORDER_MARK.len();
+            }
+        } else if !BYTE_ORDER_MARK.starts_with(&self.pending) {
+            self.mark = Mark::Past;
         }
-        BYTE_ORDER_MARK.len()
+        self.line = self.start;
     }
 
     /// Reads the line that ends at a position.
@@ -235,6 +237,7 @@
         }
         let rest = self.pending.split_off(end);
         let events = std::mem::replace(&mut self.pending, rest);
+        self.start = 0;
         self.line -= end;
         self.id = self.id.take().map(|id| id.start - end..id.end - end);
         Some(Bytes::from(events))
@@ -247,8 +250,7 @@
     /// # Errors
     /// If the last event is incomplete, or one is missing.
     pub fn check_end(&self) -> Result<(), Failure> {
-        let pending = self.pending.strip_prefix(BYTE_ORDER_MARK);
-        let pending = pending.unwrap_or(&self.pending);
+        let pending = &self.pending[self.start..];
         let mut lines = pending.split(|&byte| matches!(byte, b'\n' | b'\r'));
         if lines.any(|line| !line.is_empty() && !line.starts_with(b":")) {
             return Err(Failure::new(End::Broken, "stream ended inside an event"));
@@ -279,6 +281,7 @@
 
     /// Takes the bytes that are left.
     fn clear(&mut self) -> Vec<u8> {
+        self.start = 0;
         self.line = 0;
         self.whole = 0;
         self.id = None;
@@ -331,10 +334,7 @@
     /// Returns the id of the first event that can be taken.
     #[must_use]
     pub fn first_id(&self) -> Option<Cow<'_, str>> {
-        let pending = self.pending.strip_prefix(BYTE_ORDER_MARK);
-        let mut lines = pending
-            .unwrap_or(&self.pending)
-            .split(|&byte| byte == b'\n');
+        let mut lines = self.pending[self.start..].split(|&byte| byte == b'\n');
         let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
         Some(String::from_utf8_lossy(value.trim_ascii()))
     }
