Take equal events without numbers for no repeats

An engine that numbers its first event and then sends two equal ones, such as two chunks without choices, had its whole answer cut.

Cause: the decoder's repeated id counted as the event's own where the data were the same.

Only the first equal event behind a numbered one stays ambiguous.

--- a/crates/peridotdeck-router/src/attempt/completion.rs
+++ b/crates/peridotdeck-router/src/attempt/completion.rs
@@ -128,14 +128,16 @@
         let id = params.id();
         let body = response.take_body().take(MAX_STREAM_BYTES);
         let mut events = async_sse::decode(Ending::new(body));
-        let mut last: Option<Message> = None;
+        let mut ids = OwnIds::default();
+        let mut waits_since = Instant::now();
         loop {
             let idle_timeout = if first_token.is_some() {
                 params.idle_timeout
             } else {
                 self.first_token_timeout(params)
             };
-            match timeout(idle_timeout, events.next()).await {
+            let left = idle_timeout.saturating_sub(waits_since.elapsed());
+            match timeout(left, events.next()).await {
                 Err(_) => return Outcome::Silent,
                 Ok(None | Some(Err(_))) => return Outcome::Broken,
                 Ok(Some(Ok(Event::Retry(_)))) => {}
@@ -143,10 +145,10 @@
                     answer.finish(&self.prompt.model, self.prompt.tokens).await;
                     return Outcome::Finished;
                 }
-                // An event without content only shows that the engine is alive.
+                // An event without content is no part of the answer, and the wait for one goes on.
                 Ok(Some(Ok(Event::Message(message)))) if message.data().is_empty() => {}
                 Ok(Some(Ok(Event::Message(message)))) => {
-                    let number = own_id(&message, last.as_ref()).filter(|id| is_number(id));
+                    let number = ids.own_id(&message).filter(|id| is_number(id));
                     match answer.push_event(number, message.data(), &id).await {
                         Ok(()) => {}
                         Err(Rejection::Disconnected) => return Outcome::Cancelled,
@@ -155,8 +157,9 @@
                             return Outcome::Crossed;
                         }
                     }
-                    first_token.get_or_insert_with(Instant::now);
-                    last = Some(message);
+                    waits_since = Instant::now();
+                    first_token.get_or_insert(waits_since);
+                    ids.last = Some(message);
                 }
             }
         }
@@ -196,14 +199,26 @@
     }
 }
 
-/// Returns the id that an event names itself.
+/// Tells the ids that events name themselves from those that the decoder repeats.
 ///
-/// The decoder repeats the last id for an event without one, as browsers do. Such an event has other data
-/// than the one before it; an event that came twice has the same.
-fn own_id<'a>(message: &'a Message, last: Option<&Message>) -> Option<&'a str> {
-    let is_repeated =
-        last.is_some_and(|last| last.id() == message.id() && last.data() != message.data());
-    message.id().as_deref().filter(|_| !is_repeated)
+/// The decoder gives the last id to an event without one, as browsers do. An event with the last one's
+/// id is taken to have come twice if its data are the last one's too, and else to have no id.
+#[derive(Debug, Default)]
+struct OwnIds {
+    last: Option<Message>,
+    /// Whether the last event had no id of its own.
+    is_repeated: bool,
+}
+
+impl OwnIds {
+    /// Returns the id that the next event names itself.
+    fn own_id<'a>(&mut self, message: &'a Message) -> Option<&'a str> {
+        let last = self.last.as_ref();
+        let last = last.filter(|last| last.id() == message.id());
+        self.is_repeated =
+            last.is_some_and(|last| self.is_repeated || last.data() != message.data());
+        message.id().as_deref().filter(|_| !self.is_repeated)
+    }
 }
 
 /// Returns whether an event's id numbers it; other ids may be the same for a whole answer.
--- a/crates/peridotdeck-router/tests/testsuite/sound_streams.rs
+++ b/crates/peridotdeck-router/tests/testsuite/sound_streams.rs
@@ -54,6 +54,24 @@
     play(&cases.map(case).to_vec());
 }
 
+/// Guards against equal events without numbers that are taken for repeats of one.
+#[test]
+fn equal_events_without_numbers_are_no_repeats() {
+    let chunk = r#"{"choices":[]}"#;
+    let twice = format!("data: {chunk}\n\n").repeat(2);
+    let first = event(ATTEMPT, 1, 1, "null");
+    let rest: String = (2..=6)
+        .map(|word| event(ATTEMPT, 0, word, "null"))
+        .collect();
+    let seen = format!("data: {chunk}?").repeat(2);
+    let expected = [&WORDS[..3], &seen, &WORDS[3..]].concat();
+    play(&vec![(
+        "equal".to_owned(),
+        first + &twice + &rest,
+        expected,
+    )]);
+}
+
 /// Returns whole answers with something behind the third word, in front of the first and at the end.
 fn beside(name: &str, lines: &str, passed: &str) -> Cases {
     let words = numbered([0; 6]);
