Compare the start that a report names in one place

The verdict on an end and the question before a stream goes on each read an endpoint's report with a size limit of their own (256 and 64 KiB), and compared the start that it names with the entry's in the same three ways: the same, another, none.

report::ask now reads status and body once, up to 256 KiB, and returns which process has answered. The module life and the enum Life are named liveness and Liveness, and Ingress::life_path report_path.

Callers see no change, but that a report of 64 to 256 KiB is read before a stream goes on, and that the body of a report with another status than 200 is read too, within the same 500 ms.

--- a/crates/peridotdeck-relay/src/answer/verdict.rs
+++ b/crates/peridotdeck-relay/src/answer/verdict.rs
@@ -8,9 +8,8 @@
 
 use async_io::Timer;
 use async_std::future::timeout;
-use hyper::{StatusCode, body::Bytes};
 use peridotdeck_core::{
-    dispatch::{self, Key, attempt::End, flight::Flight},
+    dispatch::{Key, attempt::End, flight::Flight},
     id::Time,
 };
 use strum::{Display, IntoStaticStr};
@@ -19,7 +18,7 @@
 use crate::{
     Ingress, Shared, clock, dial,
     pool::{self, Connection, Path},
-    report,
+    report::{self, Process},
     shared::detour_text,
     tunnel::Purpose,
 };
@@ -40,9 +39,6 @@
     Duration::from_millis(300),
 ];
 
-/// Largest body of an endpoint's report, in bytes.
-const MAX_REPORT_BYTES: usize = 256 << 10;
-
 /// The endpoint of an answer, and when the answer began.
 #[derive(Clone, Debug)]
 pub struct Origin {
@@ -59,7 +55,7 @@
 /// What is known of an endpoint's process after the end of its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
-enum Life {
+enum Liveness {
     /// The same process has answered since.
     Alive,
     /// The process has ended.
@@ -81,7 +77,7 @@
 }
 
 /// A verdict, the connection that brought it, and its observed cause.
-type Finding = (Life, Witness, String);
+type Finding = (Liveness, Witness, String);
 
 /// Checks that an answer without framing, which has ended in an orderly way, is complete.
 ///
@@ -99,10 +95,16 @@
     let time = VERDICT_TIMEOUT.min(flight.time_left(begun));
     let (life, witness, cause) = if path.shows_end {
         let judged = timeout(time, judge(shared, origin, path)).await;
-        judged.unwrap_or_else(|_| (Life::Unknown, Witness::None, "no answer in time".to_owned()))
+        judged.unwrap_or_else(|_| {
+            (
+                Liveness::Unknown,
+                Witness::None,
+                "no answer in time".to_owned(),
+            )
+        })
     } else {
         let cause = "the peer does not say that the endpoint closed the connection";
-        (Life::Unknown, Witness::None, cause.to_owned())
+        (Liveness::Unknown, Witness::None, cause.to_owned())
     };
     shared.metrics.count_judged_end(life.into(), witness.into());
     log::info!(
@@ -115,12 +117,12 @@
         clock::now().saturating_sub(begun).as_millis(),
     );
     match life {
-        Life::Alive => Ok(()),
-        Life::Ended => Err(Failure::new(
+        Liveness::Alive => Ok(()),
+        Liveness::Ended => Err(Failure::new(
             End::Broken,
             "the endpoint's process has ended",
         )),
-        Life::Unknown => {
+        Liveness::Unknown => {
             let cause = "connection ended, and nothing shows that the endpoint lives";
             Err(Failure::new(End::Unconfirmed, cause))
         }
@@ -133,14 +135,8 @@
     // A connection that was opened later may lead to another process.
     let is_older = |kept: &Connection| kept.path == path && kept.opened <= origin.answered;
     if let Some(mut connection) = kept.filter(is_older) {
-        let asked = timeout(
-            KEPT_TIMEOUT,
-            read_report(shared, &mut connection, origin.address),
-        )
-        .await;
-        if let Ok(Ok((status, body))) = asked
-            && let Ok(finding) = find(shared, origin, Witness::Kept, status, &body)
-        {
+        let asked = ask(shared, &mut connection, origin, Witness::Kept);
+        if let Ok(Ok(finding)) = timeout(KEPT_TIMEOUT, asked).await {
             return finding;
         }
     }
@@ -152,7 +148,7 @@
             Err(failure) => cause = failure,
         }
     }
-    (Life::Unknown, Witness::None, cause)
+    (Liveness::Unknown, Witness::None, cause)
 }
 
 /// Asks the endpoint on a new connection over the same path.
@@ -176,59 +172,37 @@
         Ok(connection) if connection.path == path => connection,
         Ok(_) => return Err("the peer has started again".to_owned()),
         Err(cause) if is_refused(&cause) => {
-            return Ok((Life::Ended, Witness::New, cause.to_string()));
+            return Ok((Liveness::Ended, Witness::New, cause.to_string()));
         }
         Err(cause) => return Err(cause.to_string()),
     };
-    let (status, body) = read_report(shared, &mut connection, origin.address).await?;
-    find(shared, origin, Witness::New, status, &body)
+    ask(shared, &mut connection, origin, Witness::New).await
 }
 
-/// Returns what a complete answer says of the endpoint's process.
+/// Asks the endpoint for its report, and returns what it says of the endpoint's process.
 ///
 /// Another process may listen at the address by now; only the start that the entry names shows that
-/// the same one answers.
+/// the same one answers. The connection is not kept, because the answer names no request; see
+/// [`crate::exchange::Channel::keep`].
 ///
 /// # Errors
-/// The observed cause, if the answer says nothing.
-fn find<I: Ingress>(
+/// The observed cause, if no complete answer came, or it says nothing.
+async fn ask<I: Ingress>(
     shared: &Shared<I>,
+    connection: &mut Connection,
     origin: &Origin,
     witness: Witness,
-    status: StatusCode,
-    body: &[u8],
 ) -> Result<Finding, String> {
-    // An entry may be without the time of a start.
-    let is_known = dispatch::key(&origin.instance, 0) != origin.key;
-    let start = shared.ingress.decode_start(body);
-    let start = start.filter(|_| status == StatusCode::OK);
-    match start {
-        Some(start) if is_known && dispatch::key(&origin.instance, start) != origin.key => {
-            Ok((Life::Ended, witness, format!("born={start}")))
-        }
-        None if is_known => Err(format!("status {} names no start", status.as_u16())),
-        _ => Ok((Life::Alive, witness, String::new())),
+    let entry = (origin.instance.as_str(), origin.key);
+    let report = report::ask(&shared.ingress, connection, origin.address, entry).await?;
+    match report.process {
+        Process::Same => Ok((Liveness::Alive, witness, String::new())),
+        Process::Other(start) => Ok((Liveness::Ended, witness, format!("born={start}"))),
+        Process::Unnamed => Err(format!("status {} names no start", report.status.as_u16())),
     }
 }
 
-/// Returns whether nobody listens at the endpoint's address.
+/// Returns whether no process listens at the endpoint's address.
 fn is_refused(error: &pool::Error) -> bool {
     matches!(error, pool::Error::Connect(cause) if cause.kind() == std::io::ErrorKind::ConnectionRefused)
 }
-
-/// Asks the endpoint for its report, and returns the status and body of the complete answer.
-///
-/// The connection is not kept, because the answer names no request; see [`crate::exchange::Channel::keep`].
-///
-/// # Errors
-/// The observed cause, if no complete answer came.
-async fn read_report<I: Ingress>(
-    shared: &Shared<I>,
-    connection: &mut Connection,
-    address: SocketAddrV4,
-) -> Result<(StatusCode, Bytes), String> {
-    let answer = report::ask(&shared.ingress, connection, address).await?;
-    let status = answer.status();
-    let body = report::read(answer, MAX_REPORT_BYTES).await?;
-    Ok((status, body))
-}
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -26,7 +26,7 @@
     clock, dial,
     fetch::Client,
     ingress::Reply,
-    life,
+    liveness,
     pool::{Connection, Pool},
     tunnel::Purpose,
 };
@@ -141,7 +141,7 @@
 ) -> Result<Answer, Failure> {
     let (mut connection, is_new) = reuse_or_dial(shared, flight, assignment).await?;
     if assignment.confirm {
-        life::confirm(&shared.ingress, &mut connection, assignment).await?;
+        liveness::confirm(&shared.ingress, &mut connection, assignment).await?;
     }
     let left = flight.time_left(clock::now());
     if left.is_zero() {
--- a/crates/peridotdeck-relay/src/ingress.rs
+++ b/crates/peridotdeck-relay/src/ingress.rs
@@ -88,8 +88,8 @@
     /// If the body is not such a list.
     fn decode_cache_list(&self, body: &[u8]) -> Result<Vec<Prefix>, serde_json::Error>;
 
-    /// Returns the path at which an endpoint answers while it lives.
-    fn life_path(&self) -> &'static str;
+    /// Returns the path at which an endpoint reports while it lives.
+    fn report_path(&self) -> &'static str;
 
     /// Decodes the time of an endpoint's start, in milliseconds, from its answer at that path.
     ///
--- a/crates/peridotdeck-relay/src/lib.rs
+++ b/crates/peridotdeck-relay/src/lib.rs
@@ -24,7 +24,7 @@
 pub mod forwarding;
 pub mod front;
 pub mod ingress;
-pub mod life;
+pub mod liveness;
 pub mod logging;
 pub mod metrics;
 pub mod node;
--- a/crates/peridotdeck-relay/src/liveness.rs
+++ b/crates/peridotdeck-relay/src/liveness.rs
@@ -9,19 +9,18 @@
 
 use async_std::future::timeout;
 use hyper::StatusCode;
-use peridotdeck_core::dispatch::{
-    attempt::{Assignment, End},
-    key,
-};
+use peridotdeck_core::dispatch::attempt::{Assignment, End};
 
-use crate::{Ingress, answer::Failure, pool::Connection, report};
+use crate::{
+    Ingress,
+    answer::Failure,
+    pool::Connection,
+    report::{self, Process},
+};
 
 /// Longest time for the endpoint's statement; it needs no free slot.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Largest statement in bytes.
-const MAX_BYTES: usize = 64 << 10;
-
 /// Asks the endpoint on a new connection when it started, before a stream goes on there.
 ///
 /// # Errors
@@ -31,40 +30,39 @@
     connection: &mut Connection,
     assignment: &Assignment,
 ) -> Result<(), Failure> {
-    let asked = timeout(TIMEOUT, read_start(ingress, connection, assignment)).await;
-    let report = asked.unwrap_or_else(|_| Err("not answered in time".to_owned()));
-    let start = report.map_err(|cause| {
+    let asked = timeout(TIMEOUT, read_process(ingress, connection, assignment)).await;
+    let process = asked.unwrap_or_else(|_| Err("not answered in time".to_owned()));
+    let process = process.map_err(|cause| {
         let cause = format!("start of the endpoint not known: {cause}");
         Failure::new(End::Rejected, &cause)
     })?;
-    let is = |start| key(&assignment.instance, start) == assignment.attempt.key();
-    // An entry without a start says nothing of the process, and counts as one at 0.
-    if is(0) || start.is_some_and(is) {
-        return Ok(());
-    }
-    Err(match start {
-        Some(start) => {
+    match process {
+        Process::Same => Ok(()),
+        Process::Other(start) => {
             let cause = format!("endpoint started again at {start}");
-            Failure::new(End::Replaced, &cause)
+            Err(Failure::new(End::Replaced, &cause))
         }
-        None => Failure::new(End::Rejected, "endpoint does not name its start"),
-    })
+        Process::Unnamed => Err(Failure::new(
+            End::Rejected,
+            "endpoint does not name its start",
+        )),
+    }
 }
 
-/// Returns the start that the endpoint names, if any; the connection is then ready for the next request.
-async fn read_start<I: Ingress>(
+/// Returns the process that answers; the connection is then ready for the next request.
+async fn read_process<I: Ingress>(
     ingress: &I,
     connection: &mut Connection,
     assignment: &Assignment,
-) -> Result<Option<u64>, String> {
-    let answer = report::ask(ingress, connection, assignment.address).await?;
-    if answer.status() != StatusCode::OK {
-        return Err(format!("status {}", answer.status().as_u16()));
+) -> Result<Process, String> {
+    let entry = (assignment.instance.as_str(), assignment.attempt.key());
+    let report = report::ask(ingress, connection, assignment.address, entry).await?;
+    if report.status != StatusCode::OK {
+        return Err(format!("status {}", report.status.as_u16()));
     }
-    let body = report::read(answer, MAX_BYTES).await?;
     connection
         .ready()
         .await
         .map_err(|cause| cause.to_string())?;
-    Ok(ingress.decode_start(&body))
+    Ok(report.process)
 }
