Leave connections that are younger than a judged answer in the pool

Where an answer without framing ended, the verdict took the newest kept connection to its endpoint, and closed it if it had been opened after the answer had begun, since it may lead to another process. The next request then opened a new one; an older connection below it was not asked.

The pool now looks for the newest connection over the path that is old enough, and leaves the others where they are.

--- a/crates/peridotdeck-relay/src/answer/verdict.rs
+++ b/crates/peridotdeck-relay/src/answer/verdict.rs
@@ -29,9 +29,6 @@
 /// Longest time for an answer on a kept connection, after which a new one is opened.
 const KEPT_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// Longest idle time of a kept connection that is used; the pool's own limits are shorter.
-const MAX_IDLE: Duration = Duration::from_secs(60);
-
 /// Times to wait before each new connection.
 const DELAYS: [Duration; 3] = [
     Duration::ZERO,
@@ -131,10 +128,8 @@
 
 /// Asks the endpoint on a kept connection if there is one, and else on new ones.
 async fn judge<I: Ingress>(shared: &Arc<Shared<I>>, origin: &Origin, path: Path) -> Finding {
-    let kept = shared.pool.reuse(origin.key, path.detour, MAX_IDLE);
-    // A connection that was opened later may lead to another process.
-    let is_older = |kept: &Connection| kept.path == path && kept.opened <= origin.answered;
-    if let Some(mut connection) = kept.filter(is_older) {
+    let kept = shared.pool.reuse_older(origin.key, path, origin.answered);
+    if let Some(mut connection) = kept {
         let asked = ask(shared, &mut connection, origin, Witness::Kept);
         if let Ok(Ok(finding)) = timeout(KEPT_TIMEOUT, asked).await {
             return finding;
--- a/crates/peridotdeck-relay/src/pool.rs
+++ b/crates/peridotdeck-relay/src/pool.rs
@@ -237,17 +237,31 @@
     /// been idle for too long.
     #[must_use]
     pub fn reuse(&self, key: Key, detour: Option<Node>, max_idle: Duration) -> Option<Connection> {
+        self.take(key, |idle, now| {
+            idle.connection.path.detour == detour && now.saturating_sub(idle.since) < max_idle
+        })
+    }
+
+    /// Takes the newest connection over a path that was open by a time.
+    ///
+    /// One that was opened later may lead to another process, and stays for the next requests.
+    #[must_use]
+    pub fn reuse_older(&self, key: Key, path: Path, time: Time) -> Option<Connection> {
+        self.take(key, |idle, _| {
+            idle.connection.path == path && idle.connection.opened <= time
+        })
+    }
+
+    /// Takes the newest connection to an endpoint that is ready and usable.
+    fn take(&self, key: Key, is_usable: impl Fn(&Idle, Time) -> bool) -> Option<Connection> {
         let now = clock::now();
         let mut table = self.table();
         let index = table.binary_search_by_key(&key, |(key, _)| *key).ok()?;
         let idle = &mut table[index].1;
         idle.retain(|entry| entry.is_open(now));
-        let usable = |entry: &Idle| {
-            entry.connection.is_ready()
-                && entry.connection.path.detour == detour
-                && now.saturating_sub(entry.since) < max_idle
-        };
-        let index = idle.iter().rposition(usable)?;
+        let index = idle
+            .iter()
+            .rposition(|entry| entry.connection.is_ready() && is_usable(entry, now))?;
         let connection = idle.remove(index).connection;
         connection.in_use.store(true, Ordering::Relaxed);
         Some(connection)
