Keep the id of an attempt's first event for the log

Events::first_id looked for a line of an id a second time in the bytes that wait, with rules of its own (one space, no CR), while read_line has found each id already. A continuation whose first event had no id was logged with the id of a later one that was not complete.

end_event keeps the id of the first event that follows. Callers see no change; the line stream_joined names the id that was compared.

--- a/crates/peridotdeck-relay/src/answer/events.rs
+++ b/crates/peridotdeck-relay/src/answer/events.rs
@@ -1,7 +1,6 @@
 //! Splits a stream of server-sent events after complete events.
 
 use std::{
-    borrow::Cow,
     fmt::{self, Display, Formatter},
     ops::Range,
 };
@@ -86,6 +85,8 @@
     id: Option<Range<usize>>,
     /// Whether the event that is not complete has a field.
     has_field: bool,
+    /// Id of the first event of this attempt that has one.
+    first_id: Option<String>,
     /// Whether an event of this attempt shows that the attempt belongs to the stream.
     has_event: bool,
     /// Whether the stream is known to have a further event.
@@ -210,6 +211,9 @@
             Order::Follows => {
                 self.has_event |= !self.sequence.is_joining();
                 self.is_due = false;
+                if self.first_id.is_none() {
+                    self.first_id = id.map(|id| String::from_utf8_lossy(id).into_owned());
+                }
                 return;
             }
             Order::Repeats => Cause::Repeats,
@@ -331,12 +335,10 @@
         &self.sequence
     }
 
-    /// Returns the id of the first event that can be taken.
+    /// Returns the id of the first event of this attempt that has one.
     #[must_use]
-    pub fn first_id(&self) -> Option<Cow<'_, str>> {
-        let mut lines = self.pending[self.start..].split(|&byte| byte == b'\n');
-        let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-        Some(String::from_utf8_lossy(value.trim_ascii()))
+    pub fn first_id(&self) -> Option<&str> {
+        self.first_id.as_deref()
     }
 }
 
--- a/crates/peridotdeck-relay/src/forwarding/logging.rs
+++ b/crates/peridotdeck-relay/src/forwarding/logging.rs
@@ -109,7 +109,7 @@
             self.flight.id,
             self.endpoint,
             logged_id(after),
-            logged_id(events.first_id().as_deref()),
+            logged_id(events.first_id()),
         );
     }
 
