Split lines from events

events.rs had two jobs: finding lines and the byte order mark in what comes, and comparing events with those before them. answer::lines has the first now, and answer::foreign what the log says of the first thing that does not belong to a stream.

--- a/crates/peridotdeck-relay/src/answer.rs
+++ b/crates/peridotdeck-relay/src/answer.rs
@@ -2,13 +2,16 @@
 
 mod events;
 mod failure;
+mod foreign;
 mod framing;
+mod lines;
 mod reading;
 mod verdict;
 
-pub(crate) use events::logged_id;
-pub use events::{Events, Foreign};
+pub use events::Events;
 pub use failure::Failure;
+pub use foreign::Foreign;
+pub(crate) use foreign::logged_id;
 pub use framing::Framing;
 pub(crate) use reading::{read_body, read_data, read_first_event, read_rest};
 pub use verdict::Origin;
--- a/crates/peridotdeck-relay/src/answer/events.rs
+++ b/crates/peridotdeck-relay/src/answer/events.rs
@@ -1,18 +1,18 @@
-//! Splits a stream of server-sent events after complete events.
+//! Checks the events of a stream, and splits it after complete ones.
 
-use std::{
-    fmt::{self, Display, Formatter},
-    ops::Range,
-};
+use std::ops::Range;
 
 use hyper::body::Bytes;
 use peridotdeck_core::{
     dispatch::attempt::End,
     sequence::{Order, Sequence},
 };
-use strum::{Display, IntoStaticStr};
 
-use super::Failure;
+use super::{
+    Failure,
+    foreign::{Cause, Foreign, MAX_LOGGED_BYTES},
+    lines::{Line, Lines},
+};
 
 /// Largest event in bytes; an endpoint that sends more without an event's end has failed.
 const MAX_EVENT_BYTES: usize = 256 << 10;
@@ -20,65 +20,10 @@
 /// Most bytes behind a stream without framing that are read for its end.
 const MAX_REST_BYTES: usize = 64 << 10;
 
-/// May stand before the first line of a stream.
-const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
-
-/// Longest part of an id or a line in the log, in bytes.
-const MAX_LOGGED_BYTES: usize = 40;
-
-/// Why something in a stream does not belong to it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
-#[strum(serialize_all = "kebab-case")]
-pub enum Cause {
-    /// An event is not beyond the last one.
-    Repeats,
-    /// Events are missing before the first one of a continuation.
-    Gap,
-    /// A line is in no event, such as the first line of another answer.
-    NotAnEvent,
-}
-
-/// The first thing in a stream that does not belong to it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Foreign {
-    /// Why it does not belong to the stream.
-    pub cause: Cause,
-    /// Id of the last event before it.
-    pub after: Option<String>,
-    /// The event's id, or the start of the line.
-    pub got: String,
-    /// Whether the stream was not over before it.
-    pub goes_on: bool,
-}
-
-impl Display for Foreign {
-    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        let after = logged_id(self.after.as_deref());
-        write!(f, "after={after} got={:?} cause={}", self.got, self.cause)
-    }
-}
-
-/// Whether a byte order mark may stand next in a stream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Mark {
-    /// The caller's stream may begin with it.
-    #[default]
-    Allowed,
-    /// It is removed, since it would stand in the middle of the caller's stream.
-    Removed,
-    /// The first line has begun.
-    Past,
-}
-
 /// Buffer that splits the bytes of a stream after complete events.
 #[derive(Debug, Default)]
 pub struct Events {
-    pending: Vec<u8>,
-    mark: Mark,
-    /// Position behind the mark, if the pending bytes begin with it.
-    start: usize,
-    /// Position of the first line that is not complete.
-    line: usize,
+    lines: Lines,
     /// Position after the last complete event.
     whole: usize,
     /// Position of the id of the event that is not complete.
@@ -112,7 +57,7 @@
     #[must_use]
     pub fn resumed(&self) -> Self {
         Self {
-            mark: Mark::Removed,
+            lines: Lines::resumed(),
             ..Self::after(self.sequence.continued(), self.is_unfinished())
         }
     }
@@ -122,17 +67,9 @@
     /// # Errors
     /// If an event exceeds its largest size, or the first event does not belong to the stream.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), Failure> {
-        let mut from = self.pending.len();
-        self.pending.extend_from_slice(bytes);
-        if self.mark != Mark::Past {
-            self.skip_mark();
-            from = self.start;
-        }
-        while let Some(length) = self.pending[from..].iter().position(|&byte| byte == b'\n') {
-            let end = from + length;
-            self.read_line(end);
-            from = end + 1;
-            self.line = from;
+        self.lines.push(bytes);
+        while let Some(line) = self.lines.read() {
+            self.read_line(line);
         }
         if let Some(foreign) = &self.foreign
             && !self.has_event
@@ -144,34 +81,19 @@
             };
             return Err(Failure::new(End::Garbled, cause));
         }
-        if self.pending.len() > MAX_EVENT_BYTES && !self.has_complete() {
+        if self.lines.len() > MAX_EVENT_BYTES && !self.has_complete() {
             return Err(Failure::new(End::Garbled, "event is too large"));
         }
         Ok(())
     }
 
-    /// Looks for the byte order mark before the first line; it may come byte by byte.
-    fn skip_mark(&mut self) {
-        if self.pending.starts_with(BYTE_ORDER_MARK) {
-            if std::mem::replace(&mut self.mark, Mark::Past) == Mark::Removed {
-                self.pending.drain(..BYTE_ORDER_MARK.len());
-            } else {
-                self.start = BYTE_ORDER_MARK.len();
-            }
-        } else if !BYTE_ORDER_MARK.starts_with(&self.pending) {
-            self.mark = Mark::Past;
-        }
-        self.line = self.start;
-    }
-
-    /// Reads the line that ends at a position.
-    fn read_line(&mut self, end: usize) {
-        let line = &self.pending[self.line..end];
-        let line = line.strip_suffix(b"\r").unwrap_or(line);
+    /// Reads a complete line.
+    fn read_line(&mut self, Line { text, end }: Line) {
+        let line = self.lines.get(text.clone());
         if line.is_empty() {
             self.end_event();
             if self.foreign.is_none() {
-                self.whole = end + 1;
+                self.whole = end;
             }
             return;
         }
@@ -190,8 +112,7 @@
         if name == b"id" {
             let value = value.strip_prefix(b":").unwrap_or(value);
             let length = value.strip_prefix(b" ").unwrap_or(value).len();
-            let value_end = self.line + line.len();
-            self.id = Some(value_end - length..value_end);
+            self.id = Some(text.end - length..text.end);
         }
     }
 
@@ -201,7 +122,7 @@
             return;
         }
         let id = self.id.take();
-        let id = id.map(|range| &self.pending[range]);
+        let id = id.map(|range| self.lines.get(range));
         if let Some(foreign) = &mut self.foreign {
             let has_id = id.is_some_and(|id| !id.is_empty());
             foreign.goes_on |= has_id && self.sequence.order(id) != Order::Repeats;
@@ -239,10 +160,7 @@
         if end == 0 {
             return None;
         }
-        let rest = self.pending.split_off(end);
-        let events = std::mem::replace(&mut self.pending, rest);
-        self.start = 0;
-        self.line -= end;
+        let events = self.lines.take(end);
         self.id = self.id.take().map(|id| id.start - end..id.end - end);
         Some(Bytes::from(events))
     }
@@ -254,8 +172,10 @@
     /// # Errors
     /// If the last event is incomplete, or one is missing.
     pub fn check_end(&self) -> Result<(), Failure> {
-        let pending = &self.pending[self.start..];
-        let mut lines = pending.split(|&byte| matches!(byte, b'\n' | b'\r'));
+        let mut lines = self
+            .lines
+            .rest()
+            .split(|&byte| matches!(byte, b'\n' | b'\r'));
         if lines.any(|line| !line.is_empty() && !line.starts_with(b":")) {
             return Err(Failure::new(End::Broken, "stream ended inside an event"));
         }
@@ -285,11 +205,9 @@
 
     /// Takes the bytes that are left.
     fn clear(&mut self) -> Vec<u8> {
-        self.start = 0;
-        self.line = 0;
         self.whole = 0;
         self.id = None;
-        std::mem::take(&mut self.pending)
+        self.lines.clear()
     }
 
     /// Returns whether what has come shows that at least one more event is due.
@@ -310,7 +228,7 @@
             let cause = "stream was not over before what does not belong to it";
             return Err(Failure::new(End::Garbled, cause));
         }
-        if self.pending.len() > MAX_REST_BYTES {
+        if self.lines.len() > MAX_REST_BYTES {
             let cause = "too many bytes behind the stream";
             return Err(Failure::new(End::Garbled, cause));
         }
@@ -342,12 +260,6 @@
     }
 }
 
-/// Returns an id for the log, which may hold any characters and any number of them.
-pub(crate) fn logged_id(id: Option<&str>) -> String {
-    let start = |id: &str| -> String { id.chars().take(MAX_LOGGED_BYTES).collect() };
-    id.map_or_else(|| "none".to_owned(), |id| format!("{:?}", start(id)))
-}
-
 /// Returns whether the name of an event's field may have a byte.
 fn is_name(byte: u8) -> bool {
     byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_')
