Pass long answers of the own interface on as callers take them

Callers of all services lost their requests on a node: an engine that answered 90 requests without end, or with 15 MB and then a byte now and then, filled the node's memory, and the process was ended. Cause: each answer up to 16 MB was kept until it was complete; the bound of one answer says nothing about their sum.

Now 64 KB are kept. A longer answer goes on to the caller in pieces of 8 KB, read as fast as the caller takes them, with the length that the endpoint stated. If it breaks, is longer than 16 MB or late, the caller's connection is closed early; the end of a body has to be said (body::Feed), so that a task that ends cannot make a part look whole. The core does not try such a request again (End::is_partial) and counts the endpoint as failed, as before. What is lost is the second try of repeatable requests whose answer breaks after 64 KB. A request that must not run twice is still read to its end if its caller leaves. A stated length beyond the bound fails before the body.

--- a/crates/peridotdeck-core/src/event.rs
+++ b/crates/peridotdeck-core/src/event.rs
@@ -54,6 +54,8 @@
     pub outcome: Outcome,
     /// Output tokens that this attempt delivered.
     pub tokens: u32,
+    /// Whether the caller has a part of an answer that no other attempt can continue.
+    pub is_partial: bool,
     /// Time from the start of the attempt to the first token, if one arrived.
     pub time_to_first_token: Option<Duration>,
     /// Time from the start to the end of the attempt.
--- a/crates/peridotdeck-core/src/flight/table/attempt.rs
+++ b/crates/peridotdeck-core/src/flight/table/attempt.rs
@@ -62,7 +62,7 @@
                 self.retry_or_refuse(index, running.endpoint, context, out);
             }
             Outcome::Broken | Outcome::Silent | Outcome::Crossed => {
-                self.handle_failure(index, &running, end.outcome, context, out);
+                self.handle_failure(index, &running, &end, context, out);
             }
         }
     }
@@ -199,14 +199,14 @@
         &mut self,
         index: usize,
         running: &Running,
-        outcome: Outcome,
+        end: &End,
         context: &mut Context<'_>,
         out: &mut Outbox,
     ) {
         let flight = &mut self.flights[index];
         flight.may_have_run = true;
         let fingerprint = flight.call.fingerprint;
-        if outcome == Outcome::Broken
+        if end.outcome == Outcome::Broken
             && self
                 .quarantine
                 .record_crash(fingerprint, running.endpoint, context.now)
@@ -223,13 +223,13 @@
                 out,
             );
         }
-        if outcome == Outcome::Broken {
+        if end.outcome == Outcome::Broken {
             self.blame_prefix(index, running.endpoint, context, out);
         }
         let flight = &self.flights[index];
         let quarantined = self.quarantine.crashes(fingerprint) >= CRASH_LIMIT
             || self.is_suspected(flight.call.prefix);
-        let continues = flight.delivered_tokens == 0 || flight.call.resumable;
+        let continues = !end.is_partial && (flight.delivered_tokens == 0 || flight.call.resumable);
         if flight.call.idempotent && continues && !quarantined {
             return self.retry_or_refuse(index, running.endpoint, context, out);
         }
--- a/crates/peridotdeck-core/tests/testsuite/simulation/endpoints.rs
+++ b/crates/peridotdeck-core/tests/testsuite/simulation/endpoints.rs
@@ -193,6 +193,7 @@
         let end = End {
             outcome,
             tokens: 0,
+            is_partial: false,
             time_to_first_token: Some(Duration::from_millis(30)),
             duration: self.service_time,
             answer: Some((200, "done".to_owned())),
--- a/crates/peridotdeck-http/src/client.rs
+++ b/crates/peridotdeck-http/src/client.rs
@@ -8,7 +8,7 @@
 
 use async_std::{future::timeout, io::ReadExt, net::TcpStream};
 use http_types::{
-    Request, Response, StatusCode, Url,
+    Body, Request, Response, StatusCode, Url,
     headers::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 use peridotdeck_io::Bounded;
@@ -20,6 +20,9 @@
 /// Largest number of bytes that are read before the head of a response is complete.
 const MAX_BYTES_TO_HEAD: usize = 64 << 10;
 
+/// Bytes of a body that are read at a time.
+pub const PIECE_BYTES: usize = 8 << 10;
+
 quick_error! {
     /// Why a request got no response head.
     #[derive(Debug)]
@@ -95,34 +98,84 @@
     send(stream, request, response_timeout).await
 }
 
+/// The body of a response, which may have at most a number of bytes, read piece by piece.
+#[derive(Debug)]
+pub struct Incoming {
+    body: Body,
+    length: Option<usize>,
+    limit: usize,
+    read: usize,
+}
+
+impl Incoming {
+    /// Takes the body out of a response.
+    ///
+    /// # Errors
+    /// If the response states a longer body, or has neither a length nor chunks: its connection's end
+    /// would not show that the body is complete, and `async-h1` hides such a body.
+    pub fn new(response: &mut Response, limit: usize) -> io::Result<Self> {
+        check_framing(response)?;
+        let length = response.len();
+        let incoming = Self {
+            body: response.take_body(),
+            length,
+            limit,
+            read: 0,
+        };
+        if length.is_some_and(|length| length > limit) {
+            return Err(incoming.too_long());
+        }
+        Ok(incoming)
+    }
+
+    /// Returns the length in bytes that the response states, if it states one.
+    #[must_use]
+    pub fn length(&self) -> Option<usize> {
+        self.length
+    }
+
+    /// Reads into a buffer that is not empty and returns the number of bytes; 0 ends a complete body.
+    ///
+    /// # Errors
+    /// If the body is longer than its limit, or the connection breaks before its end.
+    pub async fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let bytes = self.body.read(buffer).await?;
+        self.read += bytes;
+        if self.read > self.limit {
+            return Err(self.too_long());
+        }
+        // `async-h1` does not check that as many bytes arrive as the length states.
+        if bytes == 0 && self.length.is_some_and(|length| length != self.read) {
+            return Err(io::Error::new(
+                io::ErrorKind::UnexpectedEof,
+                "connection closed before the end of the body",
+            ));
+        }
+        Ok(bytes)
+    }
+
+    fn too_long(&self) -> io::Error {
+        let cause = format!("body is longer than {} bytes", self.limit);
+        io::Error::new(io::ErrorKind::InvalidData, cause)
+    }
+}
+
 /// Reads a response's complete body, which may have at most `limit` bytes.
 ///
 /// A failing peer may send bytes without end, so no more than the limit is ever held.
 ///
 /// # Errors
-/// If the body is longer, if the connection breaks before its end, or if the response has neither
-/// a length nor chunks: its connection's end would not show that the body is complete, and
-/// `async-h1` hides such a body.
+/// Those of [`Incoming`].
 pub async fn read_body(response: &mut Response, limit: usize) -> io::Result<Vec<u8>> {
-    check_framing(response)?;
-    // `async-h1` does not check that as many bytes arrive as the length states.
-    let length = response.len();
+    let mut incoming = Incoming::new(response, limit)?;
     let mut body = Vec::new();
-    let mut bounded = response.take_body().take(limit as u64 + 1);
-    bounded.read_to_end(&mut body).await?;
-    if body.len() > limit {
-        return Err(io::Error::new(
-            io::ErrorKind::InvalidData,
-            format!("body is longer than {limit} bytes"),
-        ));
-    }
-    if length.is_some_and(|length| length != body.len()) {
-        return Err(io::Error::new(
-            io::ErrorKind::UnexpectedEof,
-            "connection closed before the end of the body",
-        ));
+    let mut piece = [0; PIECE_BYTES];
+    loop {
+        match incoming.read(&mut piece).await? {
+            0 => return Ok(body),
+            bytes => body.extend_from_slice(&piece[..bytes]),
+        }
     }
-    Ok(body)
 }
 
 /// Checks that a response shows where its body ends, and that its body is not encoded further.
--- a/crates/peridotdeck-router/src/attempt.rs
+++ b/crates/peridotdeck-router/src/attempt.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod chunk;
 mod completion;
+mod passing;
 mod plain;
 
 pub use answer::{Answer, Disconnected, FullResponse, Rejection};
@@ -122,6 +123,7 @@
     End {
         outcome,
         tokens,
+        is_partial: false,
         time_to_first_token: first_token.map(|time| time.duration_since(started)),
         duration: started.elapsed(),
         answer: None,
--- a/crates/peridotdeck-router/src/attempt/answer.rs
+++ b/crates/peridotdeck-router/src/attempt/answer.rs
@@ -3,12 +3,12 @@
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
-use http_types::{Response, StatusCode};
+use http_types::{Body, Response, StatusCode};
 use peridotdeck_core::{
     id,
     sequence::{Order, Sequence},
 };
-use peridotdeck_http::body::{self, ChunkSender};
+use peridotdeck_http::body::{self, ChunkSender, Feed};
 use serde_json::{Value, json};
 
 use super::chunk::{Chunk, Flaw};
@@ -56,6 +56,8 @@
     request: id::Request,
     response_sender: Option<Sender<Response>>,
     chunks: Option<ChunkSender>,
+    /// The rest of a body that is passed on.
+    feed: Option<Feed>,
     streams: bool,
     chat: bool,
     text: String,
@@ -85,6 +87,7 @@
             request,
             response_sender: Some(response_sender),
             chunks: None,
+            feed: None,
             streams,
             chat,
             text: String::new(),
@@ -227,18 +230,68 @@
     /// # Errors
     /// [`Disconnected`] if the caller has disconnected or already has a response.
     pub async fn send_full(&mut self, full: FullResponse) -> Result<(), Disconnected> {
-        let status = StatusCode::try_from(full.status).unwrap_or(StatusCode::BadGateway);
+        self.send_head(full.status, &full.content_type, full.body.into())
+            .await
+    }
+
+    async fn send_head(
+        &mut self,
+        status: u16,
+        content_type: &str,
+        body: Body,
+    ) -> Result<(), Disconnected> {
+        let status = StatusCode::try_from(status).unwrap_or(StatusCode::BadGateway);
         let mut response = Response::new(status);
-        response.set_body(full.body);
-        response.insert_header("content-type", full.content_type);
+        response.set_body(body);
+        response.insert_header("content-type", content_type);
         response.insert_header("x-request-id", format!("{:016x}", self.request));
         self.send_response(response).await
     }
 
+    /// Sends the head of a response whose body follows in pieces.
+    ///
+    /// # Errors
+    /// [`Disconnected`] if the caller has disconnected or already has a response.
+    pub async fn begin_body(
+        &mut self,
+        status: u16,
+        content_type: &str,
+        length: Option<usize>,
+    ) -> Result<(), Disconnected> {
+        let (feed, body) = Feed::new(length);
+        self.feed = Some(feed);
+        self.send_head(status, content_type, body).await
+    }
+
+    /// Sends a piece of the body and returns whether the caller is connected.
+    pub async fn send_piece(&self, piece: Vec<u8>) -> bool {
+        match &self.feed {
+            Some(feed) => feed.send(piece).await,
+            None => false,
+        }
+    }
+
+    /// Ends a body that has been sent in pieces.
+    pub fn finish_body(&mut self) {
+        if let Some(feed) = self.feed.take() {
+            feed.finish();
+        }
+    }
+
+    /// Returns whether the caller has a part of a body that no other attempt can continue.
+    #[must_use]
+    pub fn is_partial(&self) -> bool {
+        self.feed.is_some()
+    }
+
     /// Sends the caller an error instead of a complete answer.
     ///
-    /// A stream that has begun gets an error event and no end marker.
+    /// A stream that has begun gets an error event and no end marker; the connection of a body that
+    /// has begun is closed early.
     pub async fn send_error(&mut self, error: &ApiError) {
+        if self.feed.take().is_some() {
+            return;
+        }
         if let Some(chunks) = self.chunks.take() {
             let event = format!("data: {}\n\n", error.body());
             let _ = chunks.send(Ok(event.into_bytes())).await;
--- a/crates/peridotdeck-router/src/attempt/completion.rs
+++ b/crates/peridotdeck-router/src/attempt/completion.rs
@@ -5,15 +5,15 @@
 use async_sse::{Event, Message};
 use async_std::future::timeout;
 use futures_lite::{AsyncReadExt, StreamExt};
-use http_types::{Method, Request, Response, mime};
+use http_types::{Method, Request, Response, StatusCode, mime};
 use peridotdeck_core::event::End;
 use peridotdeck_http::client;
 use peridotdeck_io::Ending;
 use peridotdeck_wire::Outcome;
 
 use super::{
-    Answer, FullResponse, MAX_ANSWER_BYTES, Parameters, Rejection, attempt_end, confirms_not_run,
-    names_other_attempt, send,
+    Answer, MAX_ANSWER_BYTES, Parameters, Rejection, attempt_end, confirms_not_run,
+    names_other_attempt, passing::Passing, send,
 };
 use crate::{dial::Dial, prompt::Prompt};
 
@@ -166,35 +166,24 @@
     }
 
     /// Forwards a response unparsed: one that is not reassembled, or an error of the caller.
-    async fn forward(
-        &self,
-        mut response: Response,
-        limit: Duration,
-        answer: &mut Answer,
-    ) -> Outcome {
-        let status = u16::from(response.status());
-        let most = if status == 200 {
+    async fn forward(&self, response: Response, limit: Duration, answer: &mut Answer) -> Outcome {
+        let max_bytes = if response.status() == StatusCode::Ok {
             MAX_ANSWER_BYTES
         } else {
             MAX_ERROR_BODY_BYTES
         };
-        let read = client::read_body(&mut response, most);
-        let body = match timeout(limit, read).await {
-            Err(_) => return Outcome::Silent,
-            Ok(Err(_)) => return Outcome::Broken,
-            Ok(Ok(body)) => body,
+        let passing = Passing {
+            max_bytes,
+            timeout: limit,
+            runs_on: false,
         };
-        let content_type = "application/json".to_owned();
-        match answer
-            .send_full(FullResponse {
-                status,
-                content_type,
-                body,
-            })
-            .await
-        {
-            Ok(()) => Outcome::Finished,
-            Err(_) => Outcome::Cancelled,
+        match passing.run(response, "application/json", answer).await {
+            Ok(None) => Outcome::Finished,
+            Ok(Some(full)) => match answer.send_full(full).await {
+                Ok(()) => Outcome::Finished,
+                Err(_) => Outcome::Cancelled,
+            },
+            Err(outcome) => outcome,
         }
     }
 }
--- a/crates/peridotdeck-router/src/attempt/plain.rs
+++ b/crates/peridotdeck-router/src/attempt/plain.rs
@@ -2,7 +2,6 @@
 
 use std::time::Instant;
 
-use async_std::future::timeout;
 use http_types::{Method, Request, Response};
 use peridotdeck_core::event::End;
 use peridotdeck_http::client;
@@ -10,7 +9,7 @@
 
 use super::{
     Answer, FullResponse, MAX_ANSWER_BYTES, Parameters, attempt_end, confirms_not_run,
-    names_other_attempt, send,
+    names_other_attempt, passing::Passing, send,
 };
 use crate::dial::Dial;
 
@@ -36,9 +35,9 @@
     /// Runs one attempt and sends the response to the caller.
     pub async fn run<D: Dial>(&self, dial: &D, params: &Parameters, answer: &mut Answer) -> End {
         let started = Instant::now();
-        match self.fetch(dial, params).await {
-            Ok(full) => {
-                let first_token = Some(Instant::now());
+        let (outcome, stored) = match self.fetch(dial, params, answer).await {
+            Ok(None) => (Outcome::Finished, None),
+            Ok(Some(full)) => {
                 let stored = storable(&full);
                 // A request that must not run twice has run, even if the caller disconnected.
                 let delivered = answer.send_full(full).await.is_ok();
@@ -48,16 +47,23 @@
                 } else {
                     Outcome::Cancelled
                 };
-                End {
-                    answer: stored,
-                    ..attempt_end(outcome, 0, first_token, started)
-                }
+                (outcome, stored)
             }
-            Err(outcome) => attempt_end(outcome, 0, None, started),
+            Err(outcome) => return attempt_end(outcome, 0, None, started),
+        };
+        End {
+            answer: stored,
+            ..attempt_end(outcome, 0, Some(Instant::now()), started)
         }
     }
 
-    async fn fetch<D: Dial>(&self, dial: &D, params: &Parameters) -> Result<FullResponse, Outcome> {
+    /// Fetches the answer and returns it, unless it was passed on in pieces.
+    async fn fetch<D: Dial>(
+        &self,
+        dial: &D,
+        params: &Parameters,
+        answer: &mut Answer,
+    ) -> Result<Option<FullResponse>, Outcome> {
         let request = |address| {
             let mut request = Request::new(self.method, client::url(address, &self.path)?);
             for (name, value) in &self.headers {
@@ -71,19 +77,23 @@
             }
             Ok(request)
         };
-        let mut response = send(dial, params, request, params.response_timeout).await?;
+        let response = send(dial, params, request, params.response_timeout).await?;
         if names_other_attempt(&response, params) {
             return Err(Outcome::Crossed);
         }
         if response.status().is_server_error() || u16::from(response.status()) == 429 {
             return Err(self.classify_error(&response));
         }
-        let read = client::read_body(&mut response, MAX_ANSWER_BYTES);
-        match timeout(params.response_timeout, read).await {
-            Err(_) => Err(Outcome::Silent),
-            Ok(Ok(body)) => Ok(full_response(&response, body)),
-            Ok(Err(_)) => Err(Outcome::Broken),
-        }
+        let content_type = response
+            .header("content-type")
+            .map_or("application/octet-stream", |value| value.last().as_str())
+            .to_owned();
+        let passing = Passing {
+            max_bytes: MAX_ANSWER_BYTES,
+            timeout: params.response_timeout,
+            runs_on: !self.idempotent,
+        };
+        passing.run(response, &content_type, answer).await
     }
 
     /// Returns the outcome of an error response.
@@ -99,17 +109,6 @@
     }
 }
 
-fn full_response(response: &Response, body: Vec<u8>) -> FullResponse {
-    let content_type = response
-        .header("content-type")
-        .map_or("application/octet-stream", |value| value.last().as_str());
-    FullResponse {
-        status: response.status().into(),
-        content_type: content_type.to_owned(),
-        body,
-    }
-}
-
 /// Returns the status and body to store at witnesses, if the body is short UTF-8 text.
 fn storable(full: &FullResponse) -> Option<(u16, String)> {
     let text = String::from_utf8(full.body.clone()).ok()?;
--- a/crates/peridotdeck-router/src/request_task.rs
+++ b/crates/peridotdeck-router/src/request_task.rs
@@ -186,11 +186,13 @@
         let end = end.unwrap_or_else(|| End {
             outcome,
             tokens: self.answer.tokens() - delivered_before,
+            is_partial: false,
             time_to_first_token: None,
             duration: started.elapsed(),
             answer: None,
         });
-        self.report_end(attempt, end).await
+        let is_partial = self.answer.is_partial();
+        self.report_end(attempt, End { is_partial, ..end }).await
     }
 
     fn parameters(&self, attempt: id::Attempt, endpoint: Endpoint) -> Parameters {
