Let streams go on only where something names their version

Cause: the absence of a second version in a list was taken for knowledge of the stream's version, with checks on how old the list may be. Four gaps were left: a change that reached others first, a data centre cut off as a whole, a majority without the publisher, a node that hears but is not heard.

Change: a stream that its caller names goes on where this node or another one knows it, or a cache tells (as before, but only during a short history). Nodes are told of streams always, not only beside several versions: those of the same data centre within a tick; with one version known, the others within 0.5 s, many streams in one datagram, since that traffic is charged. If a node is alone in its data centre, others are told at once. A stream that its caller does not name (Last-Event-Id without Resumes) goes on only if a read of the publisher of the last second shows one version. A node out of step reads the publisher while it asks. streams.rs is split: `holders` tells and asks, `stream::Outbox` collects.

What is lost: streams of the last 0.5 s before the end of a whole data centre.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -12,6 +12,7 @@
 //! - `rates`: an endpoint names a rate, or a request needs a part of one;
 //! - `places`: an endpoint is brittle, or a request needs a place there;
 //! - `streams`: a stream begins, or a caller takes one up;
+//! - `holders`: other nodes are told of streams, or asked for them;
 //! - `peers`: a heartbeat from a peer arrives, or one to a peer is composed;
 //! - `detours`: a path to an endpoint is lost, or works again;
 //! - `probes`: a path needs a connection that only tests it;
@@ -20,6 +21,7 @@
 
 mod batch;
 mod detours;
+mod holders;
 mod maintenance;
 mod outcomes;
 mod pauses;
@@ -127,6 +129,7 @@
     streams: stream::Table,
     versions: stream::Versions,
     listing: stream::Listing,
+    outbox: stream::Outbox,
     step: stream::Step,
     /// Streams whose versions are to be asked for.
     lookups: Vec<stream::Id>,
@@ -185,6 +188,7 @@
             streams: stream::Table::default(),
             versions,
             listing: stream::Listing::default(),
+            outbox: stream::Outbox::default(),
             step: stream::Step::default(),
             lookups: Vec::new(),
             suspicions: Vec::new(),
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -2,22 +2,17 @@
 
 use std::time::Duration;
 
-use peridotdeck_wire::beat;
-
-use super::{Dispatcher, batch, peers::millis, waiting::give_up};
+use super::{Dispatcher, waiting::give_up};
 use crate::{
     dispatch::{
-        DataCentre, Node, Software,
+        Software,
         attempt::{Attempt, Delay, Placement, WaitCause},
-        data_centre,
-        fleet::Broadcast,
         flight::Flight,
         refusal::Cause,
         registry::Area,
         stream::{self, Entry, Evidence, Resolution, Table, step::CONFIRMED},
     },
     id::Time,
-    rendezvous,
 };
 
 /// Time for which a stream is remembered beyond the deadline of the request that began it.
@@ -29,36 +24,9 @@
 /// Time after which other nodes are asked again, since messages may be lost.
 const LOOKUP_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Nodes of the own data centre that are told of a stream, and those that are asked.
-///
-/// One more is asked, since the one that ranked first may just have joined.
-const LOCAL_HOLDERS: (usize, usize) = (2, 3);
-
-/// Nodes of another data centre that are told of a stream, and those that are asked.
-const REMOTE_HOLDERS: (usize, usize) = (1, 2);
-
-/// Other data centres whose nodes are told of a stream.
-const REMOTE_DATA_CENTRES: usize = 2;
-
-/// Nodes of a data centre that tell others of the parts that an endpoint has cached.
-const LISTERS: usize = 2;
-
-/// Most streams or lookups in one message, so that it fits a datagram.
-const MAX_ENTRIES: usize = 48;
-
-/// Most streams that others are told of in one tick.
-const MAX_TOLD: usize = 256;
-
 /// Most lookups that wait for a message; further ones are not sent.
 const MAX_LOOKUPS: usize = 1_024;
 
-/// A use of the nodes that should know a stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Purpose {
-    Tell,
-    Ask,
-}
-
 impl Dispatcher {
     /// Records that a stream's first event is about to be forwarded, or the first one after a break.
     ///
@@ -85,7 +53,8 @@
 
     /// Finds the version that began a stream which its caller takes up.
     ///
-    /// Returns how the request must wait for it or be refused, if this node does not know.
+    /// Something must name it: this node or another one that knows the stream, or the caches that hold
+    /// its prompt. Returns how the request must wait for that or be refused, if this node does not know.
     pub(super) fn resolve_version(&mut self, flight: &mut Flight, now: Time) -> Option<Placement> {
         if flight.software.is_some() {
             return None;
@@ -101,22 +70,20 @@
             self.record_resolution(flight, by, Some(entry.software), now);
             return None;
         }
-        if self.is_only_version(&flight.service, now) {
-            let by = if self.is_roster_confirmed(now) {
-                Evidence::Publisher
-            } else {
-                Evidence::Peers
-            };
-            self.record_resolution(flight, by, None, now);
+        let may_be_only = stream.is_none() && self.may_be_only_version(&flight.service, now);
+        if may_be_only && self.is_list_confirmed(now) {
+            self.record_resolution(flight, Evidence::Publisher, None, now);
             return None;
         }
+        if may_be_only || !self.is_in_step(now) {
+            // Once the version is known, its endpoints must be.
+            self.step.want_read();
+        }
         let is_over = now.saturating_sub(flight.arrived) >= LOOKUP_TIMEOUT;
-        if !is_over && self.ask(flight, stream, now) {
+        if !is_over && (self.ask(flight, stream, now) || may_be_only) {
             return Some(Placement::Wait(Delay::poll(WaitCause::Lookup)));
         }
-        if self.may_have_others(&flight.service, now)
-            && let Some(software) = self.cached_version(flight)
-        {
+        if let Some(software) = self.cached_version(flight, now) {
             self.record_resolution(flight, Evidence::Cache, Some(software), now);
             return None;
         }
@@ -143,18 +110,20 @@
         });
     }
 
-    /// Returns whether all streams of a service were certainly begun by its only version.
+    /// Returns whether a service has had one version for as long as streams last, as far as is known.
     ///
-    /// If nothing shows that the endpoint list is complete, a read of the publisher is asked for.
-    fn is_only_version(&mut self, service: &str, now: Time) -> bool {
-        if self.may_have_others(service, now) {
-            return false;
-        }
-        let is_in_step = self.is_in_step(now);
-        if !is_in_step {
-            self.step.want_read();
-        }
-        is_in_step
+    /// Together with a confirmed list it stands in for the version of a stream that its caller does not
+    /// name.
+    fn may_be_only_version(&self, service: &str, now: Time) -> bool {
+        !self.versions.is_mixed(service, now) && !self.versions.is_history_short(now)
+    }
+
+    /// Returns whether the publisher has shown lately that no endpoint is missing from the list.
+    ///
+    /// What joined after the read began is not known; the read is at most [`CONFIRMED`] old.
+    fn is_list_confirmed(&self, now: Time) -> bool {
+        let known = self.registry.progress(Area::Roster).changed;
+        self.is_roster_confirmed(now) && !self.step.lacks_change(known, now)
     }
 
     /// Returns whether this node's endpoint list holds all that others may have used.
@@ -193,14 +162,6 @@
         }
     }
 
-    /// Returns whether a service has, or may have had, several versions.
-    ///
-    /// Caches that were listed at the start then show the version of an unknown stream. At a node out of
-    /// step they are those of versions that it knows.
-    fn may_have_others(&self, service: &str, now: Time) -> bool {
-        self.versions.is_mixed(service, now) || self.versions.is_history_short(now)
-    }
-
     /// Asks others for the version of a stream that this node does not know.
     ///
     /// While nobody knows what ran before, it also asks which version has cached the own part of
@@ -218,9 +179,13 @@
 
     /// Returns the version of the endpoints that have cached the own part of a request's prompt.
     ///
-    /// An endpoint that ran the stream has, also after all nodes have ended. If endpoints of several
-    /// versions have, the part belongs to a session, and tells nothing.
-    fn cached_version(&self, flight: &Flight) -> Option<Software> {
+    /// An endpoint that ran the stream has, also after all nodes have ended. The caches were listed at
+    /// the start, so later they say nothing of streams that have begun since. If endpoints of several
+    /// versions have the part, it belongs to a session, and tells nothing.
+    fn cached_version(&self, flight: &Flight, now: Time) -> Option<Software> {
+        if !self.versions.is_history_short(now) {
+            return None;
+        }
         let own = flight.prompt.own?;
         let holders = self.prefixes.holders(own).iter();
         let listed = holders.filter_map(|holding| self.state(holding.endpoint));
@@ -236,162 +201,4 @@
             _ => None,
         }
     }
-
-    /// Remembers the parts that endpoints have cached, to tell others of them, if that is due.
-    ///
-    /// The nodes that rank first for an endpoint tell, as several may have listed it.
-    fn share_listing(&mut self, now: Time) {
-        let due = self.listing.take_due(now);
-        if !self.versions.is_history_short(now) {
-            return;
-        }
-        let until = now + self.versions.history_left(now);
-        for (key, parts) in due {
-            let Some(software) = self.state(key).map(|state| state.software) else {
-                continue;
-            };
-            let told = !self.fleet.is_among_first(LISTERS, key, now);
-            let entries = parts.into_iter().map(|part| Entry {
-                stream: stream::part(part),
-                software,
-                until,
-                told,
-                is_own: false,
-            });
-            self.streams.extend(entries);
-        }
-    }
-
-    /// Applies what a peer says of streams, and returns the streams that it asks for.
-    pub(super) fn receive_streams(&mut self, beat: &beat::Beat, now: Time) -> Vec<beat::Beat> {
-        if beat.mixed {
-            self.versions.note_report(now);
-        } else {
-            let history = Duration::from_millis(beat.history_ms.into());
-            self.versions.note_history(history, now);
-        }
-        for told in &beat.streams {
-            self.streams.insert(Entry {
-                stream: told.stream,
-                software: told.software,
-                until: now + Duration::from_millis(told.left_ms.into()),
-                told: true,
-                is_own: false,
-            });
-        }
-        let asked = beat.lookups.iter();
-        let known: Vec<beat::Stream> = asked
-            .flat_map(|asked| self.streams.get(*asked))
-            .map(|entry| to_message(entry, now))
-            .collect();
-        if known.is_empty() {
-            return Vec::new();
-        }
-        let status = self.status(now);
-        let parts = known.chunks(MAX_ENTRIES);
-        let messages = parts.map(|part| {
-            let mut beat = self.fleet.message(&status);
-            beat.streams = part.to_vec();
-            beat
-        });
-        messages.collect()
-    }
-
-    /// Returns the messages that tell other nodes of new streams, or ask for unknown ones.
-    pub(super) fn stream_messages(&mut self, now: Time) -> Vec<Broadcast> {
-        self.share_listing(now);
-        let lookups = std::mem::take(&mut self.lookups);
-        // A node that knows nothing of before refuses what it has not been told of.
-        let may_ask = self.versions.is_any_mixed() || self.versions.is_history_short(now);
-        let untold = if may_ask {
-            self.streams.take_untold(MAX_TOLD)
-        } else {
-            Vec::new()
-        };
-        if lookups.is_empty() && untold.is_empty() {
-            return Vec::new();
-        }
-        let data_centres = self.data_centre_nodes(now);
-        let mut told: Vec<(Node, beat::Stream)> = Vec::new();
-        for entry in &untold {
-            let holders = self.holders(&data_centres, entry.stream, Purpose::Tell);
-            told.extend(holders.map(|node| (node, to_message(entry, now))));
-        }
-        let mut asked: Vec<(Node, stream::Id)> = Vec::new();
-        for stream in lookups {
-            let holders = self.holders(&data_centres, stream, Purpose::Ask);
-            asked.extend(holders.map(|node| (node, stream)));
-        }
-        let status = self.status(now);
-        let mut messages = Vec::new();
-        for batch in batch::by_receiver(told, MAX_ENTRIES) {
-            let mut beat = self.fleet.message(&status);
-            beat.streams = batch.entries;
-            messages.push(Broadcast::to(batch.receiver, beat));
-        }
-        for batch in batch::by_receiver(asked, MAX_ENTRIES) {
-            let mut beat = self.fleet.message(&status);
-            beat.lookups = batch.entries;
-            messages.push(Broadcast::to(batch.receiver, beat));
-        }
-        messages
-    }
-
-    /// Returns the live nodes of each data centre, this node excluded.
-    fn data_centre_nodes(&self, now: Time) -> Vec<(DataCentre, Vec<Node>)> {
-        let names = self.options.regions.iter().map(|(name, _)| name);
-        let nodes = names.map(|name| {
-            let data_centre = data_centre(name);
-            let mut nodes = self.fleet.live_nodes(data_centre, now);
-            nodes.retain(|node| *node != self.options.node);
-            (data_centre, nodes)
-        });
-        nodes.collect()
-    }
-
-    /// Returns the nodes that should know a stream, which every node derives from its digest.
-    ///
-    /// They are in several data centres, since one may be lost with all its nodes.
-    fn holders(
-        &self,
-        data_centres: &[(DataCentre, Vec<Node>)],
-        stream: stream::Id,
-        purpose: Purpose,
-    ) -> impl Iterator<Item = Node> {
-        let here = data_centre(&self.options.data_centre);
-        let count = |(told, asked)| {
-            if purpose == Purpose::Tell {
-                told
-            } else {
-                asked
-            }
-        };
-        let first = |nodes: &[Node], count: usize| {
-            let ranked = rendezvous::order(stream, nodes.iter().map(|&node| u32::from(node)));
-            ranked.into_iter().take(count).map(Node::from)
-        };
-        let local = data_centres.iter().filter(|(name, _)| *name == here);
-        let mut holders: Vec<Node> = local
-            .flat_map(|(_, nodes)| first(nodes, count(LOCAL_HOLDERS)))
-            .collect();
-        let mut others: Vec<_> = data_centres
-            .iter()
-            .filter(|(name, nodes)| *name != here && !nodes.is_empty())
-            .collect();
-        if purpose == Purpose::Tell {
-            others.sort_by_key(|(name, _)| rendezvous::weight(stream, *name));
-            others.truncate(REMOTE_DATA_CENTRES);
-        }
-        let remote = others.iter();
-        holders.extend(remote.flat_map(|(_, nodes)| first(nodes, count(REMOTE_HOLDERS))));
-        holders.into_iter()
-    }
-}
-
-fn to_message(entry: &Entry, now: Time) -> beat::Stream {
-    beat::Stream {
-        stream: entry.stream,
-        software: entry.software,
-        left_ms: millis(entry.until.saturating_sub(now)),
-    }
 }
--- a/crates/peridotdeck-core/src/dispatch/stream.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream.rs
@@ -1,18 +1,20 @@
 //! Which software version began a stream, so that the stream goes on at no other.
 //!
 //! Endpoints of several software versions may serve side by side, and what two of them write does not
-//! fit together. A node knows the versions of the streams that it forwards ([`Table`]). While a service
-//! has several versions ([`Versions`]), the node also tells a few others, chosen by the stream's digest.
-//! A caller may take its stream up at any node, which asks the same ones. After all nodes have ended, the
-//! endpoints' caches tell it: one that ran the stream holds the last part of its prompt ([`Listing`]).
+//! fit together. A node knows the versions of the streams that it forwards ([`Table`]). It tells a few
+//! others, chosen by the stream's digest: those of its data centre at once, the others soon after
+//! ([`Outbox`]). A caller may take its stream up at any node, which asks the same ones. After all nodes
+//! have ended, the endpoints' caches tell it: one that ran the stream holds the last part of its prompt
+//! ([`Listing`]). A stream of which nothing names the version does not go on, whatever is listed.
 //!
-//! A node that stood still or is cut off may not know that there are several versions. It trusts its
-//! list only if most peers have been heard lately, or the publisher was read ([`Step`]).
+//! A caller that does not name its stream can only be believed to have one of the only version
+//! ([`Versions`]); the publisher must have shown just then that there is no other ([`Step`]).
 //!
 //! `docs/design/VERSIONS.md` compares the ways to know the version.
 
 mod evidence;
 mod listing;
+mod outbox;
 pub(super) mod step;
 mod table;
 mod versions;
@@ -23,6 +25,7 @@
 
 pub use evidence::{Evidence, Resolution};
 pub use listing::Listing;
+pub use outbox::Outbox;
 pub use step::Step;
 pub use table::{Entry, Table};
 pub use versions::Versions;
--- a/crates/peridotdeck-core/src/dispatch/stream/evidence.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/evidence.rs
@@ -16,9 +16,7 @@
     Told,
     /// Endpoints of one version hold the last part of the prompt.
     Cache,
-    /// The service has one version only, in a list that heartbeats of most peers confirm.
-    Peers,
-    /// The service has one version only, in a list that a read of the publisher confirms.
+    /// The caller names no stream, and the service has one version only, as the publisher has just shown.
     Publisher,
 }
 
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod fairness;
 mod fleet_beats;
 mod handover;
+mod joined_versions;
 mod late_requests;
 mod membership;
 mod moved_sessions;
