Log which fact decided at which version a stream goes on

A reader could tell that a stream was taken up (`request_placed ... resumes=`) and that the node had asked others, but not why it chose the version: the own table, what a peer had told, the endpoints' caches, or the belief that there is one version only, and whether heartbeats or a read of the publisher had confirmed that.

One line `event=stream_resolved` for each such decision on a request, again only if it changes: `by=own|told|cache|peers|publisher`, the version (`any` where the stream may go on anywhere), position and age of the endpoint list, and the node's known history. No decision changes: the same facts are asked in the same order. An entry of a stream says whether this node passed on its first event.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -14,7 +14,7 @@
         flight::Flight,
         refusal::Cause,
         registry::Area,
-        stream::{self, Entry, Table, step::CONFIRMED},
+        stream::{self, Entry, Evidence, Resolution, Table, step::CONFIRMED},
     },
     id::Time,
     rendezvous,
@@ -72,6 +72,7 @@
                 software,
                 until: flight.deadline.max(now) + GRACE,
                 told: false,
+                is_own: true,
             });
         }
     }
@@ -91,11 +92,22 @@
         }
         let began = flight.resumes.as_deref()?;
         let stream = (!began.is_empty()).then(|| stream::id(began));
-        if let Some(software) = stream.and_then(|stream| self.streams.version(stream)) {
-            flight.software = Some(software);
+        if let Some(entry) = stream.and_then(|stream| self.streams.only_entry(stream)) {
+            let by = if entry.is_own {
+                Evidence::Own
+            } else {
+                Evidence::Told
+            };
+            self.record_resolution(flight, by, Some(entry.software), now);
             return None;
         }
         if self.is_only_version(&flight.service, now) {
+            let by = if self.is_roster_confirmed(now) {
+                Evidence::Publisher
+            } else {
+                Evidence::Peers
+            };
+            self.record_resolution(flight, by, None, now);
             return None;
         }
         let is_over = now.saturating_sub(flight.arrived) >= LOOKUP_TIMEOUT;
@@ -105,7 +117,7 @@
         if self.may_have_others(&flight.service, now)
             && let Some(software) = self.cached_version(flight)
         {
-            flight.software = Some(software);
+            self.record_resolution(flight, Evidence::Cache, Some(software), now);
             return None;
         }
         let wait = self.retry_after(flight, now);
@@ -113,6 +125,24 @@
         Some(Placement::Refuse(refusal, Vec::new()))
     }
 
+    /// Binds a stream to the version that was found, and keeps what the decision was based on.
+    fn record_resolution(
+        &self,
+        flight: &mut Flight,
+        by: Evidence,
+        software: Option<Software>,
+        now: Time,
+    ) {
+        flight.software = software;
+        flight.resolution = Some(Resolution {
+            by,
+            software,
+            roster: self.registry.progress(Area::Roster).changed,
+            roster_age: self.registry.age(Area::Roster, now),
+            history: self.known_history(now),
+        });
+    }
+
     /// Returns whether all streams of a service were certainly begun by its only version.
     ///
     /// If nothing shows that the endpoint list is complete, a read of the publisher is asked for.
@@ -226,6 +256,7 @@
                 software,
                 until,
                 told,
+                is_own: false,
             });
             self.streams.extend(entries);
         }
@@ -245,6 +276,7 @@
                 software: told.software,
                 until: now + Duration::from_millis(told.left_ms.into()),
                 told: true,
+                is_own: false,
             });
         }
         let asked = beat.lookups.iter();
--- a/crates/peridotdeck-core/src/dispatch/flight.rs
+++ b/crates/peridotdeck-core/src/dispatch/flight.rs
@@ -5,6 +5,7 @@
 use super::{
     Key, Prefix, Software,
     config::{Organisation, Route},
+    stream::Resolution,
 };
 use crate::id::{Fingerprint, Time};
 
@@ -64,6 +65,8 @@
     pub resumes: Option<String>,
     /// Software version at which the stream must go on, once it is known.
     pub software: Option<Software>,
+    /// What this version, or the choice of any, was last based on, if the caller takes a stream up.
+    pub resolution: Option<Resolution>,
     /// Time at which other nodes were last asked for that version.
     pub looked_up: Option<Time>,
     /// Urgency among all requests; 0 is served first.
@@ -103,6 +106,7 @@
             organisation: None,
             resumes: None,
             software: None,
+            resolution: None,
             looked_up: None,
             rank: route.priority,
             urgent: false,
--- a/crates/peridotdeck-core/src/dispatch/stream.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream.rs
@@ -11,6 +11,7 @@
 //!
 //! `docs/design/VERSIONS.md` compares the ways to know the version.
 
+mod evidence;
 mod listing;
 pub(super) mod step;
 mod table;
@@ -20,6 +21,7 @@
 
 use super::Prefix;
 
+pub use evidence::{Evidence, Resolution};
 pub use listing::Listing;
 pub use step::Step;
 pub use table::{Entry, Table};
--- /dev/null
+++ b/crates/peridotdeck-core/src/dispatch/stream/evidence.rs
@@ -0,0 +1,38 @@
+//! What told a node at which version a stream goes on.
+
+use std::time::Duration;
+
+use strum::{Display, IntoStaticStr};
+
+use crate::dispatch::{Software, registry::Position};
+
+/// The fact by which a node decided at which version a stream that its caller takes up goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Evidence {
+    /// This node passed on the stream's first event.
+    Own,
+    /// A peer has told of the stream.
+    Told,
+    /// Endpoints of one version hold the last part of the prompt.
+    Cache,
+    /// The service has one version only, in a list that heartbeats of most peers confirm.
+    Peers,
+    /// The service has one version only, in a list that a read of the publisher confirms.
+    Publisher,
+}
+
+/// A decision on a stream's version, with the facts that were known then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Resolution {
+    /// What the decision was based on.
+    pub by: Evidence,
+    /// The version; none if the stream may go on at any, since there is one only.
+    pub software: Option<Software>,
+    /// Position of the endpoint list.
+    pub roster: Position,
+    /// Age of the endpoint list.
+    pub roster_age: Duration,
+    /// Time for which all versions have been known; zero at a node out of step.
+    pub history: Duration,
+}
--- a/crates/peridotdeck-core/src/dispatch/stream/table.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/table.rs
@@ -17,6 +17,8 @@
     pub until: Time,
     /// Whether other nodes have been told, or need not be told by this one.
     pub told: bool,
+    /// Whether this node passed on the first event itself.
+    pub is_own: bool,
 }
 
 impl Entry {
@@ -64,11 +66,11 @@
         &rest[..count]
     }
 
-    /// Returns the version that began a stream, if it is known for certain.
+    /// Returns the entry of a stream, if the version that began it is known for certain.
     #[must_use]
-    pub fn version(&self, stream: Id) -> Option<Software> {
+    pub fn only_entry(&self, stream: Id) -> Option<Entry> {
         match self.get(stream) {
-            [entry] => Some(entry.software),
+            [entry] => Some(*entry),
             _ => None,
         }
     }
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -14,11 +14,12 @@
 use peridotdeck_core::{
     Verdict,
     dispatch::{
-        Key,
+        Key, Software,
         attempt::{Assignment, Attempt, End, Next, Placement, WaitCause},
         config::Kind,
         flight::Flight,
         refusal::Refusal,
+        stream::Evidence,
     },
 };
 
@@ -74,6 +75,8 @@
     pub(crate) framing: Option<Framing>,
     /// Logged reason why the request waits for an endpoint.
     wait_cause: Option<WaitCause>,
+    /// Logged decision on the version at which the stream goes on.
+    resolved: Option<(Evidence, Option<Software>)>,
     ended: bool,
 }
 
@@ -95,6 +98,7 @@
             attempts: 0,
             framing: None,
             wait_cause: None,
+            resolved: None,
             ended: false,
         }
     }
@@ -173,6 +177,7 @@
         loop {
             let now = clock::now();
             let placement = self.shared.dispatcher().place(&mut self.flight, now);
+            self.log_resolved();
             match placement {
                 Placement::Send(assignment) => {
                     self.current_attempt = Some(assignment.attempt.clone());
--- a/crates/peridotdeck-relay/src/forwarding/logging.rs
+++ b/crates/peridotdeck-relay/src/forwarding/logging.rs
@@ -118,6 +118,39 @@
         log_foreign(&self.flight.id, &self.endpoint, foreign);
     }
 
+    /// Logs at which version a stream that was taken up goes on and why, whenever this changes.
+    pub(super) fn log_resolved(&mut self) {
+        let Some(resolution) = self.flight.resolution else {
+            return;
+        };
+        let decision = (resolution.by, resolution.software);
+        if self.resolved.replace(decision) == Some(decision) {
+            return;
+        }
+        let software = resolution.software.map_or_else(
+            || "any".to_owned(),
+            |software| {
+                let dispatcher = self.shared.dispatcher();
+                let mut listed = dispatcher.registry().endpoints().iter();
+                let found = listed.find(|endpoint| endpoint.software() == software);
+                found.map_or_else(
+                    || format!("unlisted:{software:08x}"),
+                    |endpoint| endpoint.version.clone(),
+                )
+            },
+        );
+        log::info!(
+            "event=stream_resolved id={} resumes={} software={software} by={} roster={} \
+             roster_age_ms={} history_ms={}",
+            self.flight.id,
+            self.flight.resumes.as_deref().unwrap_or("none"),
+            resolution.by,
+            resolution.roster,
+            resolution.roster_age.as_millis(),
+            resolution.history.as_millis(),
+        );
+    }
+
     /// Logs why the request waits, whenever the cause changes.
     pub(super) fn log_waiting(&mut self, delay: &Delay) {
         if self.wait_cause.replace(delay.cause) == Some(delay.cause) {
