Show that a list of caches names the wrong version of a stream

Evidence, in the core's simulation: at 7 nodes 21 of 21 streams of v2 go on at v1, at a node that listed caches 10 s before it was cut off, and 21 of 21 after v2 has left and all nodes have started again.

Cause: after 250 ms without an answer the node takes the version of the endpoints that hold the last part of the prompt. That an endpoint holds it says that the prompt was read there, also by an earlier request of the session or by an attempt without an event.

--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod handover;
 mod late_requests;
 mod membership;
+mod moved_sessions;
 mod named_rates;
 mod numbering;
 mod odd_facts;
