Budget for the bytes that a process keeps of all bodies together

This is the type on which everything draws that has to be kept; nothing uses it yet.

A holder (an endpoint, an organisation) may have at most a third of what is free, so a quarter of the budget if it is alone, and less as more is in use: many faulty holders leave something for the next one without a table of reserved parts. The process's own reads (configuration, peers) are bound by the whole only. Holder and sum change together under a lock of a few instructions, which no await can hold; two atomics could not keep the sum and the share both exact.

--- a/crates/peridotdeck-io/src/lib.rs
+++ b/crates/peridotdeck-io/src/lib.rs
@@ -2,12 +2,13 @@
 //!
 //! [`Bounded`] gives the thread back, reads a bounded number of bytes before a head ends, and takes no end after a
 //! failed write for one. [`Ending`] hides the error
-//! of a body from a parser that needs none.
+//! of a body from a parser that needs none. [`budget`] bounds what the process keeps of all bodies together.
 //!
 //! HTTP libraries read for as long as bytes are ready. A peer that sends bytes faster than they are
 //! parsed would keep the thread, and no time limit of any task on it could expire.
 
 pub mod bounded;
+pub mod budget;
 mod ending;
 
 pub use bounded::{Bounded, Head, TURN_BYTES};
