Pass large plain answers on as they come, within one budget

Each plain answer was read whole, up to 4 MB, and nothing bounded the sum: 90 answers of one engine at once, without end, take 440 MB of a node whose setting is limits.memoryMb=260; 3.9 MB and then a byte now and then 396 MB; through a peer 380 MB.

Cause: a bound on each part and none on the sum. The setting was not read at all.

Change: up to 64 KB of a plain answer are kept, so that a small one can still be tried again and goes out whole. What is longer is passed on as its caller takes it (`plain::Relay`): with the length that the endpoint states, else in chunks whose last one is written only once the end is judged, as with streams. A break resets the caller's connection. An error answer that is longer is tried again or passed on without being read first. 4 MB stay the bound of an answer; one that states more is refused at its head. What is kept draws on the node's budget, which is half of what `limits.memoryMb` leaves beside an idle process. An answer that gets no bytes is no failure: it is passed on earlier. Gauges: memory_used, memory_peak, memory_limit, memory_denials.

What is lost is the second try after 64 KB, where the caller's answer has begun.

--- a/crates/peridotdeck-io/src/budget.rs
+++ b/crates/peridotdeck-io/src/budget.rs
@@ -57,20 +57,33 @@
     pub denials: u64,
 }
 
-/// Usage, and the bytes of each holder that has any, sorted by holder.
+/// A holder that has bytes.
+#[derive(Debug)]
+struct Share {
+    holder: Holder,
+    bytes: usize,
+    /// Number of times that the holder got no more.
+    denials: u64,
+}
+
+/// Usage, and the holders that have bytes, sorted.
 #[derive(Debug)]
 struct State {
     usage: Usage,
-    holders: Vec<(Holder, usize)>,
+    shares: Vec<Share>,
 }
 
 impl State {
+    /// Returns the index of a holder's share, or the index where it belongs.
+    fn find(&self, holder: Holder) -> Result<usize, usize> {
+        self.shares
+            .binary_search_by_key(&holder, |share| share.holder)
+    }
+
     /// Reserves bytes for a holder.
     fn take(&mut self, holder: Holder, bytes: usize) -> Result<(), Denied> {
-        let found = self
-            .holders
-            .binary_search_by_key(&holder, |(each, _)| *each);
-        let held = found.map_or(0, |index| self.holders[index].1);
+        let found = self.find(holder);
+        let held = found.map_or(0, |index| self.shares[index].bytes);
         let used = self.usage.used.checked_add(bytes);
         let used = used.filter(|used| *used <= self.usage.limit);
         let free = used.map(|used| self.usage.limit - used);
@@ -83,11 +96,21 @@
         };
         if let Some(denied) = denied {
             self.usage.denials += 1;
+            if let Ok(index) = found {
+                self.shares[index].denials += 1;
+            }
             return Err(denied);
         }
         match found {
-            Ok(index) => self.holders[index].1 += bytes,
-            Err(index) => self.holders.insert(index, (holder, bytes)),
+            Ok(index) => self.shares[index].bytes += bytes,
+            Err(index) => {
+                let share = Share {
+                    holder,
+                    bytes,
+                    denials: 0,
+                };
+                self.shares.insert(index, share);
+            }
         }
         self.usage.used += bytes;
         self.usage.peak = self.usage.peak.max(self.usage.used);
@@ -96,16 +119,19 @@
 
     /// Takes bytes of a holder back.
     fn put_back(&mut self, holder: Holder, bytes: usize) {
-        let found = self
-            .holders
-            .binary_search_by_key(&holder, |(each, _)| *each);
-        let index = found.expect("a holder of bytes is in the table");
-        self.holders[index].1 -= bytes;
-        if self.holders[index].1 == 0 {
-            self.holders.remove(index);
+        let index = self.find(holder).expect("a holder of bytes has a share");
+        self.shares[index].bytes -= bytes;
+        if self.shares[index].bytes == 0 {
+            self.shares.remove(index);
         }
         self.usage.used -= bytes;
     }
+
+    /// Returns how often a holder got no more.
+    fn denials(&self, holder: Holder) -> u64 {
+        self.find(holder)
+            .map_or(0, |index| self.shares[index].denials)
+    }
 }
 
 /// Bytes that all requests and answers of a process may keep together; clones share them.
@@ -122,8 +148,8 @@
             limit,
             ..Usage::default()
         };
-        let holders = Vec::new();
-        let state = Arc::new(Mutex::new(State { usage, holders }));
+        let shares = Vec::new();
+        let state = Arc::new(Mutex::new(State { usage, shares }));
         Self { state }
     }
 
@@ -134,6 +160,7 @@
             budget: self.clone(),
             holder,
             bytes: 0,
+            denials: 0,
         }
     }
 
@@ -162,6 +189,8 @@
     budget: Budget,
     holder: Holder,
     bytes: usize,
+    /// Denials of the holder until bytes were last reserved here.
+    denials: u64,
 }
 
 impl Reservation {
@@ -172,12 +201,22 @@
     pub fn cover(&mut self, bytes: usize) -> Result<(), Denied> {
         let missing = bytes.saturating_sub(self.bytes);
         if missing > 0 {
-            self.budget.lock().take(self.holder, missing)?;
+            let mut state = self.budget.lock();
+            state.take(self.holder, missing)?;
+            self.denials = state.denials(self.holder);
             self.bytes += missing;
         }
         Ok(())
     }
 
+    /// Returns whether the holder got no more elsewhere, since bytes were last reserved here.
+    ///
+    /// A reservation that waits for its next bytes then is in the way of others.
+    #[must_use]
+    pub fn is_contended(&self) -> bool {
+        self.bytes > 0 && self.budget.lock().denials(self.holder) > self.denials
+    }
+
     /// Gives back what the reservation has above so many bytes.
     pub fn shrink_to(&mut self, bytes: usize) {
         let spare = self.bytes.saturating_sub(bytes);
@@ -199,3 +238,49 @@
         self.shrink_to(0);
     }
 }
+
+/// Bytes that are kept as they come, and reserved before they are kept.
+#[derive(Debug)]
+pub struct Buffer {
+    bytes: Vec<u8>,
+    reservation: Reservation,
+}
+
+impl Buffer {
+    /// Smallest capacity, in bytes.
+    const MIN_CAPACITY: usize = 512;
+
+    /// Creates an empty buffer whose bytes are reserved here.
+    #[must_use]
+    pub fn new(reservation: Reservation) -> Self {
+        let bytes = Vec::new();
+        Self { bytes, reservation }
+    }
+
+    /// Appends bytes.
+    ///
+    /// # Errors
+    /// If the bytes that are needed cannot be reserved; the buffer keeps what it has.
+    pub fn extend(&mut self, more: &[u8]) -> Result<(), Denied> {
+        let (capacity, needed) = (self.bytes.capacity(), self.bytes.len() + more.len());
+        if needed > capacity {
+            let capacity = needed.max(capacity + capacity / 2).max(Self::MIN_CAPACITY);
+            self.reservation.cover(capacity)?;
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(more);
+        Ok(())
+    }
+
+    /// Returns whether others of the same holder got no more since the buffer last grew.
+    #[must_use]
+    pub fn is_contended(&self) -> bool {
+        self.reservation.is_contended()
+    }
+}
+
+impl AsRef<[u8]> for Buffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/peridotdeck-io/tests/budget.rs
+++ b/crates/peridotdeck-io/tests/budget.rs
@@ -1,6 +1,6 @@
 //! Reservations of all holders together stay within the budget.
 
-use peridotdeck_io::budget::{Budget, Denied, Holder, Reservation};
+use peridotdeck_io::budget::{Budget, Buffer, Denied, Holder, Reservation};
 
 const ENDPOINT: Holder = Holder::numbered(1);
 
@@ -53,3 +53,18 @@
     let usage = budget.usage();
     assert_eq!((usage.used, usage.peak, usage.denials), (0, 300, 1));
 }
+
+/// Guards against a slow body that stays in the way of all others of its organisation.
+#[test]
+fn idle_buffer_learns_that_others_get_nothing() {
+    let budget = Budget::new(40_000);
+    let mut idle = Buffer::new(budget.reservation(ENDPOINT));
+    assert_eq!(idle.extend(&[b'x'; 9_000]), Ok(()));
+    let mut next = Buffer::new(budget.reservation(ENDPOINT));
+    assert!(!idle.is_contended());
+    assert_eq!(next.extend(&[b'x'; 9_000]), Err(Denied::Share));
+    assert!(idle.is_contended() && !next.is_contended());
+    drop(idle);
+    assert_eq!(next.extend(&[b'x'; 9_000]), Ok(()));
+    assert_eq!((next.as_ref().len(), budget.usage().used), (9_000, 9_000));
+}
--- a/crates/peridotdeck-relay/src/answer/reading.rs
+++ b/crates/peridotdeck-relay/src/answer/reading.rs
@@ -3,17 +3,19 @@
 use std::time::Duration;
 
 use async_std::future::timeout;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Bytes, Incoming};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Bytes, Incoming};
 use peridotdeck_core::dispatch::{attempt::End, flight::Flight};
+use peridotdeck_io::budget::Buffer;
 
 use super::{Events, Failure};
 use crate::clock;
 
-/// Largest answer that is read as a whole, in bytes.
-///
-/// A failing endpoint may send bytes without end.
-const MAX_ANSWER_BYTES: usize = 4 << 20;
+/// Largest plain answer, in bytes; a failing endpoint may send bytes without end.
+pub(crate) const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// Largest part of a plain answer that is kept, in bytes; a whole answer may still be tried again.
+const MAX_KEPT_BYTES: usize = 64 << 10;
 
 /// Longest time to read bytes behind a stream without framing.
 const REST_TIMEOUT: Duration = Duration::from_millis(500);
@@ -27,13 +29,41 @@
     done.unwrap_or_else(|_| Err(Failure::new(End::TimedOut, "answer not complete in time")))
 }
 
-/// Reads a complete body before the deadline of the request.
-pub(crate) async fn read_body(body: Incoming, flight: &Flight) -> Result<Bytes, Failure> {
+/// The body of a plain answer, as far as it was read.
+#[derive(Debug)]
+pub(crate) struct Start {
+    /// What was read and kept.
+    pub(crate) kept: Bytes,
+    /// What was read and not kept, and the rest; none if the body has ended.
+    pub(crate) rest: Option<(Bytes, Incoming)>,
+}
+
+/// Reads a body up to its end, or to the size that is kept, before the deadline of the request.
+///
+/// The size is smaller if there is no memory for the buffer.
+///
+/// # Errors
+/// If the body breaks off, is not read in time, or states a length above the largest one.
+pub(crate) async fn read_start(
+    mut body: Incoming,
+    mut buffer: Buffer,
+    flight: &Flight,
+) -> Result<Start, Failure> {
+    if body.size_hint().lower() > MAX_ANSWER_BYTES as u64 {
+        return Err(Failure::new(End::Garbled, "answer is too large"));
+    }
     let read = async {
-        match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
-            Ok(collected) => Ok(collected.to_bytes()),
-            Err(cause) if cause.is::<LengthLimitError>() => Err(Failure::new(End::Garbled, &cause)),
-            Err(cause) => Err(Failure::new(End::Broken, &cause)),
+        loop {
+            let Some(bytes) = read_data(&mut body).await? else {
+                let kept = Bytes::from_owner(buffer);
+                return Ok(Start { kept, rest: None });
+            };
+            let is_kept = buffer.as_ref().len() + bytes.len() <= MAX_KEPT_BYTES;
+            if !is_kept || buffer.extend(&bytes).is_err() {
+                let kept = Bytes::from_owner(buffer);
+                let rest = Some((bytes, body));
+                return Ok(Start { kept, rest });
+            }
         }
     };
     before_deadline(flight, read).await
--- a/crates/peridotdeck-relay/src/control.rs
+++ b/crates/peridotdeck-relay/src/control.rs
@@ -119,6 +119,11 @@
     metrics.set_state("tunnels", tunnels.into());
     metrics.set_state("unframed", shared.answers.unframed().into());
     metrics.set_state("kept_connections", shared.pool.len() as u64);
+    let memory = shared.memory.usage();
+    metrics.set_state("memory_used", memory.used as u64);
+    metrics.set_state("memory_peak", memory.peak as u64);
+    metrics.set_state("memory_limit", memory.limit as u64);
+    metrics.set_state("memory_denials", memory.denials);
 }
 
 fn snapshot_response<I: Ingress>(
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -24,9 +24,10 @@
 
 use crate::{
     Ingress, Shared,
-    answer::{Events, Failure, Framing},
+    answer::{Events, Failure, Framing, Start},
     clock,
     exchange::{Channel, Message},
+    plain,
     shared::{Counted, detour_text},
     stream::Relay,
 };
@@ -37,6 +38,8 @@
 pub enum Outcome<I: Ingress> {
     /// A complete answer of an endpoint.
     Whole(Response<Bytes>),
+    /// The head of an answer that is too large to be kept, and the relay of its body.
+    Large(response::Parts, Box<plain::Relay<I>>),
     /// The head of a stream, and the relay of its events.
     Stream(response::Parts, Box<Relay<I>>),
     /// No answer, for the reason that the refusal states.
@@ -53,6 +56,14 @@
     pub(crate) channel: Channel,
 }
 
+/// A plain answer that goes on behind what is kept.
+#[derive(Debug)]
+pub(crate) struct StartedAnswer {
+    pub(crate) head: response::Parts,
+    pub(crate) start: Start,
+    pub(crate) channel: Channel,
+}
+
 /// One request, its attempts, and the facts that are logged at its end.
 #[derive(Debug)]
 pub struct Forwarding<I: Ingress> {
@@ -154,6 +165,17 @@
                 );
                 Ok(Box::new(Outcome::Whole(response)))
             }
+            Received::Large(started, is_failure) => {
+                if is_failure {
+                    self.finish_attempt(End::Failed, "");
+                    if self.next_step(End::Failed) == Next::Retry {
+                        return Err(Box::new(self));
+                    }
+                }
+                let head = started.head.clone();
+                let relay = plain::Relay::new(self, key, *started, is_failure);
+                Ok(Box::new(Outcome::Large(head, Box::new(relay))))
+            }
             Received::Stream(started) => {
                 let head = started.head.clone();
                 let relay = Relay::new(self, key, *started);
--- a/crates/peridotdeck-relay/src/forwarding/attempt.rs
+++ b/crates/peridotdeck-relay/src/forwarding/attempt.rs
@@ -14,14 +14,16 @@
     },
     sequence::Sequence,
 };
+use peridotdeck_io::budget::Buffer;
 
-use super::{Forwarding, StartedStream, logging};
+use super::{Forwarding, StartedAnswer, StartedStream, logging};
 use crate::{
     Ingress, Shared,
-    answer::{Events, Failure, read_body, read_first_event},
+    answer::{Events, Failure, read_first_event, read_start},
     clock,
     exchange::{self, Channel, Message},
     ingress::Reply,
+    memory,
 };
 
 /// Largest unused body of a rejection that is read, in bytes.
@@ -36,6 +38,8 @@
     Complete(Response<Bytes>, Channel),
     /// An error response of the endpoint up to its end, and the channel on which it arrived.
     Failed(Response<Bytes>, Channel),
+    /// An answer that goes on behind what is kept, and whether it is an error response.
+    Large(Box<StartedAnswer>, bool),
     /// A stream that has begun.
     Stream(Box<StartedStream>),
 }
@@ -102,13 +106,24 @@
                 })));
             }
             Reply::Answer | Reply::Failure => {
-                let body = read_body(body, flight).await?;
+                let holder = memory::of_endpoint(assignment.attempt.key());
+                let buffer = Buffer::new(shared.memory.reservation(holder));
+                let start = read_start(body, buffer, flight).await?;
+                let is_failure = answer.reply == Reply::Failure;
+                if start.rest.is_some() {
+                    let answer = StartedAnswer {
+                        head,
+                        start,
+                        channel,
+                    };
+                    return Ok(Received::Large(Box::new(answer), is_failure));
+                }
                 channel.check_end(shared, flight).await?;
-                let response = Response::from_parts(head, body);
-                return Ok(if answer.reply == Reply::Answer {
-                    Received::Complete(response, channel)
-                } else {
+                let response = Response::from_parts(head, start.kept);
+                return Ok(if is_failure {
                     Received::Failed(response, channel)
+                } else {
+                    Received::Complete(response, channel)
                 });
             }
             Reply::Unclear => End::Failed,
--- a/crates/peridotdeck-relay/src/front.rs
+++ b/crates/peridotdeck-relay/src/front.rs
@@ -25,7 +25,7 @@
     Ingress, Shared, clock,
     exchange::Message,
     forwarding::{Forwarding, Outcome},
-    server, stream,
+    server,
 };
 
 /// Error of a response body; [`Either`] boxes the errors of the two bodies that it joins.
@@ -84,8 +84,11 @@
                     let (head, body) = response.into_parts();
                     forwarded_response(head, Either::Left(Full::new(body)))
                 }
+                Outcome::Large(head, relay) => {
+                    forwarded_response(head, Either::Right(Either::Left(relay.into_body())))
+                }
                 Outcome::Stream(head, relay) => {
-                    forwarded_response(head, Either::Right(relay.into_body()))
+                    forwarded_response(head, Either::Right(Either::Right(relay.into_body())))
                 }
                 Outcome::Refused(refusal) => refusal_response(&shared, id.as_deref(), &refusal),
             }
@@ -180,7 +183,8 @@
     refusal: &Refusal,
 ) -> Response<ResponseBody<B>>
 where
-    B: Body<Data = Bytes, Error = stream::Error>,
+    B: Body<Data = Bytes>,
+    B::Error: Into<BodyError>,
 {
     let (status, headers) = shared.ingress.refusal_head(id, refusal);
     let text = format!("{}: {}\n", refusal.cause, refusal.verdict);
--- a/crates/peridotdeck-relay/src/lib.rs
+++ b/crates/peridotdeck-relay/src/lib.rs
@@ -11,6 +11,7 @@
 //! 4. [`stream`] relays the events of a stream, and resumes a broken stream at another endpoint if
 //!    the route allows it.
 //!
+//! [`plain`] relays plain answers that are too large to be kept. [`memory`] bounds what all of them keep.
 //! [`tunnel`] leads a connection to an endpoint through a peer. [`peers`] exchanges heartbeats and snapshots with other nodes, [`control`] serves health checks,
 //! metrics and state, and [`node`] starts and stops everything. `docs/design/PLATFORM.md` gives the
 //! reasons for the design.
@@ -26,10 +27,12 @@
 pub mod ingress;
 pub mod life;
 pub mod logging;
+pub mod memory;
 pub mod metrics;
 pub mod node;
 pub mod notice;
 pub mod peers;
+pub mod plain;
 pub mod pool;
 pub mod publisher;
 mod report;
--- a/crates/peridotdeck-relay/src/node.rs
+++ b/crates/peridotdeck-relay/src/node.rs
@@ -11,7 +11,7 @@
 use signal_hook_async_std::Signals;
 
 use crate::{
-    Ingress, Publisher, Shared, clock, control, exchange, front, notice,
+    Ingress, Publisher, Shared, clock, control, exchange, front, memory, notice,
     peers::Peers,
     server::{self, Limits},
     shared::{log_path, log_terms},
@@ -49,6 +49,8 @@
     pub metrics: SocketAddr,
     /// Time from the termination signal until the process is killed.
     pub grace_period: Duration,
+    /// Memory that the process may have, in bytes, if it is bounded.
+    pub memory: Option<usize>,
     /// Options of the dispatcher.
     pub dispatch: dispatcher::Options,
 }
@@ -74,6 +76,7 @@
         dispatcher,
         options.dispatch.node,
         options.control.port(),
+        memory::budget(options.memory),
     ));
     task::spawn(publisher.clone().follow(Arc::clone(&shared)));
     let (closing, closed) = async_channel::bounded::<()>(1);
@@ -84,7 +87,7 @@
     task::spawn(peers.clone().receive_heartbeats(Arc::clone(&shared)));
     log::info!(
         "event=started front={} ready={} control={} peers={} metrics={} place={} \
-         incarnation={:016x}",
+         incarnation={:016x} memory_budget={}",
         options.front,
         options.ready,
         options.control,
@@ -92,6 +95,7 @@
         options.metrics,
         options.dispatch.data_centre,
         options.dispatch.incarnation,
+        shared.memory.usage().limit,
     );
     let state = Arc::clone(&shared);
     let shutdown = task::spawn(async move {
--- a/crates/peridotdeck-relay/src/shared.rs
+++ b/crates/peridotdeck-relay/src/shared.rs
@@ -17,6 +17,7 @@
     rate::News,
     registry::{self, Area, Endpoint, Position, Report},
 };
+use peridotdeck_io::budget::Budget;
 
 use crate::{
     Ingress, clock, ingress::Notice, metrics::Metrics, pool::Pool, publisher::Sink, server::Answers,
@@ -59,6 +60,8 @@
     pub pool: Pool,
     /// Metrics of this node.
     pub metrics: Metrics,
+    /// Bytes that all requests and answers may keep together.
+    pub memory: Budget,
     /// Answers in progress on callers' connections.
     pub answers: Arc<Answers>,
     /// Number of requests in progress.
@@ -81,11 +84,18 @@
 impl<I: Ingress> Shared<I> {
     /// Creates the state of a node that has not served a request yet.
     #[must_use]
-    pub fn new(ingress: I, dispatcher: Dispatcher, node: Node, control_port: u16) -> Self {
+    pub fn new(
+        ingress: I,
+        dispatcher: Dispatcher,
+        node: Node,
+        control_port: u16,
+        memory: Budget,
+    ) -> Self {
         Self {
             ingress,
             pool: Pool::default(),
             metrics: Metrics::new(),
+            memory,
             answers: Arc::default(),
             open_requests: Count::default(),
             unread_requests: Count::default(),
