Read requests' bodies within the node's budget

The size of a body is bound and the sum was not. Bodies also stayed in memory until their streams ended, where no further try could follow.

Change: a body reserves its bytes from the budget as they come, not as they are announced, for its organisation, which the head names; public routes have a holder of their own, and so have requests that will be refused. Among bodies of an organisation whose share is in use, a slow one (below 16 KB in 250 ms) is the next to go. A body is given up once no further try can follow.

The bytes go with the reservation, wherever copies of them are (retries, writes in progress).

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -1,6 +1,6 @@
 //! Admission of requests, and the choice of an endpoint for each.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use rand::Rng;
 
@@ -12,7 +12,7 @@
     dispatch::{
         Key,
         attempt::{Assignment, Attempt, Delay, Placement, WaitCause},
-        config::{Service, Share},
+        config::{Organisation, Route, Service, Share},
         data_centre,
         endpoint::Load,
         flight::{DecodedRequest, Flight},
@@ -32,12 +32,43 @@
 /// Smallest and largest fraction of the target after which another endpoint is tried.
 const HEDGE_TARGET_FRACTIONS: (f64, f64) = (0.5, 1.0);
 
+/// Largest time that callers are told to wait for the memory that others' bodies use.
+const MAX_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Time after which a request demands a place at a second brittle endpoint too.
 ///
 /// Of two places it leaves one unused, which nobody else has for a while.
 const SECOND_DEMAND_DELAY: Duration = Duration::from_millis(100);
 
 impl Dispatcher {
+    /// Returns the organisation that a request is counted for, if its route is not public.
+    ///
+    /// # Errors
+    /// If no route matches, or the key belongs to no organisation where one is needed.
+    pub fn identify(
+        &self,
+        request: &DecodedRequest,
+    ) -> Result<(Arc<Route>, Option<Arc<Organisation>>), Cause> {
+        let config = self.registry.config().ok_or(Cause::Unconfigured)?;
+        let route = config.route(&request.host, &request.path);
+        let route = route.ok_or(Cause::NoRoute)?;
+        let key = request.key.as_deref();
+        let owner = key.and_then(|key| config.organisation(key));
+        if owner.is_none() && !route.public && !config.organisations.is_empty() {
+            return Err(Cause::BadKey);
+        }
+        let organisation = owner.filter(|_| !route.public);
+        Ok((Arc::clone(route), organisation.cloned()))
+    }
+
+    /// Refuses a request whose body the node cannot keep, until a time when it probably can.
+    pub fn refuse_body(&mut self, max_wait: Option<Duration>) -> Refusal {
+        let most = max_wait.unwrap_or(MAX_MEMORY_RETRY_AFTER);
+        let most = most.mul_f64(RETRY_AFTER_FRACTION);
+        let wait = self.random_upper_third(most.min(MAX_MEMORY_RETRY_AFTER));
+        Refusal::not_run(Cause::NoMemory, Some(wait))
+    }
+
     /// Admits a request: finds its route and organisation and chooses a service.
     ///
     /// # Errors
@@ -58,28 +89,15 @@
             );
             return Err(Refusal::not_run(Cause::Unconfigured, Some(wait)));
         };
-        let refuse = |cause| Err(Refusal::not_run(cause, None));
-        let Some(route) = config.route(&request.host, &request.path) else {
-            return refuse(Cause::NoRoute);
-        };
-        let key_owner = request
-            .key
-            .as_deref()
-            .and_then(|key| config.organisation(key));
-        if key_owner.is_none() && !route.public && !config.organisations.is_empty() {
-            return refuse(Cause::BadKey);
-        }
-        let organisation = if route.public {
-            None
-        } else {
-            key_owner.cloned()
-        };
+        let (route, organisation) = self
+            .identify(&request)
+            .map_err(|cause| Refusal::not_run(cause, None))?;
         let max_wait = request.max_wait.unwrap_or(route.timeout).min(route.timeout);
         let trial = self.check_quarantine(&request, fingerprint, max_wait, now)?;
         let service = self.choose_service(&route.split);
         self.budget.count_request(&service, now);
-        let rank = config.rank(route, organisation.as_deref());
-        let urgent = config.is_urgent_stream(route, &service);
+        let rank = config.rank(&route, organisation.as_deref());
+        let urgent = config.is_urgent_stream(&route, &service);
         Ok(Flight {
             id: request.id,
             rank,
@@ -91,7 +109,7 @@
             trial,
             deadline: now + max_wait,
             service,
-            ..Flight::new(route.clone(), config.version, now)
+            ..Flight::new(route, config.version, now)
         })
     }
 
--- a/crates/peridotdeck-core/src/dispatch/refusal.rs
+++ b/crates/peridotdeck-core/src/dispatch/refusal.rs
@@ -18,6 +18,8 @@
     TooLarge,
     /// The body did not arrive in time.
     SlowBody,
+    /// The node has no memory left for the body.
+    NoMemory,
     /// No endpoint can take the request now.
     NoEndpoint,
     /// Endpoints rejected the request without running it, and no further one may be tried.
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -307,6 +307,11 @@
         }
     }
 
+    /// Gives up the request's body, because no further attempt can follow.
+    pub(crate) fn release_body(&mut self) {
+        self.message.body = Bytes::new();
+    }
+
     /// Returns the dispatcher's decision after a failed attempt.
     pub(crate) fn next_step(&mut self, end: End) -> Next {
         let now = clock::now();
--- a/crates/peridotdeck-relay/src/front.rs
+++ b/crates/peridotdeck-relay/src/front.rs
@@ -1,6 +1,6 @@
 //! The callers' side: reads requests within limits and answers them.
 
-use std::{error::Error, sync::Arc};
+use std::{error::Error, sync::Arc, time::Duration};
 
 use async_std::future::timeout;
 use http_body_util::{BodyExt, Either, Full};
@@ -19,13 +19,15 @@
     },
     id::Time,
 };
+use peridotdeck_io::budget::{Buffer, Denied, Holder};
+use quick_error::quick_error;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
     Ingress, Shared, clock,
     exchange::Message,
     forwarding::{Forwarding, Outcome},
-    server,
+    memory, server,
 };
 
 /// Error of a response body; [`Either`] boxes the errors of the two bodies that it joins.
@@ -34,6 +36,12 @@
 /// Body of a response: held in memory, or relayed.
 type ResponseBody<B> = Either<Full<Bytes>, B>;
 
+/// Time over which the pace of a body is measured.
+const PACE_WINDOW: Duration = Duration::from_millis(250);
+
+/// Bytes in a window below which a body is slow, and may be given up for others.
+const PACE_BYTES: usize = 16 << 10;
+
 /// Names of headers that apply to one connection only and are not forwarded.
 const HOP_BY_HOP_HEADERS: [&str; 8] = [
     "connection",
@@ -69,11 +77,16 @@
     let id = decoded.as_ref().ok().map(|request| request.id.clone());
     let body = {
         let _counted = shared.unread_requests.begin();
-        read_body(body, &limits).await
+        let buffer = Buffer::new(shared.memory.reservation(holder(&shared, &decoded)));
+        read_body(body, buffer, &limits).await
     };
     let admitted = match body {
         Ok(body) => admit(&shared, &head, &body, decoded, arrived).map(|flight| (flight, body)),
-        Err(cause) => Err(Refusal::not_run(cause, None)),
+        Err(Unread::Refused(cause)) => Err(Refusal::not_run(cause, None)),
+        Err(Unread::Denied(_)) => {
+            let max_wait = decoded.ok().and_then(|request| request.max_wait);
+            Err(shared.dispatcher().refuse_body(max_wait))
+        }
     };
     let mut response = match admitted {
         Ok((flight, body)) => {
@@ -115,6 +128,17 @@
     config.map(|config| config.limits).unwrap_or_default()
 }
 
+/// Returns the holder of a request's body, which is read before the request is admitted.
+fn holder<I: Ingress>(shared: &Shared<I>, decoded: &Result<DecodedRequest, Cause>) -> Holder {
+    let Ok(request) = decoded else {
+        return memory::NOBODY;
+    };
+    match shared.dispatcher().identify(request) {
+        Ok((_, organisation)) => memory::of_request(organisation.as_deref()),
+        Err(_) => memory::NOBODY,
+    }
+}
+
 fn admit<I: Ingress>(
     shared: &Shared<I>,
     head: &request::Parts,
@@ -137,35 +161,68 @@
     digest.digest()
 }
 
+quick_error! {
+    /// Why a request's body was not read.
+    #[derive(Debug)]
+    enum Unread {
+        /// It is too large, or did not come in time.
+        Refused(cause: Cause) {
+            display("{cause}")
+            from()
+        }
+        /// The node has no memory left for it.
+        Denied(cause: Denied) {
+            display("{cause}")
+            from()
+        }
+    }
+}
+
 /// Reads a complete body within the limits of size and time.
-async fn read_body(mut body: Incoming, limits: &Limits) -> Result<Bytes, Cause> {
+///
+/// One that comes slowly is given up if its organisation gets no memory for others.
+async fn read_body(
+    mut body: Incoming,
+    mut buffer: Buffer,
+    limits: &Limits,
+) -> Result<Bytes, Unread> {
     let announced = body.size_hint().lower();
     if announced > limits.body_bytes as u64 {
-        return Err(Cause::TooLarge);
+        return Err(Cause::TooLarge.into());
     }
-    let mut collected: Vec<u8> = Vec::new();
-    loop {
-        if body.is_end_stream() {
-            return Ok(collected.into());
+    let mut last = clock::now();
+    let mut window = (last, 0);
+    while !body.is_end_stream() {
+        let (now, length) = (clock::now(), buffer.as_ref().len());
+        if now >= window.0 + PACE_WINDOW {
+            if length < window.1 + PACE_BYTES && buffer.is_contended() {
+                return Err(Denied::Share.into());
+            }
+            window = (now, length);
+        }
+        let left = (last + limits.head_time).saturating_sub(now);
+        if left.is_zero() {
+            return Err(Cause::SlowBody.into());
         }
-        let frame = timeout(limits.head_time, body.frame()).await;
-        let frame = frame.map_err(|_| Cause::SlowBody)?;
+        let wait = left.min((window.0 + PACE_WINDOW).saturating_sub(now));
+        let Ok(frame) = timeout(wait, body.frame()).await else {
+            continue;
+        };
+        last = clock::now();
         let data = match frame {
-            None => return Ok(collected.into()),
+            None => break,
             Some(Err(cause)) => {
                 log::debug!("event=body_unreadable cause=\"{cause}\"");
-                return Err(Cause::SlowBody);
+                return Err(Cause::SlowBody.into());
             }
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
-        if collected.len() + data.len() > limits.body_bytes {
-            return Err(Cause::TooLarge);
-        }
-        if collected.is_empty() && body.is_end_stream() {
-            return Ok(data);
+        if length + data.len() > limits.body_bytes {
+            return Err(Cause::TooLarge.into());
         }
-        collected.extend_from_slice(&data);
+        buffer.extend(&data)?;
     }
+    Ok(Bytes::from_owner(buffer))
 }
 
 /// Returns a response with an endpoint's head, and the framing of the caller's own connection.
--- a/crates/peridotdeck-relay/src/memory.rs
+++ b/crates/peridotdeck-relay/src/memory.rs
@@ -1,9 +1,11 @@
 //! What requests and answers may keep in memory, all together.
 //!
-//! Answers are counted for their endpoints.
+//! Bodies of requests are counted for their organisations, answers for their endpoints, and what the
+//! node reads for itself for the process. `docs/design/MEMORY.md` has the arithmetic.
 
-use peridotdeck_core::dispatch::Key;
+use peridotdeck_core::dispatch::{Key, config::Organisation};
 use peridotdeck_io::budget::{Budget, Holder};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Memory of a process that serves nothing, in bytes.
 const IDLE_BYTES: usize = 14 << 20;
@@ -11,6 +13,18 @@
 /// Smallest part of the limit that may be kept, for limits near [`IDLE_BYTES`].
 const MIN_DIVISOR: usize = 8;
 
+/// Bit that tells the numbers of endpoints from those of organisations.
+const ENDPOINT_BIT: u64 = 1 << 63;
+
+/// Numbers below that of any organisation.
+const RESERVED_NUMBERS: u64 = 2;
+
+/// Requests of routes that are public.
+const PUBLIC: Holder = Holder::numbered(0);
+
+/// Requests that belong to nobody and will be refused.
+pub(crate) const NOBODY: Holder = Holder::numbered(1);
+
 /// Returns the budget of a process that may have so many bytes.
 ///
 /// Half of what an idle process leaves is for what is kept; the rest is for the buffers of
@@ -25,5 +39,13 @@
 
 /// Returns the holder of an endpoint's answers.
 pub(crate) fn of_endpoint(key: Key) -> Holder {
-    Holder::numbered(u64::from(key))
+    Holder::numbered(ENDPOINT_BIT | u64::from(key))
+}
+
+/// Returns the holder of a request's body; the request of a public route has no organisation.
+pub(crate) fn of_request(organisation: Option<&Organisation>) -> Holder {
+    organisation.map_or(PUBLIC, |organisation| {
+        let digest = xxh3_64(organisation.name.as_bytes());
+        Holder::numbered((digest & !ENDPOINT_BIT).max(RESERVED_NUMBERS))
+    })
 }
--- a/crates/peridotdeck-relay/src/plain.rs
+++ b/crates/peridotdeck-relay/src/plain.rs
@@ -52,6 +52,7 @@
         is_failure: bool,
     ) -> Self {
         forwarding.framing = Some(started.channel.framing);
+        forwarding.release_body();
         let left = forwarding.flight.time_left(clock::now());
         let (next, rest) = started.start.rest.unzip();
         let kept = started.start.kept;
--- a/crates/peridotdeck-relay/src/stream.rs
+++ b/crates/peridotdeck-relay/src/stream.rs
@@ -169,6 +169,9 @@
             let metrics = &self.forwarding.shared.metrics;
             metrics.observe_first_answer(&flight.route.name, flight.organisation_name(), time);
             self.forwarding.time_to_first = Some(time);
+            if !self.forwarding.flight.route.resumable {
+                self.forwarding.release_body();
+            }
         } else {
             let pause = now.saturating_sub(self.last_sent);
             self.forwarding.record_pause(pause);
