--- a/crates/peridotdeck-relay/src/answer.rs
+++ b/crates/peridotdeck-relay/src/answer.rs
@@ -13,6 +13,8 @@
 pub use foreign::Foreign;
 pub(crate) use foreign::logged_id;
 pub use framing::Framing;
-pub(crate) use reading::{read_body, read_data, read_first_event, read_rest};
+pub(crate) use reading::{
+    MAX_ANSWER_BYTES, Start, read_data, read_first_event, read_rest, read_start,
+};
 pub use verdict::Origin;
 pub(crate) use verdict::check_end;
