Let bodies of requests draw on one budget of memory

Callers that sent large bodies slowly ended the process with the requests of everybody: each body has a bound (4 MB), their sum had none. A body was also held in several copies: as bytes, parsed, parsed again for each send, and for its digest.

A setting of our own, memory_mb (256 by default), bounds the process; a half of it is the budget on which bodies draw as they grow, by what has come and not by the stated length, each under its organisation's share (peridotdeck-io's Budget). What finds none is refused at once with 503, Retry-After and not_run: the newest and the largest, of the organisation that holds most; to wait instead would let ninety halves hold the memory until all time out. The reservation lasts until the request ends, at the size that is kept. Parsed JSON is counted by its values, as a list of numbers takes sixteen times its text. A plain body is sent from the copy that is kept, and a prompt without a second parsed copy. One line event=memory_denied for each refusal; gauges memory_limit_bytes, memory_used_bytes, memory_peak_bytes and memory_denials in peridotdeck_state.

--- a/crates/peridotdeck-router/src/attempt/plain.rs
+++ b/crates/peridotdeck-router/src/attempt/plain.rs
@@ -1,8 +1,9 @@
 //! One attempt to run a request at an endpoint of a plain service.
 
-use std::time::Instant;
+use std::{sync::Arc, time::Instant};
 
-use http_types::{Method, Request, Response};
+use async_std::io::Cursor;
+use http_types::{Body, Method, Request, Response};
 use peridotdeck_core::event::End;
 use peridotdeck_http::client;
 use peridotdeck_wire::Outcome;
@@ -26,7 +27,7 @@
     /// Names and values of the forwarded headers.
     pub headers: Vec<(String, String)>,
     /// Body of the caller's request.
-    pub body: Vec<u8>,
+    pub body: Arc<[u8]>,
     /// Whether the request may run twice without harm.
     pub idempotent: bool,
 }
@@ -69,7 +70,8 @@
             for (name, value) in &self.headers {
                 request.insert_header(name.as_str(), value.as_str());
             }
-            request.set_body(self.body.clone());
+            let body = Cursor::new(Arc::clone(&self.body));
+            request.set_body(Body::from_reader(body, Some(self.body.len())));
             if let Some((_, content_type)) =
                 self.headers.iter().find(|(name, _)| name == "content-type")
             {
--- a/crates/peridotdeck-router/src/callers.rs
+++ b/crates/peridotdeck-router/src/callers.rs
@@ -6,18 +6,20 @@
 //! A request is read completely, within limits of size and time, before it is submitted to the
 //! core; so a slow or broken caller does not affect other requests.
 
+mod upload;
+
 use std::{sync::Arc, time::Duration};
 
-use async_std::{future::timeout, task};
-use futures_lite::io::AsyncReadExt;
+use async_std::task;
 use http_types::{Method, Response, StatusCode, mime};
 use peridotdeck_core::request::{Call, Claim};
 use peridotdeck_http::server::Connection;
+use peridotdeck_io::budget::{Budget, Reservation};
 use peridotdeck_policy::{Class, Kind, Organisation, Service, Snapshot};
 use peridotdeck_settings::Settings;
 use serde_json::json;
 use tide::Request;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64, xxh3_128};
 
 use crate::{
     api_error::ApiError,
@@ -58,6 +60,8 @@
     pub metrics: Arc<Metrics>,
     /// Settings of this node.
     pub settings: Settings,
+    /// Bytes that bodies may take together.
+    pub budget: Budget,
 }
 
 /// The shared state as `tide` hands it to each handler.
@@ -140,40 +144,6 @@
         .ok_or_else(|| ApiError::new(401, "invalid_key", "the bearer key is not known"))
 }
 
-/// Reads the body within the limits of size and time.
-async fn read_body<D: Dial>(request: &mut Request<State<D>>) -> Result<Vec<u8>, ApiError> {
-    let settings = &request.state().settings;
-    let limit = u64::from(settings.body_limit_kb) * 1_024;
-    let body_timeout = Duration::from_millis(settings.body_timeout_ms.into());
-    let connection = request.ext::<Connection>().cloned();
-    // `async-h1` does not check that as many bytes arrive as the length states.
-    let length = request.len();
-    let mut body = Vec::new();
-    let mut reader = request.take_body().take(limit + 1);
-    let error = match timeout(body_timeout, reader.read_to_end(&mut body)).await {
-        Ok(Ok(read)) if length.is_some_and(|length| read < length && read as u64 <= limit) => {
-            let cause = "the connection ended before the body's length";
-            ApiError::new(400, "broken_body", cause)
-        }
-        Ok(Ok(_)) if body.len() as u64 <= limit => return Ok(body),
-        Ok(Ok(_)) => ApiError::new(
-            413,
-            "body_too_large",
-            format!("the body exceeds {limit} bytes"),
-        ),
-        Ok(Err(cause)) => ApiError::new(400, "broken_body", cause.to_string()),
-        Err(_) => ApiError::new(408, "body_timeout", "the body took too long"),
-    };
-    if let Some(Connection(stream)) = connection {
-        // The rest of the body is not needed; the caller gets one second to read the answer.
-        task::spawn(async move {
-            task::sleep(Duration::from_secs(1)).await;
-            let _ = stream.shutdown(std::net::Shutdown::Both);
-        });
-    }
-    Err(error)
-}
-
 fn requested_class<S>(
     request: &Request<S>,
     snapshot: &Snapshot,
@@ -200,8 +170,17 @@
 ) -> Result<Response, ApiError> {
     let snapshot = current_snapshot(request.state())?;
     let organisation = authenticate(&request, &snapshot)?.name.clone();
-    let body = read_body(&mut request).await?;
+    let (body, mut held) = upload::read(&mut request, &organisation).await?;
+    upload::cover(
+        &mut held,
+        request.state(),
+        &organisation,
+        Prompt::parsed_bytes(&body),
+    )?;
     let prompt = Prompt::parse(&body, chat)?;
+    held.shrink_to(Prompt::kept_bytes(&body));
+    let fingerprint = fingerprint(&organisation, &body);
+    drop(body);
     let unknown = || {
         ApiError::new(
             404,
@@ -216,7 +195,7 @@
     let class = requested_class(&request, &snapshot, &service.class)?;
     let resumes = service.endpoints.iter().all(|endpoint| endpoint.resumes);
     let call = Call {
-        fingerprint: fingerprint(&organisation, &body),
+        fingerprint,
         organisation,
         service: service.name.clone(),
         class: class.name.clone(),
@@ -232,7 +211,10 @@
         &request,
         call,
         class,
-        EndpointRequest::Completion(CompletionRequest { prompt, chat }),
+        (
+            EndpointRequest::Completion(CompletionRequest { prompt, chat }),
+            held,
+        ),
         streams,
         chat,
     )
@@ -240,10 +222,11 @@
 }
 
 fn fingerprint(organisation: &str, body: &[u8]) -> u64 {
-    let mut bytes = organisation.as_bytes().to_vec();
-    bytes.push(0);
-    bytes.extend_from_slice(body);
-    xxh3_64(&bytes)
+    let mut hash = Xxh3::new();
+    hash.update(organisation.as_bytes());
+    hash.update(&[0]);
+    hash.update(body);
+    hash.digest()
 }
 
 async fn plain<D: Dial>(request: Request<State<D>>) -> tide::Result {
@@ -266,7 +249,8 @@
         .filter(|service| service.kind == Kind::Plain)
         .ok_or_else(unknown)?;
     let path = path_below(&request, &name);
-    let body = read_body(&mut request).await?;
+    let (body, mut held) = upload::read(&mut request, &organisation).await?;
+    held.shrink_to(body.len());
     let (class, idempotent) = class_and_idempotency(&request, service, &path, &snapshot)?;
     let mut call = Call {
         fingerprint: fingerprint(
@@ -294,14 +278,14 @@
         method: request.method(),
         path,
         headers,
-        body,
+        body: body.into(),
         idempotent,
     };
     run_request(
         &request,
         call,
         class,
-        EndpointRequest::Plain(endpoint_request),
+        (EndpointRequest::Plain(endpoint_request), held),
         false,
         false,
     )
@@ -364,7 +348,7 @@
     request: &Request<State<D>>,
     call: Call,
     class: Class,
-    endpoint_request: EndpointRequest,
+    (endpoint_request, held): (EndpointRequest, Reservation),
     streams: bool,
     chat: bool,
 ) -> Result<Response, ApiError> {
@@ -381,6 +365,7 @@
         call,
         class,
         endpoint_request,
+        held,
         answer: Answer::new(id, response_sender, streams, chat),
         commands,
         connection: request.ext::<Connection>().cloned(),
--- /dev/null
+++ b/crates/peridotdeck-router/src/callers/upload.rs
@@ -0,0 +1,100 @@
+//! Reads bodies of requests within limits of size, time and memory.
+
+use std::{net::Shutdown, time::Duration};
+
+use async_std::{future::timeout, task};
+use futures_lite::io::AsyncReadExt;
+use peridotdeck_http::{client::PIECE_BYTES, server::Connection};
+use peridotdeck_io::budget::Reservation;
+use tide::Request;
+
+use super::{Context, State};
+use crate::{api_error::ApiError, dial::Dial, memory};
+
+/// Time after which a caller whose body found no memory may try again.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Time in which a caller reads the answer to a body that is not read to its end.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
+
+/// Reads the body and returns it with the memory that it holds.
+pub async fn read<D: Dial>(
+    request: &mut Request<State<D>>,
+    organisation: &str,
+) -> Result<(Vec<u8>, Reservation), ApiError> {
+    let body_timeout = Duration::from_millis(request.state().settings.body_timeout_ms.into());
+    let connection = request.ext::<Connection>().cloned();
+    let read = timeout(body_timeout, read_pieces(request, organisation)).await;
+    let error = match read {
+        Ok(Ok(read)) => return Ok(read),
+        Ok(Err(error)) => error,
+        Err(_) => ApiError::new(408, "body_timeout", "the body took too long"),
+    };
+    if let Some(Connection(stream)) = connection {
+        // The rest of the body is not needed; the caller gets time to read the answer.
+        task::spawn(async move {
+            task::sleep(ANSWER_TIME).await;
+            let _ = stream.shutdown(Shutdown::Both);
+        });
+    }
+    Err(error)
+}
+
+/// Reads the body piece by piece; its memory grows with what has come, whatever length was stated.
+async fn read_pieces<D: Dial>(
+    request: &mut Request<State<D>>,
+    organisation: &str,
+) -> Result<(Vec<u8>, Reservation), ApiError> {
+    let limit = request.state().settings.body_limit_kb as usize * 1_024;
+    let too_large = || {
+        let message = format!("the body exceeds {limit} bytes");
+        ApiError::new(413, "body_too_large", message)
+    };
+    // `async-h1` does not check that as many bytes arrive as the length states.
+    let length = request.len();
+    let mut reader = request.take_body();
+    let budget = &request.state().budget;
+    let mut held = budget.reservation(memory::organisation(organisation));
+    let mut body = Vec::new();
+    let mut piece = [0; PIECE_BYTES];
+    loop {
+        let read = reader.read(&mut piece).await;
+        let bytes = read.map_err(|cause| ApiError::new(400, "broken_body", cause.to_string()))?;
+        if body.len() + bytes > limit {
+            return Err(too_large());
+        }
+        if bytes == 0 && length.is_some_and(|length| body.len() < length) {
+            let cause = "the connection ended before the body's length";
+            return Err(ApiError::new(400, "broken_body", cause));
+        }
+        if bytes == 0 {
+            return Ok((body, held));
+        }
+        if body.len() + bytes > body.capacity() {
+            let capacity = (body.len() + bytes).max(2 * body.capacity()).min(limit);
+            cover(&mut held, request.state(), organisation, capacity)?;
+            body.reserve_exact(capacity - body.len());
+        }
+        body.extend_from_slice(&piece[..bytes]);
+    }
+}
+
+/// Reserves memory for a body.
+///
+/// # Errors
+/// If there is none; the request has not run then.
+pub fn cover<D>(
+    held: &mut Reservation,
+    context: &Context<D>,
+    organisation: &str,
+    bytes: usize,
+) -> Result<(), ApiError> {
+    held.cover(bytes).map_err(|cause| {
+        memory::log_denial(&context.budget, organisation, bytes, cause);
+        ApiError {
+            kind: "overloaded_error",
+            retry_after: Some(RETRY_AFTER),
+            ..ApiError::new(503, "memory", format!("{cause}; try again"))
+        }
+    })
+}
--- a/crates/peridotdeck-router/src/lib.rs
+++ b/crates/peridotdeck-router/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod dial;
 pub mod driver;
 pub mod handle;
+mod memory;
 pub mod metrics;
 pub mod operators;
 pub mod ops;
--- a/crates/peridotdeck-router/src/metrics.rs
+++ b/crates/peridotdeck-router/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use peridotdeck_core::{Node, request::Refusal};
+use peridotdeck_io::budget::Usage;
 use peridotdeck_wire::Outcome;
 use prometheus::{
     Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
@@ -211,10 +212,10 @@
             .collect()
     }
 
-    /// Sets the gauges from the node's state and returns all series as text.
+    /// Sets the gauges from the node's state and the memory for bodies, and returns all series as text.
     #[must_use]
-    pub fn render(&self, node: &Node) -> String {
-        self.set_gauges(node);
+    pub fn render(&self, node: &Node, memory: Usage) -> String {
+        self.set_gauges(node, memory);
         let mut text = Vec::new();
         if let Err(cause) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
             log::error!("event=metrics_failed cause=\"{cause}\"");
@@ -222,7 +223,7 @@
         String::from_utf8_lossy(&text).into_owned()
     }
 
-    fn set_gauges(&self, node: &Node) {
+    fn set_gauges(&self, node: &Node, memory: Usage) {
         let (requests, pools, drops) = (
             node.request_table().counts(),
             node.pools().counts(),
@@ -246,6 +247,10 @@
             ("dropped_foreign", drops.foreign),
             ("dropped_stale", drops.stale),
             ("dropped_replayed", drops.replayed),
+            ("memory_limit_bytes", memory.limit as u64),
+            ("memory_used_bytes", memory.used as u64),
+            ("memory_peak_bytes", memory.peak as u64),
+            ("memory_denials", memory.denials),
         ];
         for (name, value) in values {
             self.state
--- a/crates/peridotdeck-router/src/operators.rs
+++ b/crates/peridotdeck-router/src/operators.rs
@@ -138,10 +138,11 @@
 
 async fn serve_metrics<D: Dial>(request: Request<State<D>>) -> tide::Result {
     let metrics = Arc::clone(&request.state().metrics);
+    let usage = request.state().budget.usage();
     let text = request
         .state()
         .handle
-        .inspect(move |node, _| metrics.render(node))
+        .inspect(move |node, _| metrics.render(node, usage))
         .await;
     let mut response = Response::new(StatusCode::Ok);
     response.set_body(text.unwrap_or_default());
--- a/crates/peridotdeck-router/src/prompt.rs
+++ b/crates/peridotdeck-router/src/prompt.rs
@@ -1,7 +1,7 @@
 //! The properties that the router reads from a completion request.
 
-use serde::Deserialize;
-use serde_json::Value;
+use serde::{Deserialize, Serializer as _};
+use serde_json::{Serializer, Value};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::api_error::ApiError;
@@ -9,6 +9,9 @@
 /// Bytes of text per token, to estimate the size of a prompt.
 const BYTES_PER_TOKEN: usize = 4;
 
+/// Bytes of memory for each value in JSON, beside its text.
+const VALUE_BYTES: usize = 64;
+
 /// Leading bytes of a prompt that identify its prefix in endpoints' prefix caches.
 const PREFIX_BYTES: usize = 64;
 
@@ -82,19 +85,37 @@
         })
     }
 
+    /// Returns the bytes of memory that a body takes while it is parsed, beside the body.
+    #[must_use]
+    pub fn parsed_bytes(body: &[u8]) -> usize {
+        2 * body.len() + Self::kept_bytes(body)
+    }
+
+    /// Returns the bytes of memory that a parsed body takes together with the body that is sent.
+    #[must_use]
+    pub fn kept_bytes(body: &[u8]) -> usize {
+        let values = body.iter().filter(|byte| b",[{".contains(byte));
+        2 * body.len() + VALUE_BYTES * values.count()
+    }
+
     /// Returns the body to send to an endpoint.
     ///
     /// If `delivered_tokens` is not 0, the endpoint resumes the answer after that many tokens.
     #[must_use]
-    pub fn body(&self, delivered_tokens: u32) -> String {
-        let mut json = self.json.clone();
-        if self.text_only {
-            json["stream"] = Value::Bool(true);
-        }
-        if delivered_tokens > 0 {
-            json["resume_from"] = delivered_tokens.into();
-        }
-        json.to_string()
+    pub fn body(&self, delivered_tokens: u32) -> Vec<u8> {
+        let stream = self.text_only.then_some(("stream", Value::Bool(true)));
+        let resumes = delivered_tokens > 0;
+        let resume = resumes.then(|| ("resume_from", delivered_tokens.into()));
+        let changed: Vec<(&str, Value)> = stream.into_iter().chain(resume).collect();
+        let is_kept = |name: &str| changed.iter().all(|(each, _)| *each != name);
+        let fields = self.json.as_object().into_iter().flatten();
+        let kept = fields.filter(|(name, _)| is_kept(name));
+        let kept = kept.map(|(name, value)| (name.as_str(), value));
+        let changes = changed.iter().map(|(name, value)| (*name, value));
+        let mut body = Vec::new();
+        let written = Serializer::new(&mut body).collect_map(kept.chain(changes));
+        written.expect("values are written to memory");
+        body
     }
 }
 
--- a/crates/peridotdeck-router/src/request_task.rs
+++ b/crates/peridotdeck-router/src/request_task.rs
@@ -14,6 +14,7 @@
     request::{Call, Refusal},
 };
 use peridotdeck_http::server::Connection;
+use peridotdeck_io::budget::Reservation;
 use peridotdeck_policy::{Class, Endpoint};
 use peridotdeck_wire::Outcome;
 
@@ -53,6 +54,8 @@
     pub class: Class,
     /// The request that is sent to endpoints.
     pub endpoint_request: EndpointRequest,
+    /// Memory of the request, held until its end.
+    pub held: Reservation,
     /// The answer to the caller so far.
     pub answer: Answer,
     /// Commands of the core; the channel closes when the request has ended.
--- a/crates/peridotdeck-router/src/router.rs
+++ b/crates/peridotdeck-router/src/router.rs
@@ -13,11 +13,12 @@
 };
 use peridotdeck_core::{Event, Node, Strategy, node::Setup};
 use peridotdeck_http::server::{Limits, Server};
+use peridotdeck_io::budget::Budget;
 use peridotdeck_settings::Settings;
 
 use crate::{
-    callers, dial::Dial, driver::Driver, handle::Handle, metrics::Metrics, operators, peers,
-    platform,
+    callers, dial::Dial, driver::Driver, handle::Handle, memory, metrics::Metrics, operators,
+    peers, platform,
 };
 
 /// Time between two checks whether a draining node is idle.
@@ -110,6 +111,7 @@
         options: Options<D>,
     ) -> io::Result<Self> {
         let metrics = Arc::new(Metrics::new());
+        let budget = memory::budget(settings.memory_mb);
         let (handle, inputs) = Handle::new();
         let socket = Arc::new(sockets.udp);
         let identity = peers::Identity::new(settings.node, options.incarnation, &settings.place);
@@ -146,8 +148,15 @@
         ];
         tasks.extend(spawn_watches(&settings, &handle, &options));
         let drain_timeout = Duration::from_secs(settings.drain_s.into());
-        let server =
-            start_server(settings, sockets.callers, &handle, &metrics, options.dial).await?;
+        let server = start_server(
+            settings,
+            sockets.callers,
+            &handle,
+            &metrics,
+            &budget,
+            options.dial,
+        )
+        .await?;
         let address = server.address();
         log::info!("event=started node={} address={address}", identity.node);
         Ok(Self {
@@ -262,6 +271,7 @@
     address: SocketAddr,
     handle: &Handle,
     metrics: &Arc<Metrics>,
+    budget: &Budget,
     dial: D,
 ) -> io::Result<Server> {
     let limits = Limits {
@@ -272,6 +282,7 @@
         handle: handle.clone(),
         dial,
         metrics: Arc::clone(metrics),
+        budget: budget.clone(),
         settings,
     };
     let mut app = tide::with_state(Arc::new(state));
--- a/crates/peridotdeck-settings/src/check.rs
+++ b/crates/peridotdeck-settings/src/check.rs
@@ -65,6 +65,7 @@
         ("body_timeout_ms", settings.body_timeout_ms, 100..=120_000),
         ("silence_ms", settings.silence_ms, 100..=600_000),
         ("drain_s", settings.drain_s, 1..=86_400),
+        ("memory_mb", settings.memory_mb, 64..=65_536),
         ("open_connections", settings.open_connections, 16..=65_536),
     ];
     for (key, value, range) in ranges {
--- a/crates/peridotdeck-settings/src/generated.rs
+++ b/crates/peridotdeck-settings/src/generated.rs
@@ -90,6 +90,13 @@
 ///      "default": "info",
 ///      "type": "string"
 ///    },
+///    "memory_mb": {
+///      "description": "Memory of the process in megabytes, 64 to 65536; bodies, answers and events take at most a half of it together.",
+///      "default": 256,
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
 ///    "node": {
 ///      "description": "Number of this VM in the VM list.",
 ///      "type": "integer",
@@ -155,6 +162,9 @@
     ///Log level: error, warn, info, debug or trace.
     #[serde(default = "defaults::settings_log")]
     pub log: ::std::string::String,
+    ///Memory of the process in megabytes, 64 to 65536; bodies, answers and events take at most a half of it together.
+    #[serde(default = "defaults::default_u64::<u32, 256>")]
+    pub memory_mb: u32,
     ///Number of this VM in the VM list.
     pub node: u32,
     ///Maximum number of open caller connections, 16 to 65536.
--- a/crates/peridotdeck-settings/tests/testsuite/main.rs
+++ b/crates/peridotdeck-settings/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
         (settings.node, settings.body_limit_kb, settings.drain_s),
         (3, 4_096, 600)
     );
+    assert_eq!(settings.memory_mb, 256);
 }
 
 #[test]
