Ask the caches of now, not those of the start, for a stream's version

Cause: after 250 ms without an answer, the only version whose endpoints hold the last part of the prompt counted as the stream's. A held part shows that a version has read the prompt. It shows that no other has run the stream only if all endpoints of other versions are known and have been asked since. The list was that of the node's start, counted also when an endpoint had not answered, and, beside several versions, at any age.

Change: a cache decides only if the node's history is short, one version holds the part, each endpoint of another version has answered a call for its list that began after the request came, a read of the publisher of the last second shows the endpoint list, and no version is known to have left. The calls are made while the node asks its peers, at most every 250 ms. Where a service has more endpoints than a node lists, the shared lists of the start count as before.

What this costs: while one endpoint of a version does not list its cache, streams of other versions that no node knows are refused after a common restart; also while the publisher is away. With one version, nothing is called again.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -312,8 +312,7 @@
                         state.mark_departing();
                     }
                     if query_caches {
-                        let address = endpoint.address;
-                        self.cache_queries.push(CacheQuery { key, address });
+                        self.cache_queries.push(state.cache_query());
                     }
                     self.states.insert(index, state);
                     self.presume_terms(key, &endpoint.service, now);
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -48,7 +48,7 @@
         due.probes = self.probes(now);
         due.searches = self.searches(now);
         due.paths = std::mem::take(&mut self.path_news);
-        due.cache_queries = self.cache_queries();
+        due.cache_queries = self.cache_queries(now);
         due.snapshot_requests = self.snapshot_requests(now);
         due.confirmation = self.step.begin_read(now);
         due.crashes = self.crashes.take_notices();
@@ -72,11 +72,14 @@
     /// list delays an endpoint, so a node queries only some of many endpoints. Those of its own
     /// data centre come first, and of these the ones for which it ranks highest, so that all nodes
     /// together list all.
-    fn cache_queries(&mut self) -> Vec<CacheQuery> {
+    fn cache_queries(&mut self, now: Time) -> Vec<CacheQuery> {
         let Some(config) = self.registry.config() else {
             return Vec::new();
         };
-        let queries = std::mem::take(&mut self.cache_queries);
+        let mut queries = std::mem::take(&mut self.cache_queries);
+        if self.listing.take_wanted(now) {
+            queries = self.states.iter().map(State::cache_query).collect();
+        }
         let states = queries
             .iter()
             .filter_map(|query| Some((query, self.state(query.key)?)));
@@ -98,6 +101,9 @@
             due.truncate(MAX_CACHE_QUERIES);
             self.listing.skip();
         }
+        for (_, query) in &due {
+            self.listing.begin(query.key, now);
+        }
         due.into_iter().map(|(_, query)| query).collect()
     }
 
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -7,6 +7,7 @@
     dispatch::{
         Software,
         attempt::{Attempt, Delay, Placement, WaitCause},
+        endpoint::State,
         flight::Flight,
         refusal::Cause,
         registry::Area,
@@ -75,15 +76,17 @@
             self.record_resolution(flight, Evidence::Publisher, None, now);
             return None;
         }
-        if may_be_only || !self.is_in_step(now) {
+        if may_be_only || !self.is_in_step(now) || self.versions.is_history_short(now) {
             // Once the version is known, its endpoints must be.
             self.step.want_read();
         }
+        // The lists of caches are asked for together with the peers, and count only if none of these knows.
+        let cached = self.cached_version(flight, now);
         let is_over = now.saturating_sub(flight.arrived) >= LOOKUP_TIMEOUT;
         if !is_over && (self.ask(flight, stream, now) || may_be_only) {
             return Some(Placement::Wait(Delay::poll(WaitCause::Lookup)));
         }
-        if let Some(software) = self.cached_version(flight, now) {
+        if let Some(software) = cached {
             self.record_resolution(flight, Evidence::Cache, Some(software), now);
             return None;
         }
@@ -179,10 +182,11 @@
 
     /// Returns the version of the endpoints that have cached the own part of a request's prompt.
     ///
-    /// An endpoint that ran the stream has, also after all nodes have ended. The caches were listed at
-    /// the start, so later they say nothing of streams that have begun since. If endpoints of several
-    /// versions have the part, it belongs to a session, and tells nothing.
-    fn cached_version(&self, flight: &Flight, now: Time) -> Option<Software> {
+    /// An endpoint that ran the stream has, also after all nodes have ended. But so has one that only read
+    /// the prompt, for an earlier request of the session or without an event. So no endpoint of another
+    /// version may have it, in a list of now and not of the start; and none may be missing from the
+    /// endpoint list.
+    fn cached_version(&mut self, flight: &Flight, now: Time) -> Option<Software> {
         if !self.versions.is_history_short(now) {
             return None;
         }
@@ -196,9 +200,35 @@
             .collect();
         versions.sort_unstable();
         versions.dedup();
-        match versions[..] {
-            [software] => Some(software),
-            _ => None,
+        let [software] = versions[..] else {
+            return None;
+        };
+        if !self.are_others_listed(flight, software) {
+            self.listing.want();
+            return None;
         }
+        let is_certain = self.is_list_confirmed(now) && !self.has_other_left(flight, software, now);
+        is_certain.then_some(software)
+    }
+
+    /// Returns whether all endpoints of other versions have listed their caches since a request came.
+    ///
+    /// Of more endpoints than a node lists, it knows only what others have told of at the start.
+    fn are_others_listed(&self, flight: &Flight, software: Software) -> bool {
+        let mut others = self.others(flight, software);
+        self.listing.is_partial()
+            || others.all(|state| self.listing.shows_since(state.key, flight.arrived))
+    }
+
+    /// Returns whether another version of a request's service is known to have been there, and is gone.
+    fn has_other_left(&self, flight: &Flight, software: Software, now: Time) -> bool {
+        self.versions.is_mixed(&flight.service, now)
+            && self.others(flight, software).next().is_none()
+    }
+
+    /// Returns the endpoints of a request's service that run another version.
+    fn others(&self, flight: &Flight, software: Software) -> impl Iterator<Item = &State> {
+        self.endpoints_of(&flight.service)
+            .filter(move |state| state.software != software)
     }
 }
--- a/crates/peridotdeck-core/src/dispatch/endpoint.rs
+++ b/crates/peridotdeck-core/src/dispatch/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Key, Software, path::Path, registry};
+use super::{Key, Software, due::CacheQuery, path::Path, registry};
 use crate::{id::Time, limit::Bucket};
 
 /// Time in which the weight of an attempt's outcome falls to a half.
@@ -198,6 +198,15 @@
         now < self.cold_until
     }
 
+    /// Returns the call for the list of what the endpoint has cached.
+    #[must_use]
+    pub fn cache_query(&self) -> CacheQuery {
+        CacheQuery {
+            key: self.key,
+            address: self.info.address,
+        }
+    }
+
     /// Treats the endpoint as cold at least until a time, since it may have restarted.
     pub fn presume_cold(&mut self, until: Time, now: Time) {
         let (_, before) = self.presumed.unwrap_or((now, self.cold_until));
--- a/crates/peridotdeck-core/src/dispatch/stream/listing.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/listing.rs
@@ -15,9 +15,28 @@
 /// at the first one, and later ones have started by the second one.
 const TURNS: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(4)];
 
+/// Shortest time between two lists of all endpoints, which delay their work.
+const INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time after which a call without an answer has failed.
+const MAX_CALL: Duration = Duration::from_millis(1_200);
+
+/// The calls for one endpoint's list.
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    key: Key,
+    /// Time of the first call that is not answered.
+    begun: Option<Time>,
+    /// Time of the last call that was answered.
+    answered: Option<Time>,
+}
+
 /// The caches that a node has listed since its start, while others need to be told of them.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
+    calls: Vec<Call>,
+    is_wanted: bool,
+    repeated: Option<Time>,
     is_partial: bool,
     begun: Option<Time>,
     turns: usize,
@@ -30,8 +49,64 @@
         self.is_partial = true;
     }
 
+    /// Returns whether this node lists some of the endpoints only.
+    #[must_use]
+    pub fn is_partial(&self) -> bool {
+        self.is_partial
+    }
+
+    /// Asks for new lists, since a stream waits for them.
+    pub fn want(&mut self) {
+        self.is_wanted = true;
+    }
+
+    /// Returns whether to list all endpoints again.
+    pub fn take_wanted(&mut self, now: Time) -> bool {
+        let is_recent = |at: Time| now.saturating_sub(at) < INTERVAL;
+        if !self.is_wanted || self.is_partial || self.repeated.is_some_and(is_recent) {
+            return false;
+        }
+        self.is_wanted = false;
+        self.repeated = Some(now);
+        true
+    }
+
+    /// Records that an endpoint is called for its list.
+    pub fn begin(&mut self, key: Key, now: Time) {
+        let call = self.call(key);
+        let is_lost = |begun: Time| now.saturating_sub(begun) >= MAX_CALL;
+        if call.begun.is_none_or(is_lost) {
+            call.begun = Some(now);
+        }
+    }
+
+    /// Returns whether an endpoint has answered a call that began after a time.
+    #[must_use]
+    pub fn shows_since(&self, key: Key, since: Time) -> bool {
+        let mut calls = self.calls.iter().filter(|call| call.key == key);
+        calls.any(|call| call.answered.is_some_and(|begun| begun >= since))
+    }
+
+    fn call(&mut self, key: Key) -> &mut Call {
+        let index = match self.calls.binary_search_by_key(&key, |call| call.key) {
+            Ok(index) => index,
+            Err(index) => {
+                let call = Call {
+                    key,
+                    begun: None,
+                    answered: None,
+                };
+                self.calls.insert(index, call);
+                index
+            }
+        };
+        &mut self.calls[index]
+    }
+
     /// Keeps the parts that an endpoint has cached, if other nodes need to be told of them.
     pub fn add(&mut self, key: Key, parts: &[Prefix], now: Time) {
+        let call = self.call(key);
+        call.answered = call.begun.take().max(call.answered);
         if self.is_partial && self.turns < TURNS.len() {
             self.begun.get_or_insert(now);
             self.parts.push((key, parts.to_vec()));
--- a/crates/peridotdeck-core/tests/testsuite/moved_sessions.rs
+++ b/crates/peridotdeck-core/tests/testsuite/moved_sessions.rs
@@ -66,6 +66,35 @@
     }
 }
 
+/// Guards against a list that is older than the stream, where all that were told of it have ended.
+#[test]
+fn session_that_moved_on_is_not_at_the_version_of_an_old_list() {
+    for nodes in [7, 60] {
+        let mut world = world(nodes, 3);
+        world.kill(0);
+        world.start(0);
+        world.run(ms(1_500));
+        let streams = begin(&mut world, "begun");
+        for node in 1..nodes {
+            world.kill(node);
+        }
+        assert_kept(&mut world, &format!("{nodes} nodes"), 0, &streams);
+    }
+}
+
+/// Guards against a list that one version gives and the other one does not, after all nodes have ended.
+#[test]
+fn session_that_moved_on_is_refused_where_its_version_lists_nothing() {
+    for nodes in [7, 60] {
+        let mut world = world(nodes, 4);
+        let streams = begin(&mut world, "begun");
+        world.unlisted = vec!["v2"];
+        world.restart_all();
+        world.run(ms(500));
+        assert_kept(&mut world, &format!("{nodes} nodes"), 1, &streams);
+    }
+}
+
 /// Guards against the same where the version of the stream has left, and all nodes have started again.
 #[test]
 fn session_whose_version_left_is_refused_after_a_restart() {
--- a/crates/peridotdeck-core/tests/testsuite/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world.rs
@@ -60,6 +60,8 @@
     pub groups: Vec<usize>,
     /// Pairs of a sender and a receiver between which heartbeats are lost.
     pub lost: Vec<(usize, usize)>,
+    /// Software versions whose endpoints do not list their caches.
+    pub unlisted: Vec<&'static str>,
     /// Time by which heartbeats are late.
     pub late: Duration,
     pub endpoints: Vec<Endpoint>,
@@ -116,6 +118,7 @@
             nodes: Vec::new(),
             groups: vec![0; nodes],
             lost: Vec::new(),
+            unlisted: Vec::new(),
             late: Duration::ZERO,
             endpoints: endpoints.collect(),
             callers: ((0..nodes).collect(), 4.0),
--- a/crates/peridotdeck-core/tests/testsuite/world/streams.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world/streams.rs
@@ -72,7 +72,12 @@
         let Some(dispatcher) = &mut self.nodes[node] else {
             return;
         };
-        for key in keys {
+        let is_unlisted = |wanted: &Key| {
+            let mut endpoints = self.endpoints.iter();
+            let found = endpoints.find(|one| one.info.key() == *wanted);
+            found.is_some_and(|one| self.unlisted.contains(&one.info.version.as_str()))
+        };
+        for key in keys.iter().filter(|wanted| !is_unlisted(wanted)) {
             let cached = self.cached.iter().filter(|(holder, _)| holder == key);
             let parts: Vec<Prefix> = cached.map(|(_, part)| *part).collect();
             dispatcher.record_cached(*key, &parts, now);
