Open connections in one module that neither pool nor tunnel imports

pool named tunnel::Error in its error, and tunnel opened its connections with pool's functions and returned pool's error, so the two modules imported each other.

dial now holds the error and the function that opens a connection; pool keeps connections and knows nothing of how they are opened, and tunnel returns errors of its own.

--- a/crates/peridotdeck-relay/src/answer/verdict.rs
+++ b/crates/peridotdeck-relay/src/answer/verdict.rs
@@ -17,7 +17,7 @@
 use super::Failure;
 use crate::{
     Ingress, Shared, clock, dial,
-    pool::{self, Connection, Path},
+    pool::{Connection, Path},
     report::{self, Process},
     shared::detour_text,
     tunnel::Purpose,
@@ -198,6 +198,6 @@
 }
 
 /// Returns whether no process listens at the endpoint's address.
-fn is_refused(error: &pool::Error) -> bool {
-    matches!(error, pool::Error::Connect(cause) if cause.kind() == std::io::ErrorKind::ConnectionRefused)
+fn is_refused(error: &dial::Error) -> bool {
+    matches!(error, dial::Error::Connect(cause) if cause.kind() == std::io::ErrorKind::ConnectionRefused)
 }
--- a/crates/peridotdeck-relay/src/fetch.rs
+++ b/crates/peridotdeck-relay/src/fetch.rs
@@ -9,7 +9,7 @@
 use hyper::{Request, Response, StatusCode, body::Bytes, header};
 use quick_error::quick_error;
 
-use crate::pool::{self, Connection};
+use crate::{dial, pool::Connection};
 
 /// Largest body of a response.
 const MAX_BODY_BYTES: usize = 16 << 20;
@@ -19,7 +19,7 @@
     #[derive(Debug)]
     pub enum Error {
         /// No connection was opened.
-        Connect(cause: pool::Error) {
+        Connect(cause: dial::Error) {
             display("{cause}")
             from()
             source(cause)
@@ -78,7 +78,7 @@
         let exchange = async {
             let mut connection = match idle {
                 Some(connection) => connection,
-                None => pool::dial(self.address, || ()).await?,
+                None => dial::open(self.address, || ()).await?,
             };
             let request = Request::get(path)
                 .header(header::HOST, self.address.to_string())
--- a/crates/peridotdeck-relay/src/lib.rs
+++ b/crates/peridotdeck-relay/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod answer;
 pub mod clock;
 pub mod control;
-mod dial;
+pub mod dial;
 pub mod exchange;
 pub mod fetch;
 pub mod forwarding;
--- a/crates/peridotdeck-relay/src/pool.rs
+++ b/crates/peridotdeck-relay/src/pool.rs
@@ -7,7 +7,7 @@
 
 use std::{
     io,
-    net::{SocketAddr, SocketAddrV4, TcpStream},
+    net::{SocketAddr, TcpStream},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -30,11 +30,9 @@
     id::Time,
 };
 use peridotdeck_io::{Bounded, Head};
-use quick_error::quick_error;
-use smol_hyper::rt::FuturesIo;
 use socket2::{SockRef, TcpKeepalive};
 
-use crate::{clock, tunnel};
+use crate::clock;
 
 /// Longest time to open a connection.
 ///
@@ -72,31 +70,6 @@
 /// Interim heads (1xx) come before it, and the first bytes of the body are read together with it.
 const MAX_BYTES_TO_HEAD: usize = 8 * MAX_HEAD_BYTES;
 
-quick_error! {
-    /// Reason why a connection could not be opened; no request was sent.
-    #[derive(Debug)]
-    pub enum Error {
-        /// The connection was refused, timed out, or a socket option could not be set.
-        Connect(cause: io::Error) {
-            display("cannot connect: {cause}")
-            from()
-            source(cause)
-        }
-        /// A peer opened no connection to the endpoint.
-        Detour(cause: tunnel::Error) {
-            display("no connection through the peer: {cause}")
-            from()
-            source(cause)
-        }
-        /// The HTTP client could not be set up on the connection.
-        Handshake(cause: hyper::Error) {
-            display("handshake failed: {cause}")
-            from()
-            source(cause)
-        }
-    }
-}
-
 /// Sets the socket options that let the kernel detect a dead connection, and `TCP_NODELAY`.
 ///
 /// # Errors
@@ -145,7 +118,7 @@
 }
 
 impl Path {
-    /// The own path, on which there is nobody but the endpoint.
+    /// The own path, on which no program stands before the endpoint.
     pub const OWN: Self = Self {
         detour: None,
         shows_end: true,
@@ -329,19 +302,6 @@
     }
 }
 
-/// Opens a connection, and calls `on_broken` if it breaks while no request uses it.
-///
-/// # Errors
-/// If the connection cannot be opened; no request was sent then.
-pub async fn dial<F>(address: SocketAddrV4, on_broken: F) -> Result<Connection, Error>
-where
-    F: FnOnce() + Send + 'static,
-{
-    let stream = bounded(connect(address.into()).await?);
-    let head = stream.head();
-    Ok(handshake(FuturesIo::new(stream), head, Path::OWN, on_broken).await?)
-}
-
 /// Bounds what is read from a connection in a row, and before the head of an answer.
 pub(crate) fn bounded(stream: Async<TcpStream>) -> Bounded<Async<TcpStream>> {
     Bounded::new(stream, MAX_BYTES_TO_HEAD)
--- a/crates/peridotdeck-relay/src/tunnel.rs
+++ b/crates/peridotdeck-relay/src/tunnel.rs
@@ -110,7 +110,7 @@
     key: Key,
     peer: Node,
     purpose: Purpose,
-) -> Result<Connection, pool::Error> {
+) -> Result<Connection, Error> {
     let observer = Arc::clone(shared);
     let open = async {
         let (upgraded, head, shows_end) = request_tunnel(shared, key, peer, purpose).await?;
