--- a/crates/peridotdeck-core/tests/testsuite/brittle_endpoints.rs
+++ b/crates/peridotdeck-core/tests/testsuite/brittle_endpoints.rs
@@ -65,7 +65,7 @@
     }
 }
 
-/// Nodes that were cut off, ended or started made the endpoints fall, since nobody knew what they held.
+/// Nodes that were cut off, ended or started made the endpoints fall, as no node knew what they held.
 #[test]
 fn room_is_kept_while_nodes_come_and_go() {
     let mut world = play(12, 6, 1.2, 43);
--- a/crates/peridotdeck-core/tests/testsuite/cut_nodes.rs
+++ b/crates/peridotdeck-core/tests/testsuite/cut_nodes.rs
@@ -15,7 +15,7 @@
 /// Share of the others' requests that must be served.
 const SERVED: f64 = 0.95;
 
-/// Plays a cut of some nodes for 10 s, and asserts that callers notice little and nobody is blamed.
+/// Plays a cut of some nodes for 10 s, and asserts that callers notice little and no endpoint or request is blamed.
 fn play(nodes: usize, cut: &[usize], way: Cut, seed: u64) -> World {
     let endpoints = (nodes / 2).clamp(9, 60);
     let mut world = World::new(nodes, endpoints, seed);
@@ -67,7 +67,7 @@
     }
 }
 
-/// The nodes of a data centre asked each other, and its endpoints were used by nobody.
+/// The nodes of a data centre asked each other, and its endpoints were not used.
 #[test]
 fn callers_of_a_cut_data_centre_are_served() {
     for way in [Cut::Reset, Cut::Silent] {
@@ -90,7 +90,7 @@
     assert!(most as f64 <= 2.5 * mean, "{:?}", world.passed);
 }
 
-/// Where nobody reached an endpoint, requests went round, waited long, or were said to have run.
+/// Where no node reached an endpoint, requests went round, waited long, or were said to have run.
 #[test]
 fn refusals_come_soon_where_nobody_reaches_anything() {
     for nodes in [1, 7, 30] {
--- a/crates/peridotdeck-core/tests/testsuite/odd_facts.rs
+++ b/crates/peridotdeck-core/tests/testsuite/odd_facts.rs
@@ -77,7 +77,7 @@
 }
 
 /// Guards against a panic at an endpoint that is cold for longer than a clock counts, after which
-/// nobody followed the endpoints any more.
+/// the node no longer followed the endpoints.
 #[test]
 fn odd_endpoints_are_none_and_harm_none() {
     let sound = endpoint("sound", "desk", HERE);
--- a/crates/peridotdeck-load/src/ops.rs
+++ b/crates/peridotdeck-load/src/ops.rs
@@ -67,7 +67,7 @@
 
 /// What the callers of one run share.
 #[derive(Clone, Debug)]
-struct Crowd {
+struct Traffic {
     experiment: Arc<Experiment>,
     stage: Shared,
     tally: Arc<Mutex<Tally>>,
@@ -89,25 +89,25 @@
     let bounds = bound::attainment(&experiment, &arrivals);
     let stage = Stage::start(&experiment, strategy, seed).await?;
     let tally = Tally::new(&experiment, &strategy.to_string(), seed);
-    let crowd = Crowd {
+    let traffic = Traffic {
         started: Instant::now(),
         experiment: Arc::new(experiment),
         stage: Arc::new(RwLock::new(stage)),
         tally: Arc::new(Mutex::new(tally)),
         verdicts: Arc::default(),
     };
-    let started = crowd.started;
+    let started = traffic.started;
     let faults = task::spawn(fault::play(
-        Arc::clone(&crowd.experiment),
-        Arc::clone(&crowd.stage),
+        Arc::clone(&traffic.experiment),
+        Arc::clone(&traffic.stage),
         started,
     ));
     let total = arrivals.len();
-    let progress = (!quiet).then(|| task::spawn(show_progress(crowd.clone(), started, total)));
+    let progress = (!quiet).then(|| task::spawn(show_progress(traffic.clone(), started, total)));
     let mut callers = Vec::with_capacity(total);
     for (index, arrival) in arrivals.into_iter().enumerate() {
         task::sleep(arrival.at.saturating_sub(started.elapsed())).await;
-        callers.push(task::spawn(attend(crowd.clone(), arrival, index)));
+        callers.push(task::spawn(attend(traffic.clone(), arrival, index)));
     }
     for caller in callers {
         caller.await;
@@ -116,17 +116,17 @@
     if let Some(progress) = progress {
         progress.cancel().await;
     }
-    conclude(&crowd, watch.late_runs, &bounds).await
+    conclude(&traffic, watch.late_runs, &bounds).await
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn show_progress(crowd: Crowd, started: Instant, total: usize) {
+async fn show_progress(traffic: Traffic, started: Instant, total: usize) {
     loop {
         task::sleep(PROGRESS).await;
-        let ended = lock(&crowd.tally).ended();
+        let ended = lock(&traffic.tally).ended();
         eprintln!(
             "{:>3} s: {ended} of {total} requests ended",
             started.elapsed().as_secs()
@@ -135,19 +135,19 @@
 }
 
 /// One caller, who may send a call with a key to two routers at once.
-async fn attend(crowd: Crowd, arrival: Arrival, index: usize) {
+async fn attend(traffic: Traffic, arrival: Arrival, index: usize) {
     if arrival.twice {
-        let second = crowd.clone();
+        let second = traffic.clone();
         let copy = arrival.clone();
         let other = task::spawn(async move { second.send(&copy, index + 1, false).await });
-        crowd.send(&arrival, index, true).await;
+        traffic.send(&arrival, index, true).await;
         other.await;
     } else {
-        crowd.send(&arrival, index, true).await;
+        traffic.send(&arrival, index, true).await;
     }
 }
 
-impl Crowd {
+impl Traffic {
     /// Callers wait until the experiment ends, because bulk may take that long.
     fn patience(&self) -> Duration {
         let end = self.experiment.seconds + self.experiment.tail_seconds;
@@ -201,11 +201,11 @@
 }
 
 async fn conclude(
-    crowd: &Crowd,
+    traffic: &Traffic,
     late_runs: u64,
     bounds: &BTreeMap<String, f64>,
 ) -> Result<Report, Box<dyn Error>> {
-    let stage = crowd.stage.read().await;
+    let stage = traffic.stage.read().await;
     let mut generated: BTreeMap<String, u64> = BTreeMap::new();
     let mut cold_exceeded = 0;
     for (_, engine) in &stage.engines {
@@ -223,12 +223,12 @@
             .await;
         shed += counts.map_or(0, |counts| counts.shed_for_bulk);
     }
-    let experiment = Arc::clone(&crowd.experiment);
+    let experiment = Arc::clone(&traffic.experiment);
     let empty = Tally::new(&experiment, "", 0);
-    let mut tally = std::mem::replace(&mut *lock(&crowd.tally), empty);
+    let mut tally = std::mem::replace(&mut *lock(&traffic.tally), empty);
     let invariants = tally.invariants();
     invariants.duplicates = stage.record.duplicates().len() as u64;
-    invariants.untrue_not_run = untrue(&lock(&crowd.verdicts), &stage);
+    invariants.untrue_not_run = untrue(&lock(&traffic.verdicts), &stage);
     invariants.shed_for_bulk = shed;
     invariants.work_to_place_out = late_runs;
     invariants.cold_limit_exceeded = cold_exceeded;
