Bound the events of a stream and what is collected from them

An engine whose event had no end filled the node's memory: only the stream had a bound (32 MB), an event none, and the decoder keeps an event until it is complete, several times over. A completion that is collected from events kept its text without a bound on the sum, and a slow caller of a stream could hold sixteen pieces of any size.

Text that is collected reserves its memory until the response is written. A piece of more than 1 KB waits for memory behind those that the caller has not taken; one piece always passes, so that no stream waits for another without end. A stream that breaks its bound or finds no memory for an event counts as broken: the endpoint as failed for placement, for as long as any failure.

--- a/crates/peridotdeck-fake/src/engine/api.rs
+++ b/crates/peridotdeck-fake/src/engine/api.rs
@@ -146,7 +146,7 @@
 
 /// A response whose body fails at once, as when the process dies.
 fn broken() -> Response {
-    let (feed, body) = body::channel();
+    let (feed, body) = body::channel::<Vec<u8>>();
     let _ = feed.try_send(Err(io::Error::other("the engine died")));
     Response::builder(StatusCode::Ok).body(body).build()
 }
@@ -193,7 +193,7 @@
 }
 
 fn stream(seat: Seat, id: &str, prompt: String, completion: &Completion, chat: bool) -> Response {
-    let (feed, chunks) = body::channel();
+    let (feed, chunks) = body::channel::<Vec<u8>>();
     let (start, max) = (completion.resume_from, completion.max_tokens);
     let owned = id.to_owned();
     task::spawn(async move {
--- a/crates/peridotdeck-fake/src/plain.rs
+++ b/crates/peridotdeck-fake/src/plain.rs
@@ -183,7 +183,7 @@
 
 /// A body that breaks before its first byte, as when the process dies.
 fn broken() -> Response {
-    let (feed, body) = body::channel();
+    let (feed, body) = body::channel::<Vec<u8>>();
     let _ = feed.try_send(Err(io::Error::other("the service died")));
     Response::builder(StatusCode::Ok).body(body).build()
 }
--- a/crates/peridotdeck-http/src/body.rs
+++ b/crates/peridotdeck-http/src/body.rs
@@ -19,7 +19,7 @@
 const BUFFERED_PIECES: usize = 2;
 
 /// Sender of a body's chunks; sending fails once the connection is closed.
-pub type ChunkSender = Sender<io::Result<Vec<u8>>>;
+pub type ChunkSender<C = Vec<u8>> = Sender<io::Result<C>>;
 
 /// Returns a body and the sender of its chunks.
 ///
@@ -27,8 +27,11 @@
 /// early, so that the caller cannot take a truncated response for a complete one. Dropping the
 /// sender ends the body normally.
 #[must_use]
-pub fn channel() -> (ChunkSender, Body) {
-    let (sender, chunks): (ChunkSender, Receiver<io::Result<Vec<u8>>>) =
+pub fn channel<C>() -> (ChunkSender<C>, Body)
+where
+    C: AsRef<[u8]> + Send + Sync + Unpin + 'static,
+{
+    let (sender, chunks): (ChunkSender<C>, Receiver<io::Result<C>>) =
         async_channel::bounded(BUFFERED_CHUNKS);
     let reader = Box::pin(chunks).into_async_read();
     (sender, Body::from_reader(reader, None))
--- a/crates/peridotdeck-router/src/attempt.rs
+++ b/crates/peridotdeck-router/src/attempt.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod chunk;
 mod completion;
+mod event_bound;
 mod passing;
 mod plain;
 
@@ -27,7 +28,7 @@
 use peridotdeck_policy::Endpoint;
 use peridotdeck_wire::Outcome;
 
-use crate::dial::Dial;
+use crate::{dial::Dial, memory::Account};
 
 /// Request header with the attempt's id, which the endpoint echoes in its response.
 const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -51,6 +52,8 @@
     pub attempt: id::Attempt,
     /// Endpoint that runs the request.
     pub endpoint: Endpoint,
+    /// Account of the memory that the endpoint's answers keep.
+    pub account: Account,
     /// Name of the request's class.
     pub class: String,
     /// Tier of the request's class; smaller is more urgent.
--- a/crates/peridotdeck-router/src/attempt/answer.rs
+++ b/crates/peridotdeck-router/src/attempt/answer.rs
@@ -3,16 +3,37 @@
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
+use async_std::task;
 use http_types::{Body, Response, StatusCode};
 use peridotdeck_core::{
     id,
     sequence::{Order, Sequence},
 };
 use peridotdeck_http::body::{self, ChunkSender, Feed};
+use peridotdeck_io::budget::Reservation;
 use serde_json::{Value, json};
 
 use super::chunk::{Chunk, Flaw};
-use crate::{api_error::ApiError, metrics::Sample};
+use crate::{api_error::ApiError, memory::Account, metrics::Sample};
+
+/// Longest piece of a stream in bytes that reserves no memory while it waits for the caller.
+const MAX_FREE_PIECE_BYTES: usize = 1 << 10;
+
+/// Time between two attempts to reserve memory for a piece.
+const MEMORY_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A piece of a stream, with the memory that it holds until it is written.
+#[derive(Debug)]
+struct Piece {
+    bytes: Vec<u8>,
+    _held: Option<Reservation>,
+}
+
+impl AsRef<[u8]> for Piece {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
 
 /// A complete response, held in memory.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,6 +55,8 @@
 pub enum Rejection {
     /// The caller can receive no more.
     Disconnected,
+    /// The endpoint's share of the memory is in use.
+    Denied,
     /// The event is no part of the answer.
     Flawed(Flaw),
 }
@@ -55,7 +78,13 @@
 pub struct Answer {
     request: id::Request,
     response_sender: Option<Sender<Response>>,
-    chunks: Option<ChunkSender>,
+    chunks: Option<ChunkSender<Piece>>,
+    /// Account of the endpoint of the current attempt.
+    account: Option<Account>,
+    /// Memory of the text, for each attempt that had a part in it.
+    held: Vec<Reservation>,
+    /// Bytes of the text at the begin of the current attempt.
+    text_before: usize,
     /// The rest of a body that is passed on.
     feed: Option<Feed>,
     streams: bool,
@@ -87,6 +116,9 @@
             request,
             response_sender: Some(response_sender),
             chunks: None,
+            account: None,
+            held: Vec::new(),
+            text_before: 0,
             feed: None,
             streams,
             chat,
@@ -107,8 +139,11 @@
         self.tokens
     }
 
-    /// Expects the events of a further attempt.
-    pub fn begin_attempt(&mut self) {
+    /// Expects the events of a further attempt, whose endpoint has this account.
+    pub fn begin_attempt(&mut self, account: Account) {
+        self.held.push(account.reservation());
+        self.account = Some(account);
+        self.text_before = self.text.len();
         self.names_attempt = false;
         self.sequence = self.sequence.continued();
     }
@@ -138,6 +173,7 @@
             replace_id(&mut event, attempt, self.request);
             self.send_chunk(event).await?;
         } else {
+            self.hold_text(chunk.text().len())?;
             self.text.push_str(chunk.text());
         }
         if let Some(reason) = chunk.finish_reason() {
@@ -150,6 +186,30 @@
         Ok(())
     }
 
+    /// Reserves memory for more text, twice its length as a text that grows has spare room.
+    fn hold_text(&mut self, more: usize) -> Result<(), Rejection> {
+        let bytes = 2 * (self.text.len() - self.text_before + more);
+        let covered = match (&self.account, self.held.last_mut()) {
+            (Some(account), Some(held)) => account.cover(held, bytes),
+            _ => Ok(()),
+        };
+        covered.map_err(|_| Rejection::Denied)
+    }
+
+    /// Returns a piece of a stream; a long one waits until there is memory for it, or none waits before it.
+    async fn hold_piece(&self, bytes: Vec<u8>) -> Piece {
+        let account = self.account.as_ref();
+        let account = account.filter(|_| bytes.len() > MAX_FREE_PIECE_BYTES);
+        let mut held = account.map(Account::reservation);
+        if let Some(held) = &mut held {
+            let waits = |chunks: &ChunkSender<_>| !chunks.is_empty();
+            while held.cover(bytes.len()).is_err() && self.chunks.as_ref().is_some_and(waits) {
+                task::sleep(MEMORY_INTERVAL).await;
+            }
+        }
+        Piece { bytes, _held: held }
+    }
+
     /// Returns the chunk in an endpoint's event, unless the event is no part of the answer.
     fn check(&mut self, number: Option<&str>, data: &[u8], attempt: &str) -> Result<Chunk, Flaw> {
         let chunk = Chunk::parse(data)?;
@@ -179,6 +239,7 @@
             self.chunks = Some(chunks);
             self.send_response(response).await?;
         }
+        let chunk = self.hold_piece(chunk).await;
         let chunks = self.chunks.as_ref().ok_or(Disconnected)?;
         chunks.send(Ok(chunk)).await.map_err(|_| Disconnected)
     }
@@ -244,6 +305,8 @@
         let mut response = Response::new(status);
         response.set_body(body);
         response.insert_header("content-type", content_type);
+        // What is held stays so until the response is written.
+        response.ext_mut().insert(std::mem::take(&mut self.held));
         response.insert_header("x-request-id", format!("{:016x}", self.request));
         self.send_response(response).await
     }
@@ -294,7 +357,8 @@
         }
         if let Some(chunks) = self.chunks.take() {
             let event = format!("data: {}\n\n", error.body());
-            let _ = chunks.send(Ok(event.into_bytes())).await;
+            let event = self.hold_piece(event.into_bytes()).await;
+            let _ = chunks.send(Ok(event)).await;
             return;
         }
         let _ = self.send_response(error.response()).await;
--- a/crates/peridotdeck-router/src/attempt/completion.rs
+++ b/crates/peridotdeck-router/src/attempt/completion.rs
@@ -4,7 +4,7 @@
 
 use async_sse::{Event, Message};
 use async_std::future::timeout;
-use futures_lite::{AsyncReadExt, StreamExt};
+use futures_lite::{AsyncReadExt, StreamExt, io::BufReader};
 use http_types::{Method, Request, Response, StatusCode, mime};
 use peridotdeck_core::event::End;
 use peridotdeck_http::client;
@@ -13,7 +13,7 @@
 
 use super::{
     Answer, MAX_ANSWER_BYTES, Parameters, Rejection, attempt_end, confirms_not_run,
-    names_other_attempt, passing::Passing, send,
+    event_bound::EventBound, names_other_attempt, passing::Passing, send,
 };
 use crate::{dial::Dial, prompt::Prompt};
 
@@ -43,7 +43,7 @@
     pub async fn run<D: Dial>(&self, dial: &D, params: &Parameters, answer: &mut Answer) -> End {
         let started = Instant::now();
         let delivered_before = answer.tokens();
-        answer.begin_attempt();
+        answer.begin_attempt(params.account.clone());
         let mut first_token = None;
         let outcome = match self.send_request(dial, params, delivered_before).await {
             Ok(response) => {
@@ -127,6 +127,7 @@
     ) -> Outcome {
         let id = params.id();
         let body = response.take_body().take(MAX_STREAM_BYTES);
+        let body = BufReader::new(EventBound::new(body, params.account.clone()));
         let mut events = async_sse::decode(Ending::new(body));
         let mut ids = OwnIds::default();
         let mut waits_since = Instant::now();
@@ -152,6 +153,7 @@
                     match answer.push_event(number, message.data(), &id).await {
                         Ok(()) => {}
                         Err(Rejection::Disconnected) => return Outcome::Cancelled,
+                        Err(Rejection::Denied) => return Outcome::Broken,
                         Err(Rejection::Flawed(flaw)) => {
                             log::warn!("event=stream_flawed attempt={id} cause={flaw}");
                             return Outcome::Crossed;
--- a/crates/peridotdeck-router/src/callers.rs
+++ b/crates/peridotdeck-router/src/callers.rs
@@ -26,6 +26,7 @@
     attempt::{Answer, CompletionRequest, PlainRequest},
     dial::Dial,
     handle::Handle,
+    memory::Account,
     metrics::Metrics,
     prompt::Prompt,
     request_task::{EndpointRequest, RequestTask},
@@ -170,13 +171,9 @@
 ) -> Result<Response, ApiError> {
     let snapshot = current_snapshot(request.state())?;
     let organisation = authenticate(&request, &snapshot)?.name.clone();
-    let (body, mut held) = upload::read(&mut request, &organisation).await?;
-    upload::cover(
-        &mut held,
-        request.state(),
-        &organisation,
-        Prompt::parsed_bytes(&body),
-    )?;
+    let account = Account::organisation(&request.state().budget, &organisation);
+    let (body, mut held) = upload::read(&mut request, &account).await?;
+    upload::cover(&mut held, &account, Prompt::parsed_bytes(&body))?;
     let prompt = Prompt::parse(&body, chat)?;
     held.shrink_to(Prompt::kept_bytes(&body));
     let fingerprint = fingerprint(&organisation, &body);
@@ -249,7 +246,8 @@
         .filter(|service| service.kind == Kind::Plain)
         .ok_or_else(unknown)?;
     let path = path_below(&request, &name);
-    let (body, mut held) = upload::read(&mut request, &organisation).await?;
+    let account = Account::organisation(&request.state().budget, &organisation);
+    let (body, mut held) = upload::read(&mut request, &account).await?;
     held.shrink_to(body.len());
     let (class, idempotent) = class_and_idempotency(&request, service, &path, &snapshot)?;
     let mut call = Call {
@@ -366,6 +364,7 @@
         class,
         endpoint_request,
         held,
+        budget: context.budget.clone(),
         answer: Answer::new(id, response_sender, streams, chat),
         commands,
         connection: request.ext::<Connection>().cloned(),
--- a/crates/peridotdeck-router/src/callers/upload.rs
+++ b/crates/peridotdeck-router/src/callers/upload.rs
@@ -8,8 +8,8 @@
 use peridotdeck_io::budget::Reservation;
 use tide::Request;
 
-use super::{Context, State};
-use crate::{api_error::ApiError, dial::Dial, memory};
+use super::State;
+use crate::{api_error::ApiError, dial::Dial, memory::Account};
 
 /// Time after which a caller whose body found no memory may try again.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -20,11 +20,11 @@
 /// Reads the body and returns it with the memory that it holds.
 pub async fn read<D: Dial>(
     request: &mut Request<State<D>>,
-    organisation: &str,
+    account: &Account,
 ) -> Result<(Vec<u8>, Reservation), ApiError> {
     let body_timeout = Duration::from_millis(request.state().settings.body_timeout_ms.into());
     let connection = request.ext::<Connection>().cloned();
-    let read = timeout(body_timeout, read_pieces(request, organisation)).await;
+    let read = timeout(body_timeout, read_pieces(request, account)).await;
     let error = match read {
         Ok(Ok(read)) => return Ok(read),
         Ok(Err(error)) => error,
@@ -43,7 +43,7 @@
 /// Reads the body piece by piece; its memory grows with what has come, whatever length was stated.
 async fn read_pieces<D: Dial>(
     request: &mut Request<State<D>>,
-    organisation: &str,
+    account: &Account,
 ) -> Result<(Vec<u8>, Reservation), ApiError> {
     let limit = request.state().settings.body_limit_kb as usize * 1_024;
     let too_large = || {
@@ -53,8 +53,7 @@
     // `async-h1` does not check that as many bytes arrive as the length states.
     let length = request.len();
     let mut reader = request.take_body();
-    let budget = &request.state().budget;
-    let mut held = budget.reservation(memory::organisation(organisation));
+    let mut held = account.reservation();
     let mut body = Vec::new();
     let mut piece = [0; PIECE_BYTES];
     loop {
@@ -72,7 +71,7 @@
         }
         if body.len() + bytes > body.capacity() {
             let capacity = (body.len() + bytes).max(2 * body.capacity()).min(limit);
-            cover(&mut held, request.state(), organisation, capacity)?;
+            cover(&mut held, account, capacity)?;
             body.reserve_exact(capacity - body.len());
         }
         body.extend_from_slice(&piece[..bytes]);
@@ -83,18 +82,11 @@
 ///
 /// # Errors
 /// If there is none; the request has not run then.
-pub fn cover<D>(
-    held: &mut Reservation,
-    context: &Context<D>,
-    organisation: &str,
-    bytes: usize,
-) -> Result<(), ApiError> {
-    held.cover(bytes).map_err(|cause| {
-        memory::log_denial(&context.budget, organisation, bytes, cause);
-        ApiError {
-            kind: "overloaded_error",
-            retry_after: Some(RETRY_AFTER),
-            ..ApiError::new(503, "memory", format!("{cause}; try again"))
-        }
+pub fn cover(held: &mut Reservation, account: &Account, bytes: usize) -> Result<(), ApiError> {
+    let covered = account.cover(held, bytes);
+    covered.map_err(|cause| ApiError {
+        kind: "overloaded_error",
+        retry_after: Some(RETRY_AFTER),
+        ..ApiError::new(503, "memory", format!("{cause}; try again"))
     })
 }
--- a/crates/peridotdeck-router/src/request_task.rs
+++ b/crates/peridotdeck-router/src/request_task.rs
@@ -14,7 +14,7 @@
     request::{Call, Refusal},
 };
 use peridotdeck_http::server::Connection;
-use peridotdeck_io::budget::Reservation;
+use peridotdeck_io::budget::{Budget, Reservation};
 use peridotdeck_policy::{Class, Endpoint};
 use peridotdeck_wire::Outcome;
 
@@ -23,6 +23,7 @@
     attempt::{Answer, CompletionRequest, FullResponse, Parameters, PlainRequest},
     dial::Dial,
     handle::{Command, Handle},
+    memory::Account,
     metrics::Metrics,
 };
 
@@ -56,6 +57,8 @@
     pub endpoint_request: EndpointRequest,
     /// Memory of the request, held until its end.
     pub held: Reservation,
+    /// Bytes that bodies may take together.
+    pub budget: Budget,
     /// The answer to the caller so far.
     pub answer: Answer,
     /// Commands of the core; the channel closes when the request has ended.
@@ -207,6 +210,7 @@
         };
         Parameters {
             attempt,
+            account: Account::endpoint(&self.budget, endpoint.id),
             endpoint,
             class: self.class.name.clone(),
             tier: self.class.tier,
