Pass on no events of another software version than the stream's

Cause: the version was checked when an endpoint is chosen, not when its events are joined, as their ids are.

Change: `Dispatcher::may_join` compares, at the first event of a continuation, the endpoint's version with that of the stream, and with all that is known of it by now; a stream that its caller does not name must still be one of the only version; an endpoint that is known to have been replaced is refused. Otherwise the attempt ends with `end=other-version` and nothing of it is passed on. Both the node's own continuation and a caller's take-up come through it.

--- a/crates/peridotdeck-core/src/dispatch/attempt.rs
+++ b/crates/peridotdeck-core/src/dispatch/attempt.rs
@@ -153,6 +153,8 @@
     Unconfirmed,
     /// The response was not a valid answer, or belonged to another request.
     Garbled,
+    /// The events were of another software version than the stream that they should go on with.
+    OtherVersion,
     /// The endpoint took too long, and another one was tried.
     Silent,
     /// The deadline of the caller or of the route passed.
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -29,6 +29,24 @@
 const MAX_LOOKUPS: usize = 1_024;
 
 impl Dispatcher {
+    /// Returns whether an attempt's events may be passed on behind those that the caller has.
+    ///
+    /// More may be known of the stream now than when the endpoint was chosen.
+    #[must_use]
+    pub fn may_join(&self, attempt: &Attempt, flight: &Flight, now: Time) -> bool {
+        if !flight.goes_on() {
+            return true;
+        }
+        let is_replaced = self.state(attempt.key).is_some_and(State::is_replaced);
+        let began = flight.resumes.as_deref().filter(|id| !id.is_empty());
+        let known = began.map_or(&[][..], |id| self.streams.get(stream::id(id)));
+        let is_same = flight.software.map_or_else(
+            || self.may_be_only_version(&flight.service, now),
+            |software| software == attempt.software,
+        );
+        is_same && !is_replaced && known.iter().all(|one| one.software == attempt.software)
+    }
+
     /// Records that a stream's first event is about to be forwarded, or the first one after a break.
     ///
     /// From then on the stream goes on only at endpoints of the same software version.
--- a/crates/peridotdeck-core/tests/testsuite/joined_versions.rs
+++ b/crates/peridotdeck-core/tests/testsuite/joined_versions.rs
@@ -4,9 +4,13 @@
 
 use std::ops::Range;
 
-use peridotdeck_core::dispatch::registry::Endpoint;
+use peridotdeck_core::dispatch::{attempt::Placement, registry::Endpoint};
 
-use crate::{dispatch::ms, software_versions::endpoints, world::World};
+use crate::{
+    dispatch::{decoded_request, ms},
+    software_versions::endpoints,
+    world::World,
+};
 
 const OLD: [(usize, &str); 3] = [(0, "v1"), (1, "v1"), (2, "v1")];
 const NEW: [(usize, &str); 3] = [(0, "v2"), (1, "v2"), (2, "v2")];
@@ -192,3 +196,34 @@
         assert!(going >= 30, "{nodes} nodes, two killed: {going} of 40");
     }
 }
+
+/// Guards against events that are passed on after more was learnt than when their endpoint was chosen.
+#[test]
+fn events_of_another_version_are_not_joined() {
+    for began in ["", "a"] {
+        let mut world = world(3, 7);
+        if !began.is_empty() {
+            world.stream(1, began, None).expect("begun");
+        }
+        world.run(ms(100));
+        let mut request = decoded_request("urgent");
+        request.resumes = Some(began.to_owned());
+        let now = world.now;
+        let node = world.nodes[0].as_mut().expect("running");
+        let mut flight = node.admit(request, 1, now).expect("admitted");
+        // An unnamed stream waits for a read of the publisher.
+        node.place(&mut flight, now);
+        world.run(ms(100));
+        let node = world.nodes[0].as_mut().expect("running");
+        let Placement::Send(assignment) = node.place(&mut flight, world.now) else {
+            panic!("not placed");
+        };
+        assert!(node.may_join(&assignment.attempt, &flight, world.now));
+        world.publish(both_versions());
+        let node = world.nodes[0].as_ref().expect("running");
+        let may_join = node.may_join(&assignment.attempt, &flight, world.now);
+        assert_eq!(may_join, !began.is_empty(), "began={began}");
+        flight.software = Some(0);
+        assert!(!node.may_join(&assignment.attempt, &flight, world.now));
+    }
+}
--- a/crates/peridotdeck-relay/src/forwarding/attempt.rs
+++ b/crates/peridotdeck-relay/src/forwarding/attempt.rs
@@ -94,6 +94,14 @@
                     logging::log_foreign(&flight.id, &assignment.instance, foreign);
                 }
                 let continues = read?;
+                let now = clock::now();
+                if !shared
+                    .dispatcher()
+                    .may_join(&assignment.attempt, flight, now)
+                {
+                    let cause = "events are of another software version than the stream";
+                    return Err(Failure::new(End::OtherVersion, cause));
+                }
                 return Ok(Received::Stream(Box::new(StartedStream {
                     head,
                     events,
