Ask an endpoint for its start wherever a stream goes on

Cause: the question for the endpoint's start was left out where a read of the publisher had shown the whole list in the last second. An entry is up to a second late also while the publisher answers, so the read shows the old start.

Change: the question is asked for each stream that goes on. Most were asked before; the others are those at nodes out of step, and those that their callers do not name.

Evidence: the simulation now asserts for each placed stream that the question is asked exactly if it goes on.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -229,7 +229,6 @@
             unread: estimate.unread,
             urgent: u32::from(flight.urgent),
         };
-        let confirm = flight.goes_on() && !self.is_roster_confirmed(now);
         let state = self
             .state_mut(key)
             .expect("only known endpoints are ranked");
@@ -248,7 +247,8 @@
             address: state.info.address,
             instance: state.info.id.clone(),
             version: state.info.version.clone(),
-            confirm,
+            // Its entry may be late, also while the publisher answers.
+            confirm: flight.goes_on(),
             source,
             rank: flight.rank,
             hedge_after,
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -158,9 +158,8 @@
 
     /// Returns whether a read of the publisher has shown the whole endpoint list lately.
     ///
-    /// Peers confirm each other's lists also while the publisher is away, and endpoints may start again
-    /// meanwhile with other software.
-    pub(super) fn is_roster_confirmed(&self, now: Time) -> bool {
+    /// Peers confirm each other's lists also while the publisher is away.
+    fn is_roster_confirmed(&self, now: Time) -> bool {
         let running = self.fleet.running_since(CONFIRMED, now);
         running.is_some_and(|since| self.step.is_confirmed_since(since))
     }
--- a/crates/peridotdeck-core/tests/testsuite/world/streams.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world/streams.rs
@@ -38,6 +38,7 @@
             match dispatcher.place(&mut flight, self.now) {
                 Placement::Send(assignment) => {
                     let version = assignment.version.clone();
+                    assert_eq!(assignment.confirm, began.is_some(), "asked for its start");
                     let mut attempt = assignment.attempt;
                     self.cached.extend(own.map(|own| (attempt.key(), own)));
                     dispatcher.record_answer_start(&mut attempt, false, &flight, self.now);
