Read connections in small pieces, so that their buffers stay small

Change: a read takes 8 KB at most, so that buffers stay at 16 KB. The head of an answer may still be 64 KB.

--- a/crates/peridotdeck-io/src/bounded.rs
+++ b/crates/peridotdeck-io/src/bounded.rs
@@ -15,6 +15,11 @@
 /// Bytes that a task reads in a row before it gives the thread back to others.
 pub const TURN_BYTES: usize = 64 << 10;
 
+/// Most bytes that are read at once.
+///
+/// HTTP libraries enlarge their buffers if a read fills them, and each connection has several.
+const READ_BYTES: usize = 8 << 10;
+
 /// Value of [`Head::left`] while no head is expected.
 const UNBOUNDED: usize = usize::MAX;
 
@@ -118,7 +123,8 @@
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let length = buffer.len().min(READ_BYTES);
+        let read = Pin::new(&mut self.stream).poll_read(context, &mut buffer[..length]);
         if read.is_pending() {
             self.turn = 0;
         }
