Keep incomplete events within the node's budget

A stream's event may take 256 KB before it is complete; 90 streams of one engine whose first event never ends take 42 MB of a limit of 40.

Change: the bytes of an event that is not complete are reserved for its endpoint, and given back as events are taken. A stream that gets none breaks as it does at an event that is too large, and goes on elsewhere where it may.

--- a/crates/peridotdeck-relay/src/answer/events.rs
+++ b/crates/peridotdeck-relay/src/answer/events.rs
@@ -11,6 +11,7 @@
     dispatch::attempt::End,
     sequence::{Order, Sequence},
 };
+use peridotdeck_io::budget::Reservation;
 use strum::{Display, IntoStaticStr};
 
 use super::Failure;
@@ -92,6 +93,8 @@
     is_due: bool,
     sequence: Sequence,
     foreign: Option<Foreign>,
+    /// What the pending bytes draw on, if they do.
+    memory: Option<Reservation>,
 }
 
 impl Events {
@@ -107,6 +110,11 @@
         }
     }
 
+    /// Reserves the bytes of incomplete events from now on.
+    pub fn reserve_from(&mut self, reservation: Reservation) {
+        self.memory = Some(reservation);
+    }
+
     /// Creates a buffer for the attempt that goes on behind these events.
     #[must_use]
     pub fn resumed(&self) -> Self {
@@ -119,7 +127,8 @@
     /// Appends bytes as they were received.
     ///
     /// # Errors
-    /// If an event exceeds its largest size, or the first event does not belong to the stream.
+    /// If an event exceeds its largest size or gets no memory, or the first event does not belong to the
+    /// stream.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), Failure> {
         let mut from = self.pending.len();
         self.pending.extend_from_slice(bytes);
@@ -146,6 +155,13 @@
         if self.pending.len() > MAX_EVENT_BYTES && !self.has_complete() {
             return Err(Failure::new(End::Garbled, "event is too large"));
         }
+        // Complete events are taken at once.
+        if let Some(memory) = &mut self.memory
+            && self.whole == 0
+        {
+            let reserved = memory.cover(self.pending.capacity());
+            reserved.map_err(|denied| Failure::new(End::Garbled, &denied))?;
+        }
         Ok(())
     }
 
@@ -237,6 +253,9 @@
         }
         let rest = self.pending.split_off(end);
         let events = std::mem::replace(&mut self.pending, rest);
+        if let Some(memory) = &mut self.memory {
+            memory.shrink_to(self.pending.capacity());
+        }
         self.start = 0;
         self.line -= end;
         self.id = self.id.take().map(|id| id.start - end..id.end - end);
--- a/crates/peridotdeck-relay/src/forwarding/attempt.rs
+++ b/crates/peridotdeck-relay/src/forwarding/attempt.rs
@@ -85,6 +85,8 @@
         mut events: Events,
         is_begun: bool,
     ) -> Result<Received, Failure> {
+        let holder = memory::of_endpoint(assignment.attempt.key());
+        events.reserve_from(shared.memory.reservation(holder));
         let last = events.sequence().last();
         let answer = exchange::send(shared, message, flight, assignment, last).await?;
         let (head, mut body) = answer.response.into_parts();
@@ -106,7 +108,6 @@
                 })));
             }
             Reply::Answer | Reply::Failure => {
-                let holder = memory::of_endpoint(assignment.attempt.key());
                 let buffer = Buffer::new(shared.memory.reservation(holder));
                 let start = read_start(body, buffer, flight).await?;
                 let is_failure = answer.reply == Reply::Failure;
