--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -26,7 +26,7 @@
     clock, dial,
     fetch::Client,
     ingress::Reply,
-    life,
+    life, memory,
     pool::{Connection, Pool},
     tunnel::Purpose,
 };
@@ -298,7 +298,8 @@
     let Some(path) = shared.ingress.cache_list_path() else {
         return;
     };
-    let read = Client::new(query.address)
+    let holder = memory::of_endpoint(query.key);
+    let read = Client::new(query.address, shared.memory.clone(), holder)
         .get(path, CACHE_LIST_TIMEOUT)
         .await;
     let list = match read {
--- a/crates/peridotdeck-relay/src/fetch.rs
+++ b/crates/peridotdeck-relay/src/fetch.rs
@@ -5,11 +5,19 @@
 use std::{net::SocketAddrV4, time::Duration};
 
 use async_std::future::timeout;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, Response, StatusCode, body::Bytes, header};
+use http_body_util::Full;
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Bytes, Incoming},
+    header,
+};
+use peridotdeck_io::budget::{Budget, Buffer, Denied, Holder};
 use quick_error::quick_error;
 
-use crate::pool::{self, Connection};
+use crate::{
+    answer::read_data,
+    pool::{self, Connection},
+};
 
 /// Largest body of a response.
 const MAX_BODY_BYTES: usize = 16 << 20;
@@ -34,6 +42,12 @@
         Invalid(cause: String) {
             display("{cause}")
         }
+        /// The node has no memory left for the body.
+        Denied(cause: Denied) {
+            display("{cause}")
+            from()
+            source(cause)
+        }
         /// The status of the response is not 200.
         Status(status: StatusCode) {
             display("server answered with status {status}")
@@ -50,18 +64,30 @@
 pub struct Client {
     address: SocketAddrV4,
     connection: Option<Connection>,
+    memory: Budget,
+    holder: Holder,
 }
 
 impl Client {
     /// Creates a client without a connection; the first request opens it.
+    ///
+    /// The bodies that it reads are kept for `holder`.
     #[must_use]
-    pub fn new(address: SocketAddrV4) -> Self {
+    pub fn new(address: SocketAddrV4, memory: Budget, holder: Holder) -> Self {
         Self {
             address,
             connection: None,
+            memory,
+            holder,
         }
     }
 
+    /// Creates a client for what the process reads for itself.
+    #[must_use]
+    pub fn of_process(address: SocketAddrV4, memory: Budget) -> Self {
+        Self::new(address, memory, Holder::PROCESS)
+    }
+
     /// Requests a path and returns the complete response.
     ///
     /// `time_limit` covers connecting, the request and the complete response. The connection is
@@ -75,6 +101,7 @@
         time_limit: Duration,
     ) -> Result<Response<Bytes>, Error> {
         let idle = self.connection.take().filter(Connection::is_ready);
+        let buffer = Buffer::new(self.memory.reservation(self.holder));
         let exchange = async {
             let mut connection = match idle {
                 Some(connection) => connection,
@@ -85,9 +112,8 @@
                 .body(Full::new(Bytes::new()))
                 .map_err(|cause| Error::Invalid(cause.to_string()))?;
             let (head, body) = connection.send(request).await?.into_parts();
-            let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
-            let body = body.map_err(|cause| Error::Invalid(cause.to_string()))?;
-            Ok((connection, Response::from_parts(head, body.to_bytes())))
+            let body = read(body, buffer).await?;
+            Ok((connection, Response::from_parts(head, body)))
         };
         let result: Result<_, Error> = timeout(time_limit, exchange)
             .await
@@ -100,3 +126,17 @@
         }
     }
 }
+
+/// Reads a complete body.
+async fn read(mut body: Incoming, mut buffer: Buffer) -> Result<Bytes, Error> {
+    loop {
+        let data = read_data(&mut body).await;
+        let Some(bytes) = data.map_err(|failure| Error::Invalid(failure.cause))? else {
+            return Ok(Bytes::from_owner(buffer));
+        };
+        if buffer.as_ref().len() + bytes.len() > MAX_BODY_BYTES {
+            return Err(Error::Invalid("body is too large".to_owned()));
+        }
+        buffer.extend(&bytes)?;
+    }
+}
--- a/crates/peridotdeck-relay/src/peers.rs
+++ b/crates/peridotdeck-relay/src/peers.rs
@@ -14,6 +14,7 @@
     due::SnapshotRequest,
     registry::{Area, Position, Snapshot},
 };
+use peridotdeck_io::budget::Budget;
 use peridotdeck_wire::{
     Error as WireError, MAX_DATAGRAM, VERSION, Versions, beat::Beat, pack, unpack,
 };
@@ -152,7 +153,7 @@
     /// Fetches a newer revision from a peer and adopts it.
     pub async fn fetch_snapshot<I: Ingress>(&self, shared: &Shared<I>, request: SnapshotRequest) {
         let SnapshotRequest { node, area, known } = request;
-        match self.request_snapshot(request).await {
+        match self.request_snapshot(request, &shared.memory).await {
             Ok(snapshot) => {
                 let change = shared.dispatcher().adopt(snapshot, clock::now());
                 log::info!("event=peer_asked node={node} area={area} known={known}");
@@ -164,7 +165,11 @@
         }
     }
 
-    async fn request_snapshot(&self, request: SnapshotRequest) -> Result<Snapshot, Error> {
+    async fn request_snapshot(
+        &self,
+        request: SnapshotRequest,
+        memory: &Budget,
+    ) -> Result<Snapshot, Error> {
         let address = SocketAddrV4::new(request.node, self.control_port);
         let path = match request.area {
             Area::Policy => "/fleet/policy".to_owned(),
@@ -173,7 +178,8 @@
                 request.known.era, request.known.revision
             ),
         };
-        let response = Client::new(address).get(&path, FETCH_TIMEOUT).await?;
+        let mut client = Client::of_process(address, memory.clone());
+        let response = client.get(&path, FETCH_TIMEOUT).await?;
         Ok(postcard::from_bytes(response.body())?)
     }
 }
--- a/crates/peridotdeck-relay/src/publisher.rs
+++ b/crates/peridotdeck-relay/src/publisher.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use peridotdeck_core::dispatch::registry::{Area, Position, Report};
+use peridotdeck_io::budget::Budget;
 
 /// Receiver of a publisher's reports, which the node implements.
 pub trait Sink: Send + Sync + 'static {
@@ -20,6 +21,9 @@
     /// It is none if this node should not watch the publisher, but fetch changes from its peers.
     fn watch_interval(&self) -> Option<Duration>;
 
+    /// Returns the budget of what the node keeps, on which the bodies of the publisher draw.
+    fn memory(&self) -> Budget;
+
     /// Returns the newest position of an area that the node has, from the publisher or from a peer.
     fn position(&self, area: Area) -> Position;
 }
--- a/crates/peridotdeck-relay/src/shared.rs
+++ b/crates/peridotdeck-relay/src/shared.rs
@@ -278,6 +278,10 @@
         self.dispatcher().watch_interval(clock::now())
     }
 
+    fn memory(&self) -> Budget {
+        self.memory.clone()
+    }
+
     fn position(&self, area: Area) -> Position {
         self.dispatcher().registry().progress(area).read
     }
