--- a/crates/peridotdeck-relay/src/answer/events.rs
+++ b/crates/peridotdeck-relay/src/answer/events.rs
@@ -7,6 +7,7 @@
     dispatch::attempt::End,
     sequence::{Order, Sequence},
 };
+use peridotdeck_io::budget::Reservation;
 
 use super::{
     Failure,
@@ -38,6 +39,8 @@
     is_due: bool,
     sequence: Sequence,
     foreign: Option<Foreign>,
+    /// What the pending bytes draw on, if they do.
+    memory: Option<Reservation>,
 }
 
 impl Events {
@@ -53,6 +56,11 @@
         }
     }
 
+    /// Reserves the bytes of incomplete events from now on.
+    pub fn reserve_from(&mut self, reservation: Reservation) {
+        self.memory = Some(reservation);
+    }
+
     /// Creates a buffer for the attempt that goes on behind these events.
     #[must_use]
     pub fn resumed(&self) -> Self {
@@ -65,7 +73,8 @@
     /// Appends bytes as they were received.
     ///
     /// # Errors
-    /// If an event exceeds its largest size, or the first event does not belong to the stream.
+    /// If an event exceeds its largest size or gets no memory, or the first event does not belong to the
+    /// stream.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), Failure> {
         self.lines.push(bytes);
         while let Some(line) = self.lines.read() {
@@ -84,6 +93,13 @@
         if self.lines.len() > MAX_EVENT_BYTES && !self.has_complete() {
             return Err(Failure::new(End::Garbled, "event is too large"));
         }
+        // Complete events are taken at once.
+        if let Some(memory) = &mut self.memory
+            && self.whole == 0
+        {
+            let reserved = memory.cover(self.lines.capacity());
+            reserved.map_err(|denied| Failure::new(End::Garbled, &denied))?;
+        }
         Ok(())
     }
 
@@ -161,6 +177,9 @@
             return None;
         }
         let events = self.lines.take(end);
+        if let Some(memory) = &mut self.memory {
+            memory.shrink_to(self.lines.capacity());
+        }
         self.id = self.id.take().map(|id| id.start - end..id.end - end);
         Some(Bytes::from(events))
     }
--- a/crates/peridotdeck-relay/src/answer/lines.rs
+++ b/crates/peridotdeck-relay/src/answer/lines.rs
@@ -118,6 +118,11 @@
         &self.pending[self.start..]
     }
 
+    /// Returns the size in bytes of the buffer.
+    pub(super) fn capacity(&self) -> usize {
+        self.pending.capacity()
+    }
+
     /// Returns the number of bytes that wait.
     pub(super) fn len(&self) -> usize {
         self.pending.len()
