Bound what endpoints' reports, peers and the configuration keep

An engine whose load report had no end filled the node's memory within the 0.9 s that it may take: that body had no bound at all. Nor had the configuration service's answer, which was compared with 16 MB only once it was complete, and messages of peers, up to 16 MB each without a limit of time, had none on their sum. The same cause acts in all three: a body is read for a bounded time, or to a bounded length, and others are read beside it.

A report may have 64 KB. The configuration draws on the budget under the process's account, which only the whole budget bounds; what peers and operators send has one account and the time of callers' bodies. The 64 KB of a whole answer draw on the endpoint's share too; where it is used up, the answer goes on at once instead of failing.

--- a/crates/peridotdeck-http/src/client.rs
+++ b/crates/peridotdeck-http/src/client.rs
@@ -169,7 +169,7 @@
 pub async fn read_body(response: &mut Response, limit: usize) -> io::Result<Vec<u8>> {
     let mut incoming = Incoming::new(response, limit)?;
     let mut body = Vec::new();
-    let mut piece = [0; PIECE_BYTES];
+    let mut piece = vec![0; PIECE_BYTES];
     loop {
         match incoming.read(&mut piece).await? {
             0 => return Ok(body),
--- a/crates/peridotdeck-router/src/attempt/answer.rs
+++ b/crates/peridotdeck-router/src/attempt/answer.rs
@@ -186,6 +186,11 @@
         Ok(())
     }
 
+    /// Keeps a reservation until the response is written.
+    pub fn hold(&mut self, held: Reservation) {
+        self.held.push(held);
+    }
+
     /// Reserves memory for more text, twice its length as a text that grows has spare room.
     fn hold_text(&mut self, more: usize) -> Result<(), Rejection> {
         let bytes = 2 * (self.text.len() - self.text_before + more);
--- a/crates/peridotdeck-router/src/attempt/completion.rs
+++ b/crates/peridotdeck-router/src/attempt/completion.rs
@@ -107,14 +107,17 @@
                 self.relay(response, params, answer, first_token).await
             }
             200 => {
-                self.forward(response, params.response_timeout, answer)
+                self.forward(response, params, params.response_timeout, answer)
                     .await
             }
             429 | 500..=599 => Outcome::Refused,
             _ if confirms_not_run(&response) => Outcome::Refused,
             // An error cannot take the place of an answer that has begun.
             _ if answer.tokens() > 0 => Outcome::Refused,
-            _ => self.forward(response, params.idle_timeout, answer).await,
+            _ => {
+                self.forward(response, params, params.idle_timeout, answer)
+                    .await
+            }
         }
     }
 
@@ -168,7 +171,13 @@
     }
 
     /// Forwards a response unparsed: one that is not reassembled, or an error of the caller.
-    async fn forward(&self, response: Response, limit: Duration, answer: &mut Answer) -> Outcome {
+    async fn forward(
+        &self,
+        response: Response,
+        params: &Parameters,
+        limit: Duration,
+        answer: &mut Answer,
+    ) -> Outcome {
         let max_bytes = if response.status() == StatusCode::Ok {
             MAX_ANSWER_BYTES
         } else {
@@ -179,7 +188,10 @@
             timeout: limit,
             runs_on: false,
         };
-        match passing.run(response, "application/json", answer).await {
+        match passing
+            .run(response, "application/json", &params.account, answer)
+            .await
+        {
             Ok(None) => Outcome::Finished,
             Ok(Some(full)) => match answer.send_full(full).await {
                 Ok(()) => Outcome::Finished,
--- a/crates/peridotdeck-router/src/attempt/passing.rs
+++ b/crates/peridotdeck-router/src/attempt/passing.rs
@@ -1,7 +1,7 @@
 //! Passes an endpoint's body on to the caller.
 //!
 //! A short body is kept until it is complete, so that another endpoint can answer if it breaks. Of a
-//! longer one only a few pieces are kept: it is read as fast as the caller takes it, and closes the
+//! longer one, or where there is no memory to keep it, only a few pieces are kept: it is read as fast as the caller takes it, and closes the
 //! caller's connection early if it breaks.
 
 use std::time::{Duration, Instant};
@@ -12,6 +12,7 @@
 use peridotdeck_wire::Outcome;
 
 use super::{Answer, FullResponse};
+use crate::memory::Account;
 
 /// Longest body in bytes that is kept until it is complete.
 const MAX_KEPT_BYTES: usize = 64 << 10;
@@ -37,6 +38,7 @@
         self,
         mut response: Response,
         content_type: &str,
+        account: &Account,
         answer: &mut Answer,
     ) -> Result<Option<FullResponse>, Outcome> {
         let status = response.status().into();
@@ -44,11 +46,15 @@
         let incoming = Incoming::new(&mut response, self.max_bytes);
         let mut incoming = incoming.map_err(|cause| broken(&cause))?;
         let mut body = Vec::new();
-        let mut piece = [0; PIECE_BYTES];
-        while body.len() + PIECE_BYTES <= MAX_KEPT_BYTES {
+        let mut held = account.reservation();
+        let mut piece = vec![0; PIECE_BYTES];
+        while body.len() + PIECE_BYTES <= MAX_KEPT_BYTES
+            && held.cover(2 * (body.len() + PIECE_BYTES)).is_ok()
+        {
             let bytes = read(&mut incoming, &mut piece, until).await?;
             body.extend_from_slice(&piece[..bytes]);
             if bytes == 0 {
+                answer.hold(held);
                 return Ok(Some(FullResponse {
                     status,
                     content_type: content_type.to_owned(),
--- a/crates/peridotdeck-router/src/attempt/plain.rs
+++ b/crates/peridotdeck-router/src/attempt/plain.rs
@@ -95,7 +95,8 @@
             timeout: params.response_timeout,
             runs_on: !self.idempotent,
         };
-        passing.run(response, &content_type, answer).await
+        let account = &params.account;
+        passing.run(response, &content_type, account, answer).await
     }
 
     /// Returns the outcome of an error response.
--- a/crates/peridotdeck-router/src/callers.rs
+++ b/crates/peridotdeck-router/src/callers.rs
@@ -6,7 +6,7 @@
 //! A request is read completely, within limits of size and time, before it is submitted to the
 //! core; so a slow or broken caller does not affect other requests.
 
-mod upload;
+pub mod upload;
 
 use std::{sync::Arc, time::Duration};
 
@@ -65,6 +65,13 @@
     pub budget: Budget,
 }
 
+impl<D> Context<D> {
+    /// Returns the largest body of a request in bytes.
+    fn body_limit(&self) -> usize {
+        self.settings.body_limit_kb as usize * 1_024
+    }
+}
+
 /// The shared state as `tide` hands it to each handler.
 pub type State<D> = Arc<Context<D>>;
 
@@ -172,7 +179,8 @@
     let snapshot = current_snapshot(request.state())?;
     let organisation = authenticate(&request, &snapshot)?.name.clone();
     let account = Account::organisation(&request.state().budget, &organisation);
-    let (body, mut held) = upload::read(&mut request, &account).await?;
+    let limit = request.state().body_limit();
+    let (body, mut held) = upload::read(&mut request, limit, &account).await?;
     upload::cover(&mut held, &account, Prompt::parsed_bytes(&body))?;
     let prompt = Prompt::parse(&body, chat)?;
     held.shrink_to(Prompt::kept_bytes(&body));
@@ -247,7 +255,8 @@
         .ok_or_else(unknown)?;
     let path = path_below(&request, &name);
     let account = Account::organisation(&request.state().budget, &organisation);
-    let (body, mut held) = upload::read(&mut request, &account).await?;
+    let limit = request.state().body_limit();
+    let (body, mut held) = upload::read(&mut request, limit, &account).await?;
     held.shrink_to(body.len());
     let (class, idempotent) = class_and_idempotency(&request, service, &path, &snapshot)?;
     let mut call = Call {
--- a/crates/peridotdeck-router/src/callers/upload.rs
+++ b/crates/peridotdeck-router/src/callers/upload.rs
@@ -17,14 +17,18 @@
 /// Time in which a caller reads the answer to a body that is not read to its end.
 const ANSWER_TIME: Duration = Duration::from_secs(1);
 
-/// Reads the body and returns it with the memory that it holds.
+/// Reads a body of at most `limit` bytes and returns it with the memory that it holds.
+///
+/// # Errors
+/// If the body is longer, late, broken, or finds no memory; the request has not run then.
 pub async fn read<D: Dial>(
     request: &mut Request<State<D>>,
+    limit: usize,
     account: &Account,
 ) -> Result<(Vec<u8>, Reservation), ApiError> {
     let body_timeout = Duration::from_millis(request.state().settings.body_timeout_ms.into());
     let connection = request.ext::<Connection>().cloned();
-    let read = timeout(body_timeout, read_pieces(request, account)).await;
+    let read = timeout(body_timeout, read_pieces(request, limit, account)).await;
     let error = match read {
         Ok(Ok(read)) => return Ok(read),
         Ok(Err(error)) => error,
@@ -43,9 +47,9 @@
 /// Reads the body piece by piece; its memory grows with what has come, whatever length was stated.
 async fn read_pieces<D: Dial>(
     request: &mut Request<State<D>>,
+    limit: usize,
     account: &Account,
 ) -> Result<(Vec<u8>, Reservation), ApiError> {
-    let limit = request.state().settings.body_limit_kb as usize * 1_024;
     let too_large = || {
         let message = format!("the body exceeds {limit} bytes");
         ApiError::new(413, "body_too_large", message)
@@ -55,7 +59,7 @@
     let mut reader = request.take_body();
     let mut held = account.reservation();
     let mut body = Vec::new();
-    let mut piece = [0; PIECE_BYTES];
+    let mut piece = vec![0; PIECE_BYTES];
     loop {
         let read = reader.read(&mut piece).await;
         let bytes = read.map_err(|cause| ApiError::new(400, "broken_body", cause.to_string()))?;
--- a/crates/peridotdeck-router/src/driver.rs
+++ b/crates/peridotdeck-router/src/driver.rs
@@ -290,6 +290,8 @@
 ) -> http_types::Result<(engine::Report, usize)> {
     /// Longest wait for the response head, and for the body; an old report is worthless.
     const TIMEOUT: Duration = Duration::from_millis(900);
+    /// Longest report in bytes.
+    const MAX_BYTES: usize = 64 << 10;
     let address: SocketAddr = endpoint.address.parse()?;
     let bad_gateway = |cause| http_types::Error::new(http_types::StatusCode::BadGateway, cause);
     let stream = dial
@@ -300,6 +302,6 @@
     let mut response = client::send(stream, request, TIMEOUT)
         .await
         .map_err(bad_gateway)?;
-    let body = timeout(TIMEOUT, response.body_bytes()).await??;
+    let body = timeout(TIMEOUT, client::read_body(&mut response, MAX_BYTES)).await??;
     Ok((serde_json::from_slice(&body)?, body.len()))
 }
--- a/crates/peridotdeck-router/src/memory.rs
+++ b/crates/peridotdeck-router/src/memory.rs
@@ -1,8 +1,8 @@
 //! The bytes that all requests and answers of the process keep together, and who holds them.
 //!
 //! Everything that is kept until it is complete, or for longer than a read of its connection, reserves
-//! its bytes from one budget: bodies of requests while they are read and until their requests end, events
-//! that are long or not complete, and texts collected from events. What is
+//! its bytes from one budget: bodies of requests while they are read and until their requests end, short answers, events
+//! that are long or not complete, and texts collected from events, and answers of the configuration service. What is
 //! bounded by a few kilobytes a connection is bounded by the number of connections.
 
 use peridotdeck_core::id;
@@ -51,6 +51,26 @@
         }
     }
 
+    /// Returns the account of messages and requests that peers and operators send.
+    #[must_use]
+    pub fn messages(budget: &Budget) -> Self {
+        Self {
+            budget: budget.clone(),
+            holder: Holder::numbered(ORGANISATION_BIT - 1),
+            name: "messages".to_owned(),
+        }
+    }
+
+    /// Returns the account of the configuration, which only the whole budget binds.
+    #[must_use]
+    pub fn configuration(budget: &Budget) -> Self {
+        Self {
+            budget: budget.clone(),
+            holder: Holder::PROCESS,
+            name: "configuration".to_owned(),
+        }
+    }
+
     /// Returns a reservation that has no bytes yet.
     #[must_use]
     pub fn reservation(&self) -> Reservation {
--- a/crates/peridotdeck-router/src/operators.rs
+++ b/crates/peridotdeck-router/src/operators.rs
@@ -16,7 +16,13 @@
 use serde::{Deserialize, Serialize};
 use tide::Request;
 
-use crate::{callers::State, dial::Dial, handle::Handle, peers};
+use crate::{
+    callers::{State, upload},
+    dial::Dial,
+    handle::Handle,
+    memory::Account,
+    peers,
+};
 
 /// Path of the operators' JSON-RPC interface.
 pub const PATH: &str = "/rpc/operator";
@@ -171,7 +177,11 @@
     if request.len().is_none_or(|length| length > MAX_BODY_BYTES) {
         return Ok(tide::Response::new(413));
     }
-    let text = request.body_bytes().await?;
+    let account = Account::messages(&request.state().budget);
+    let (text, _held) = match upload::read(&mut request, MAX_BODY_BYTES, &account).await {
+        Ok(read) => read,
+        Err(error) => return Ok(tide::Response::new(error.status)),
+    };
     let state = request.state();
     Ok(json_response(
         peers::answer_rpc(&text, from, &state.handle, &state.metrics).await,
@@ -187,7 +197,12 @@
     if request.len().is_none_or(|length| length > MAX_BODY_BYTES) {
         return Ok(tide::Response::new(413));
     }
-    let text = request.body_string().await?;
+    let account = Account::messages(&request.state().budget);
+    let (text, _held) = match upload::read(&mut request, MAX_BODY_BYTES, &account).await {
+        Ok(read) => read,
+        Err(error) => return Ok(tide::Response::new(error.status)),
+    };
+    let text = String::from_utf8_lossy(&text);
     let module = rpc_module(request.state().handle.clone());
     let module = module.map_err(|cause| tide::Error::from_str(500, cause.to_string()))?;
     let response = module.raw_json_request(&text, 1).await;
--- a/crates/peridotdeck-router/src/platform.rs
+++ b/crates/peridotdeck-router/src/platform.rs
@@ -3,18 +3,23 @@
 //! Only the watchers of a data centre keep a blocking query open. Other nodes query rarely, in case
 //! all watchers have lost the platform but not their peers.
 
-use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
 
 use async_std::{future::timeout, task};
 use http_types::Request;
 use peridotdeck_core::Event;
 use peridotdeck_http::client;
+use peridotdeck_io::budget::Reservation;
 use peridotdeck_wire::Delta;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, de::DeserializeOwned};
 use serde_json::value::RawValue;
 
-use crate::{dial::Dial, handle::Handle};
+use crate::{dial::Dial, handle::Handle, memory::Account};
 
 /// Longest time for which the service holds a blocking query open.
 const BLOCKING_QUERY_WAIT: Duration = Duration::from_secs(10);
@@ -34,6 +39,9 @@
 /// Largest answer in bytes; it holds all parts of a large fleet's configuration.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
+/// Bytes of memory for each byte of an answer: its text, with spare room, its parts and what they hold.
+const COPIES: usize = 4;
+
 /// Answer of `/v1/config`.
 #[derive(Debug, Deserialize)]
 struct Config {
@@ -65,6 +73,7 @@
     addresses: Vec<SocketAddr>,
     dial: D,
     handle: Handle,
+    account: Account,
     seed: u64,
 ) {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -84,7 +93,7 @@
             Duration::ZERO
         };
         let address = addresses[failures % addresses.len()];
-        match query(resource, address, wait, &dial, &handle).await {
+        match query(resource, address, wait, (&dial, &handle), &account).await {
             Ok(delta) => {
                 let changed = is_newer(resource, &delta, &handle);
                 handle.send(Event::Published(delta)).await;
@@ -115,8 +124,8 @@
     resource: Resource,
     address: SocketAddr,
     wait: Duration,
-    dial: &D,
-    handle: &Handle,
+    (dial, handle): (&D, &Handle),
+    account: &Account,
 ) -> http_types::Result<Delta> {
     if !dial.reaches_platform() {
         return Err(http_types::Error::from_str(
@@ -138,11 +147,11 @@
     let (from, mut delta) = (index, empty_delta());
     match resource {
         Resource::Config => {
-            let answer: Config = fetch(address, &path, wait).await?;
+            let (answer, _held): (Config, _) = fetch(address, &path, wait, account).await?;
             (delta.from, delta.to, delta.parts) = (from, answer.index, readable(&answer.parts));
         }
         Resource::VmList => {
-            let answer: VmList = fetch(address, &path, wait).await?;
+            let (answer, _held): (VmList, _) = fetch(address, &path, wait, account).await?;
             (delta.roster, delta.members) = (answer.index, readable(&answer.members));
         }
     }
@@ -183,7 +192,8 @@
     address: SocketAddr,
     path: &str,
     wait: Duration,
-) -> http_types::Result<T> {
+    account: &Account,
+) -> http_types::Result<(T, Reservation)> {
     let request = Request::get(client::url(address, path)?);
     let bad_gateway = |cause| http_types::Error::new(http_types::StatusCode::BadGateway, cause);
     let mut response = client::request(address, request, wait + RESPONSE_MARGIN)
@@ -195,12 +205,18 @@
             "the platform answered with an error status",
         ));
     }
-    let body = timeout(RESPONSE_MARGIN, response.body_bytes()).await??;
-    if body.len() > MAX_ANSWER_BYTES {
-        return Err(http_types::Error::from_str(
-            502,
-            "the platform's answer is too large",
-        ));
+    let mut incoming = client::Incoming::new(&mut response, MAX_ANSWER_BYTES)?;
+    let mut held = account.reservation();
+    let mut body = Vec::new();
+    let mut piece = vec![0; client::PIECE_BYTES];
+    let until = Instant::now() + RESPONSE_MARGIN;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        let bytes = timeout(left, incoming.read(&mut piece)).await??;
+        if bytes == 0 {
+            return Ok((serde_json::from_str(&String::from_utf8_lossy(&body))?, held));
+        }
+        body.extend_from_slice(&piece[..bytes]);
+        account.cover(&mut held, COPIES * body.len())?;
     }
-    Ok(serde_json::from_str(&String::from_utf8_lossy(&body))?)
 }
--- a/crates/peridotdeck-router/src/prompt.rs
+++ b/crates/peridotdeck-router/src/prompt.rs
@@ -101,6 +101,9 @@
     /// Returns the body to send to an endpoint.
     ///
     /// If `delivered_tokens` is not 0, the endpoint resumes the answer after that many tokens.
+    ///
+    /// # Panics
+    /// If JSON cannot be written to memory, which is a bug.
     #[must_use]
     pub fn body(&self, delivered_tokens: u32) -> Vec<u8> {
         let stream = self.text_only.then_some(("stream", Value::Bool(true)));
@@ -111,9 +114,9 @@
         let fields = self.json.as_object().into_iter().flatten();
         let kept = fields.filter(|(name, _)| is_kept(name));
         let kept = kept.map(|(name, value)| (name.as_str(), value));
-        let changes = changed.iter().map(|(name, value)| (*name, value));
+        let overrides = changed.iter().map(|(name, value)| (*name, value));
         let mut body = Vec::new();
-        let written = Serializer::new(&mut body).collect_map(kept.chain(changes));
+        let written = Serializer::new(&mut body).collect_map(kept.chain(overrides));
         written.expect("values are written to memory");
         body
     }
--- a/crates/peridotdeck-router/src/router.rs
+++ b/crates/peridotdeck-router/src/router.rs
@@ -17,8 +17,13 @@
 use peridotdeck_settings::Settings;
 
 use crate::{
-    callers, dial::Dial, driver::Driver, handle::Handle, memory, metrics::Metrics, operators,
-    peers, platform,
+    callers,
+    dial::Dial,
+    driver::Driver,
+    handle::Handle,
+    memory::{self, Account},
+    metrics::Metrics,
+    operators, peers, platform,
 };
 
 /// Time between two checks whether a draining node is idle.
@@ -146,7 +151,7 @@
             task::spawn(driver.run()),
             task::spawn(peers::receive(socket, handle.clone(), Arc::clone(&metrics))),
         ];
-        tasks.extend(spawn_watches(&settings, &handle, &options));
+        tasks.extend(spawn_watches(&settings, &handle, &budget, &options));
         let drain_timeout = Duration::from_secs(settings.drain_s.into());
         let server = start_server(
             settings,
@@ -245,6 +250,7 @@
 fn spawn_watches<D: Dial>(
     settings: &Settings,
     handle: &Handle,
+    budget: &Budget,
     options: &Options<D>,
 ) -> Vec<JoinHandle<()>> {
     let platform: Vec<SocketAddr> = settings
@@ -260,6 +266,7 @@
             platform.clone(),
             dial,
             handle,
+            Account::configuration(budget),
             options.seed,
         ))
     };
--- a/crates/peridotdeck-router/tests/testsuite/endless_sums.rs
+++ b/crates/peridotdeck-router/tests/testsuite/endless_sums.rs
@@ -46,9 +46,11 @@
     until: usize,
     /// Whether callers read their answers.
     is_read: bool,
+    /// Whether reports of the endpoint's load have the shape too.
+    in_reports: bool,
 }
 
-/// Starts an endpoint that sends a shape on every connection, except for reports of its load.
+/// Starts an endpoint that sends a shape on every connection.
 fn pouring_endpoint(shape: Shape) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("bound");
@@ -66,7 +68,7 @@
     let mut lines = BufReader::new(stream.try_clone().ok()?).lines();
     let first = lines.next()?.ok()?;
     while !lines.next()?.ok()?.is_empty() {}
-    if first.starts_with("GET /load") {
+    if first.starts_with("GET /load") && !shape.in_reports {
         let length = REPORT.len();
         let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{REPORT}");
         return stream.write_all(head.as_bytes()).ok();
@@ -231,6 +233,7 @@
     piece: "junk ",
     until: usize::MAX,
     is_read: true,
+    in_reports: false,
 };
 
 /// Guards against whole answers without end that fill the memory together.
@@ -298,8 +301,8 @@
 /// Guards against events without end, and texts collected from events, that fill the memory together.
 #[test]
 fn streams_keep_the_memory_bounded() {
-    let mut faults = Vec::new();
     const EVENT: &str = "data: {\"choices\":[{\"text\":\"a text of some words\"}]}\n\n";
+    let mut faults = Vec::new();
     let stream = r#","stream":true"#;
     let events = Shape {
         begin: EVENTS,
@@ -328,8 +331,8 @@
 /// Guards against requests that come slowly and fill the memory together.
 #[test]
 fn slow_bodies_keep_the_memory_bounded() {
-    let mut faults = Vec::new();
     const BYTES: usize = 4 << 20;
+    let mut faults = Vec::new();
     let slow = |path: &'static str, begin: &'static str| {
         let body = format!("{begin}{}", "x".repeat(BYTES - 100 - begin.len()));
         move |_| (request(path, BYTES, &body), 24)
@@ -351,3 +354,47 @@
     faults.extend(play("bodies-whole", JUNK, DEFAULT, whole));
     assert!(faults.is_empty(), "{faults:#?}");
 }
+
+/// Guards against reports of an endpoint's load without end that fill the memory.
+#[test]
+fn reports_keep_the_memory_bounded() {
+    let shape = Shape {
+        in_reports: true,
+        ..JUNK
+    };
+    let fault = play("reports", shape, DEFAULT, small("plain"));
+    assert_eq!(fault, None);
+}
+
+/// Guards against a budget that leaves too little of a small memory for the rest of the process.
+#[test]
+fn smallest_memory_is_kept() {
+    const SMALLEST: (&str, u64) = ("memory_mb = 64\n", 64 << 10);
+    let unread = Shape {
+        is_read: false,
+        ..JUNK
+    };
+    let event = Shape {
+        begin: EVENTS,
+        piece: "data: x",
+        ..JUNK
+    };
+    let body = "x".repeat(3 << 20);
+    let bodies = move |_| (request("/pours/x", body.len() + 100, &body), 24);
+    let numbers = format!(
+        r#"{{"model":"wickmind","prompt":[1{}]}}"#,
+        ",1".repeat(1 << 19)
+    );
+    let lists = move |_| (request("/v1/completions", numbers.len(), &numbers), 0);
+    let mut faults = Vec::new();
+    faults.extend(play("small-unread", unread, SMALLEST, small("plain")));
+    faults.extend(play(
+        "small-event",
+        event,
+        SMALLEST,
+        small(r#","stream":true"#),
+    ));
+    faults.extend(play("small-bodies", unread, SMALLEST, bodies));
+    faults.extend(play("small-lists", unread, SMALLEST, lists));
+    assert!(faults.is_empty(), "{faults:#?}");
+}
--- a/crates/peridotdeck-router/tests/testsuite/main.rs
+++ b/crates/peridotdeck-router/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod joined_streams;
 mod late_requests;
 mod operators;
+mod passed_answers;
 mod process;
 mod second_refusals;
 mod sound_streams;
