Charge no endpoint for memory that the node lacks

What callers saw: a stream whose incomplete event got no memory ended as garbled, and placement then avoided its endpoint, although the node's other bodies had used the memory up.

Cause: the denial was returned as an invalid answer of the endpoint, which counts against its health.

Change: the attempt ends with end=no-memory, which may have run and says nothing of the endpoint. An endpoint that sends an event beyond its largest size is still charged.

--- a/crates/peridotdeck-core/src/dispatch/attempt.rs
+++ b/crates/peridotdeck-core/src/dispatch/attempt.rs
@@ -155,6 +155,8 @@
     Garbled,
     /// The events were of another software version than the stream that they should go on with.
     OtherVersion,
+    /// This node had no memory for a part of the answer that has to be kept.
+    NoMemory,
     /// The endpoint took too long, and another one was tried.
     Silent,
     /// The deadline of the caller or of the route passed.
--- a/crates/peridotdeck-relay/src/answer/events.rs
+++ b/crates/peridotdeck-relay/src/answer/events.rs
@@ -98,7 +98,7 @@
             && self.whole == 0
         {
             let reserved = memory.cover(self.lines.capacity());
-            reserved.map_err(|denied| Failure::new(End::Garbled, &denied))?;
+            reserved.map_err(|denied| Failure::new(End::NoMemory, &denied))?;
         }
         Ok(())
     }
