Remember a stream until the deadline of its last request, and refuse contradictions at once

What callers saw: with take-ups that each last as long as their deadline, the second one was refused, as its stream was forgotten 3 s after the deadline of the request that began it. A stream that two nodes say began at two versions waited for a lookup, and a list of caches could then decide.

Cause: an entry of a known stream did not prolong it; and only streams that no entry names were refused, after the lookup.

Change: a later end prolongs an entry, and other nodes are told of it. Contradicting entries are refused at once as unknown.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -89,6 +89,9 @@
             self.record_resolution(flight, by, Some(entry.software), now);
             return None;
         }
+        if stream.is_some_and(|stream| self.streams.get(stream).len() > 1) {
+            return Some(self.refuse_unknown(flight, now));
+        }
         let may_be_only = stream.is_none() && self.may_be_only_version(&flight.service, now);
         if may_be_only && self.is_list_confirmed(now) {
             self.record_resolution(flight, Evidence::Publisher, None, now);
@@ -108,9 +111,14 @@
             self.record_resolution(flight, Evidence::Cache, Some(software), now);
             return None;
         }
+        Some(self.refuse_unknown(flight, now))
+    }
+
+    /// Refuses a stream that nothing names a version of, or that is said to have several.
+    fn refuse_unknown(&mut self, flight: &mut Flight, now: Time) -> Placement {
         let wait = self.retry_after(flight, now);
         let refusal = give_up(flight, Cause::UnknownStream, Some(wait));
-        Some(Placement::Refuse(refusal, Vec::new()))
+        Placement::Refuse(refusal, Vec::new())
     }
 
     /// Binds a stream to the version that was found, and keeps what the decision was based on.
--- a/crates/peridotdeck-core/src/dispatch/stream/table.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/table.rs
@@ -35,14 +35,29 @@
 }
 
 impl Table {
-    /// Adds a stream, unless it is known.
+    /// Adds a stream, or prolongs a known one, whose caller may take it up more than once.
     pub fn insert(&mut self, entry: Entry) {
-        let Err(index) = self.find(&entry) else {
+        match self.find(&entry) {
+            Ok(index) => self.prolong(index, entry),
+            Err(index) => {
+                self.entries.insert(index, entry);
+                self.untold += usize::from(!entry.told);
+                self.forget_earliest();
+            }
+        }
+    }
+
+    /// Remembers a known stream for as long as another entry of it; others are told of the later end.
+    fn prolong(&mut self, index: usize, entry: Entry) {
+        let known = &mut self.entries[index];
+        if entry.until <= known.until {
             return;
-        };
-        self.entries.insert(index, entry);
-        self.untold += usize::from(!entry.told);
-        self.forget_earliest();
+        }
+        known.until = entry.until;
+        if known.told && !entry.told {
+            known.told = false;
+            self.untold += 1;
+        }
     }
 
     /// Adds many streams; others are told of them again, even if they are known.
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod cut_nodes;
 mod departures;
 mod dispatch;
+mod evidence;
 mod fairness;
 mod fleet_beats;
 mod handover;
