Check the refusals of bodies that found no memory, and describe them

The plays counted who was served beside, and not what those got who found no memory: each 503 has to name a time to come back and that the request did not run.

--- a/crates/peridotdeck-router/tests/testsuite/endless_sums.rs
+++ b/crates/peridotdeck-router/tests/testsuite/endless_sums.rs
@@ -94,26 +94,34 @@
     Some(())
 }
 
-/// Sends a request's bytes, then `slow` bytes one by one, and reads the answer if that is wanted.
-fn call(address: SocketAddr, request: &[u8], slow: usize, reads: bool) -> Option<()> {
+/// Sends a request's bytes, then `slow` bytes one by one, and returns the begin of the answer if it is read.
+fn call(address: SocketAddr, request: &[u8], slow: usize, reads: bool) -> Option<String> {
     let mut stream = TcpStream::connect(address).ok()?;
     stream.write_all(request).ok()?;
     for _ in 0..slow {
         thread::sleep(Duration::from_millis(200));
-        stream.write_all(b" ").ok()?;
+        if stream.write_all(b" ").is_err() {
+            break;
+        }
     }
     stream.set_read_timeout(Some(PLAY)).ok()?;
     let begun = Instant::now();
     let mut buffer = [0; 0x4000];
+    let mut head = String::new();
     while begun.elapsed() < PLAY {
-        if reads {
-            let read = stream.read(&mut buffer).ok()?;
-            (read > 0).then_some(())?;
-        } else {
+        if !reads {
             thread::sleep(Duration::from_millis(100));
+            continue;
+        }
+        match stream.read(&mut buffer) {
+            Ok(0) | Err(_) => break,
+            Ok(bytes) if head.is_empty() => {
+                head = String::from_utf8_lossy(&buffer[..bytes]).into_owned();
+            }
+            Ok(_) => {}
         }
     }
-    Some(())
+    Some(head)
 }
 
 fn request(path: &str, length: usize, body: &str) -> Vec<u8> {
@@ -192,14 +200,25 @@
         served += usize::from(send_sound(address) == 200);
         thread::sleep(Duration::from_millis(20));
     }
-    for caller in callers {
-        let _ = caller.join();
-    }
+    let answers = callers
+        .into_iter()
+        .map(|caller| caller.join().expect("no panic"));
+    let refusals: Vec<_> = answers
+        .flatten()
+        .filter(|answer| answer.starts_with("HTTP/1.1 503"))
+        .collect();
+    let is_true =
+        |answer: &String| answer.contains("retry-after: ") && answer.contains("verdict: not_run");
+    let true_refusals = refusals.iter().filter(|answer| is_true(answer)).count();
     let peak = router.peak_kb().map(|kb| kb >> 10);
-    let seen = format!("{name}: peak {peak:?} MB, {served} of {asked} served beside");
+    let seen = format!(
+        "{name}: peak {peak:?} MB, {served} of {asked} served beside, {true_refusals} of {} refusals true",
+        refusals.len()
+    );
     println!("{seen}");
     let within = peak.is_some_and(|mb| mb < limit_kb >> 10);
-    (!within || served < asked).then_some(seen)
+    let is_sound = within && served == asked && true_refusals == refusals.len();
+    (!is_sound).then_some(seen)
 }
 
 /// Returns the status of a request to the sound service, or 0 without an answer.
