--- a/crates/peridotdeck-core/tests/testsuite/joined_versions.rs
+++ b/crates/peridotdeck-core/tests/testsuite/joined_versions.rs
@@ -227,3 +227,32 @@
         assert!(!node.may_join(&assignment.attempt, &flight, world.now));
     }
 }
+
+/// Guards against more bytes for streams than nodes may spend, with one version and with two.
+#[test]
+fn telling_of_streams_keeps_to_the_budget() {
+    /// Most bytes a second of a node, for all control.
+    const BUDGET: usize = 15_000;
+    for (nodes, rounds, is_mixed) in [(7, 54, false), (7, 54, true), (300, 28, false)] {
+        let mut world = world(nodes, 8);
+        if is_mixed {
+            world.publish(both_versions());
+            world.run(ms(1_000));
+        }
+        world.told_bytes = [0; 2];
+        let begun = world.now;
+        // Each node begins 27 streams a second.
+        for round in 0..rounds {
+            for node in 0..nodes {
+                world.stream(node, &format!("a{node}-{round}"), None);
+            }
+            if round % 2 == 0 {
+                world.run(ms(75));
+            }
+        }
+        let time = world.now.saturating_sub(begun).as_millis() as usize;
+        let [near, far] = world.told_bytes.map(|bytes| bytes * 1_000 / nodes / time);
+        println!("{nodes} nodes, mixed={is_mixed}: {near} B/s here, {far} B/s to others");
+        assert!(near + far <= BUDGET, "{nodes} nodes: {near} and {far} B/s");
+    }
+}
--- a/crates/peridotdeck-core/tests/testsuite/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world.rs
@@ -33,6 +33,9 @@
 
 const STEP: Duration = ms(25);
 
+/// Bytes of a datagram before its message.
+const DATAGRAM_HEAD: usize = 28;
+
 struct Open {
     node: usize,
     flight: Flight,
@@ -92,6 +95,8 @@
     /// Reads of the publisher on behalf of streams: when one began, and the node.
     reads: Vec<(Duration, usize)>,
     pub read_count: usize,
+    /// Bytes of messages that tell of streams or ask for them, in a data centre and between them.
+    pub told_bytes: [usize; 2],
 }
 
 fn address(index: usize) -> Node {
@@ -139,6 +144,7 @@
             deaf: Vec::new(),
             reads: Vec::new(),
             read_count: 0,
+            told_bytes: [0; 2],
         };
         world.nodes = (0..nodes).map(|index| Some(world.node(index))).collect();
         world.run(ms(2_000));
@@ -233,7 +239,12 @@
                 beat.grants.len(),
             ];
             if lengths.into_iter().any(|length| length > 0) {
-                pack(&beat).expect("fits a datagram");
+                let bytes = pack(&beat).expect("fits a datagram").len();
+                if !beat.streams.is_empty() || !beat.lookups.is_empty() {
+                    let to = (u32::from(to) - u32::from(address(0))) as usize;
+                    let is_far = from % REGIONS.len() != to % REGIONS.len();
+                    self.told_bytes[usize::from(is_far)] += bytes + DATAGRAM_HEAD;
+                }
             }
             let to = (u32::from(to) - u32::from(address(0))) as usize;
             let is_reached =
