Complete no answer of the own interface that its caller has not taken

What callers saw: a caller that read a large answer in chunks only after the time for it had passed got an answer with a piece left out and the last chunk behind it, a complete success. It happens to requests that must not run twice, whose answers are read to their end without the caller.

Cause: the piece that found no room in time was forgotten, and the body was finished all the same.

Change: the body is finished only if all pieces were taken; otherwise the caller's connection is closed early.

--- a/crates/peridotdeck-router/src/attempt/passing.rs
+++ b/crates/peridotdeck-router/src/attempt/passing.rs
@@ -70,7 +70,10 @@
             }
             let bytes = read(&mut incoming, &mut piece, until).await?;
             if bytes == 0 {
-                answer.finish_body();
+                // The caller lacks a piece otherwise, and its connection is closed early.
+                if is_taken {
+                    answer.finish_body();
+                }
                 return Ok(None);
             }
             is_taken = is_taken && self.send(answer, piece[..bytes].to_vec(), until).await?;
--- a/crates/peridotdeck-router/tests/testsuite/main.rs
+++ b/crates/peridotdeck-router/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod http_limits;
 mod joined_streams;
+mod late_callers;
 mod late_requests;
 mod operators;
 mod passed_answers;
