Read what is known of a stream once, and name the purposes of its holders

No change of behaviour. resolve_version looked a stream up twice, for its only entry and for contradicting ones; one match serves both, and Table::only_entry, which nothing else used, is gone. Purpose has TellLocal and TellRemote; the holder of requests of no known organisation is UNIDENTIFIED.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/holders.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/holders.rs
@@ -27,10 +27,11 @@
 /// A use of the nodes that should know a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Purpose {
-    /// The nodes of the own data centre are told.
-    Tell,
-    /// Those of other data centres are told.
-    TellOthers,
+    /// The holders in the own data centre are told.
+    TellLocal,
+    /// The holders in other data centres are told.
+    TellRemote,
+    /// The holders of all data centres are asked.
     Ask,
 }
 
@@ -40,8 +41,8 @@
     /// One more is asked than told, since the one that ranked first may just have joined.
     fn local(self) -> usize {
         match self {
-            Self::Tell => 2,
-            Self::TellOthers => 0,
+            Self::TellLocal => 2,
+            Self::TellRemote => 0,
             Self::Ask => 3,
         }
     }
@@ -49,8 +50,8 @@
     /// Returns the number of nodes of each other data centre, and the most data centres.
     fn remote(self) -> (usize, usize) {
         match self {
-            Self::Tell => (0, 0),
-            Self::TellOthers => (1, 2),
+            Self::TellLocal => (0, 0),
+            Self::TellRemote => (1, 2),
             Self::Ask => (2, usize::MAX),
         }
     }
@@ -135,7 +136,7 @@
         }
         let data_centres = self.data_centre_nodes(now);
         let mut told: Vec<(Node, beat::Stream)> = Vec::new();
-        for (entries, purpose) in [(&untold, Purpose::Tell), (&due, Purpose::TellOthers)] {
+        for (entries, purpose) in [(&untold, Purpose::TellLocal), (&due, Purpose::TellRemote)] {
             for entry in entries {
                 let holders = self.holders(&data_centres, entry.stream, purpose);
                 told.extend(holders.map(|node| (node, to_message(entry, now))));
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -80,17 +80,18 @@
         }
         let began = flight.resumes.as_deref()?;
         let stream = (!began.is_empty()).then(|| stream::id(began));
-        if let Some(entry) = stream.and_then(|stream| self.streams.only_entry(stream)) {
-            let by = if entry.is_own {
-                Evidence::Own
-            } else {
-                Evidence::Told
-            };
-            self.record_resolution(flight, by, Some(entry.software), now);
-            return None;
-        }
-        if stream.is_some_and(|stream| self.streams.get(stream).len() > 1) {
-            return Some(self.refuse_unknown(flight, now));
+        match stream.map_or(&[][..], |stream| self.streams.get(stream)) {
+            [] => {}
+            &[entry] => {
+                let by = if entry.is_own {
+                    Evidence::Own
+                } else {
+                    Evidence::Told
+                };
+                self.record_resolution(flight, by, Some(entry.software), now);
+                return None;
+            }
+            _ => return Some(self.refuse_unknown(flight, now)),
         }
         let may_be_only = stream.is_none() && self.may_be_only_version(&flight.service, now);
         if may_be_only && self.is_list_confirmed(now) {
--- a/crates/peridotdeck-core/src/dispatch/stream/table.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/table.rs
@@ -81,15 +81,6 @@
         &rest[..count]
     }
 
-    /// Returns the entry of a stream, if the version that began it is known for certain.
-    #[must_use]
-    pub fn only_entry(&self, stream: Id) -> Option<Entry> {
-        match self.get(stream) {
-            [entry] => Some(*entry),
-            _ => None,
-        }
-    }
-
     /// Marks up to `most` streams as told and returns them.
     pub fn take_untold(&mut self, most: usize) -> Vec<Entry> {
         if self.untold == 0 {
--- a/crates/peridotdeck-relay/src/front.rs
+++ b/crates/peridotdeck-relay/src/front.rs
@@ -131,11 +131,11 @@
 /// Returns the holder of a request's body, which is read before the request is admitted.
 fn holder<I: Ingress>(shared: &Shared<I>, decoded: &Result<DecodedRequest, Cause>) -> Holder {
     let Ok(request) = decoded else {
-        return memory::NOBODY;
+        return memory::UNIDENTIFIED;
     };
     match shared.dispatcher().identify(request) {
         Ok((_, organisation)) => memory::of_request(organisation.as_deref()),
-        Err(_) => memory::NOBODY,
+        Err(_) => memory::UNIDENTIFIED,
     }
 }
 
--- a/crates/peridotdeck-relay/src/memory.rs
+++ b/crates/peridotdeck-relay/src/memory.rs
@@ -22,8 +22,8 @@
 /// Requests of routes that are public.
 const PUBLIC: Holder = Holder::numbered(0);
 
-/// Requests that belong to nobody and will be refused.
-pub(crate) const NOBODY: Holder = Holder::numbered(1);
+/// Requests of no known organisation, which will be refused.
+pub(crate) const UNIDENTIFIED: Holder = Holder::numbered(1);
 
 /// Returns the budget of a process that may have so many bytes.
 ///
