Start a lone router for the tests of memory and of late callers in one place

endless_sums and late_callers began with the same thirty lines: settings, the list of nodes, the wait until it serves. Process::start_alone has them. The plays, bounds and assertions are unchanged.

--- a/crates/peridotdeck-router/tests/memory/endless_sums.rs
+++ b/crates/peridotdeck-router/tests/memory/endless_sums.rs
@@ -13,10 +13,9 @@
 use peridotdeck_fake::{Plain, Platform, plain::Record};
 use peridotdeck_http::client;
 use peridotdeck_policy::{Class, Organisation, Policy, Service, split};
-use peridotdeck_wire::Member;
 
 use crate::{
-    cluster::{API_KEY, RESPONSE_TIMEOUT, post_request},
+    cluster::{API_KEY, post_request},
     process::Process,
 };
 
@@ -165,28 +164,14 @@
         .build()
         .expect("a sound configuration");
     platform.publish(&split(&config));
-    let router = Process::start(
-        &format!(
-            "node = 1\nplace = \"a\"\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
-             platform = [\"{}\"]\nbody_timeout_ms = 5000\n{setting}",
-            platform.address()
-        ),
+    let router = Process::start_alone(
+        &platform,
+        &format!("body_timeout_ms = 5000\n{setting}"),
         name,
         limit_kb,
+        |address| send_sound(address) == 200,
     );
-    platform.list(vec![Member {
-        node: 1,
-        place: "a".to_owned(),
-        peers: "127.0.0.1:9".to_owned(),
-        callers: router.address.to_string(),
-        leaving: false,
-    }]);
     let address = router.address;
-    let ready = Instant::now();
-    while send_sound(address) != 200 {
-        assert!(ready.elapsed() < RESPONSE_TIMEOUT, "never ready");
-        thread::sleep(Duration::from_millis(50));
-    }
     let callers: Vec<_> = (0..REQUESTS)
         .map(|index| {
             let (bytes, slow) = bodies(index);
--- a/crates/peridotdeck-router/tests/testsuite/late_callers.rs
+++ b/crates/peridotdeck-router/tests/testsuite/late_callers.rs
@@ -4,18 +4,14 @@
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use async_std::task::block_on;
 use peridotdeck_fake::Platform;
 use peridotdeck_policy::{Class, Organisation, Policy, Service, split};
-use peridotdeck_wire::Member;
 
-use crate::{
-    cluster::{API_KEY, RESPONSE_TIMEOUT},
-    process::Process,
-};
+use crate::{cluster::API_KEY, process::Process};
 
 const PIECE: usize = 16 << 10;
 
@@ -90,28 +86,10 @@
         .build()
         .expect("a sound configuration");
     platform.publish(&split(&config));
-    let router = Process::start(
-        &format!(
-            "node = 1\nplace = \"a\"\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
-             platform = [\"{}\"]\n",
-            platform.address()
-        ),
-        "late-callers",
-        256 << 10,
-    );
-    platform.list(vec![Member {
-        node: 1,
-        place: "a".to_owned(),
-        peers: "127.0.0.1:9".to_owned(),
-        callers: router.address.to_string(),
-        leaving: false,
-    }]);
+    let router = Process::start_alone(&platform, "", "late-callers", 256 << 10, |address| {
+        call(address, PIECE, Duration::ZERO).starts_with(b"HTTP/1.1 200")
+    });
     let address = router.address;
-    let ready = Instant::now();
-    while !call(address, PIECE, Duration::ZERO).starts_with(b"HTTP/1.1 200") {
-        assert!(ready.elapsed() < RESPONSE_TIMEOUT, "never ready");
-        thread::sleep(Duration::from_millis(50));
-    }
     // How much waits in the kernel is not known, so one of the sizes is a little above it.
     let callers: Vec<_> = (0..64)
         .map(|at| {
--- a/crates/peridotdeck-router/tests/testsuite/process.rs
+++ b/crates/peridotdeck-router/tests/testsuite/process.rs
@@ -7,9 +7,14 @@
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
+use peridotdeck_fake::Platform;
+use peridotdeck_wire::Member;
+
+use crate::cluster::RESPONSE_TIMEOUT;
+
 /// Time between two looks at the memory of the process.
 const LOOK_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -57,6 +62,35 @@
         }
     }
 
+    /// Starts a router that is the only node of a platform, with further settings, and waits until it serves.
+    pub fn start_alone(
+        platform: &Platform,
+        settings: &str,
+        name: &str,
+        limit_kb: u64,
+        serves: impl Fn(SocketAddr) -> bool,
+    ) -> Self {
+        let settings = format!(
+            "node = 1\nplace = \"a\"\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
+             platform = [\"{}\"]\n{settings}",
+            platform.address()
+        );
+        let process = Self::start(&settings, name, limit_kb);
+        platform.list(vec![Member {
+            node: 1,
+            place: "a".to_owned(),
+            peers: "127.0.0.1:9".to_owned(),
+            callers: process.address.to_string(),
+            leaving: false,
+        }]);
+        let started = Instant::now();
+        while !serves(process.address) {
+            assert!(started.elapsed() < RESPONSE_TIMEOUT, "never ready");
+            thread::sleep(Duration::from_millis(50));
+        }
+        process
+    }
+
     /// Returns the most memory that the process had, or nothing if it has ended.
     pub fn peak_kb(&self) -> Option<u64> {
         memory_kb(self.pid, "VmHWM:")
