Log and count requests at endpoints that the regions in force forbid

Callers bound to regions were served elsewhere, and no line of a node named a region: terms kept too long, a node that is behind and an endpoint that is elsewhere could not be told apart.

request_placed has the endpoint's region, the regions that the version in force allows, that version, the one at admission and the age of the newest confirmation. regions_adopted names what a version binds. Just before a request is written, region_forbidden and a counter say when the version in force forbids its endpoint. No decision changes.

--- a/crates/peridotdeck-core/src/dispatch.rs
+++ b/crates/peridotdeck-core/src/dispatch.rs
@@ -14,6 +14,7 @@
 //!
 //! - [`registry`]: the current configuration and endpoints, whose revisions never decrease;
 //! - [`flight`]: one caller's request and the attempts that it may still make;
+//! - [`region`]: the regions that may serve it;
 //! - [`placement`]: the choice of an endpoint, or the reasons why none is eligible;
 //! - [`endpoint`]: this node's knowledge of one endpoint, and its [`path`]s to it;
 //! - [`attempt`]: a request sent to an endpoint, its outcome and the next step;
@@ -46,6 +47,7 @@
 pub mod prefix;
 pub mod rate;
 pub mod refusal;
+pub mod region;
 pub mod registry;
 pub mod share;
 pub mod speed;
--- a/crates/peridotdeck-core/src/dispatch/config.rs
+++ b/crates/peridotdeck-core/src/dispatch/config.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
+use super::{flight::Target, region};
+
 /// Longest time that the configuration or an endpoint may state.
 ///
 /// Sums and small multiples of it stay far below what a clock counts.
@@ -183,6 +185,24 @@
             .max_by_key(|route| route.prefix.len())
     }
 
+    /// Returns the regions that may serve a request: those that its route and its organisation allow.
+    #[must_use]
+    pub fn regions(&self, target: &Target) -> region::Set {
+        let mut regions = region::Set::default();
+        if let Some(route) = self.route(&target.host, &target.path) {
+            regions.narrow(&route.regions);
+        }
+        let mut organisations = self.organisations.iter();
+        let owner = target
+            .organisation
+            .as_ref()
+            .and_then(|name| organisations.find(|organisation| organisation.name == *name));
+        if let Some(organisation) = owner {
+            regions.narrow(&organisation.regions);
+        }
+        regions
+    }
+
     /// Returns the routes that use a service.
     pub fn routes_to(&self, service: &str) -> impl Iterator<Item = &Route> {
         let uses =
--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -14,6 +14,7 @@
 //! - `speeds`: an answer or a stream shows an endpoint's speed, or a peer tells of it;
 //! - `quarantine`: an endpoint has crashed, or has answered on a prompt;
 //! - `rates`: an endpoint names a rate, or a request needs a part of one;
+//! - `regions`: a request may be served in some regions only;
 //! - `places`: an endpoint is brittle, or a request needs a place there;
 //! - `streams`: a stream begins, or a caller takes one up;
 //! - `holders`: other nodes are told of streams, or asked for them;
@@ -38,6 +39,7 @@
 mod quarantine;
 mod ranking;
 mod rates;
+mod regions;
 mod shares;
 mod shutdown;
 mod speeds;
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/explain.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/explain.rs
@@ -86,6 +86,7 @@
     let mut flight = Flight::new(Arc::clone(route), config.version, now);
     flight.rank = config.rank(route, organisation.as_deref());
     flight.prompt.tokens = query.tokens;
+    flight.target.organisation = organisation.as_ref().map(|owner| owner.name.clone());
     flight.organisation = organisation;
     Ok(flight)
 }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -18,7 +18,7 @@
         data_centre,
         endpoint::Load,
         feature::Feature,
-        flight::{DecodedRequest, Flight},
+        flight::{DecodedRequest, Flight, Target},
         key as endpoint_key,
         placement::{Estimate, Exclusion},
         refusal::{Cause, Refusal},
@@ -102,7 +102,14 @@
         let rank = config.rank(&route, organisation.as_deref());
         let urgent = config.is_urgent_stream(&route, &service);
         let repeats = self.note_arrival(&service, rank, fingerprint, now);
+        let owner = organisation.as_ref();
+        let target = Target {
+            host: request.host,
+            path: request.path,
+            organisation: owner.map(|organisation| organisation.name.clone()),
+        };
         Ok(Flight {
+            target,
             id: request.id,
             rank,
             urgent,
--- a/crates/peridotdeck-core/src/dispatch/flight.rs
+++ b/crates/peridotdeck-core/src/dispatch/flight.rs
@@ -53,6 +53,17 @@
     pub prompt: Prompt,
 }
 
+/// What a configuration's rules on regions are looked up by.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Target {
+    /// Host that the request is addressed to.
+    pub host: String,
+    /// Path of the request without the query string.
+    pub path: String,
+    /// Name of the organisation whose data the request holds, if it has one.
+    pub organisation: Option<String>,
+}
+
 /// An admitted request in flight.
 #[derive(Clone, Debug)]
 pub struct Flight {
@@ -62,6 +73,8 @@
     pub route: Arc<Route>,
     /// Organisation that sent it, if the route requires a key.
     pub organisation: Option<Arc<Organisation>>,
+    /// What later versions of the configuration may have other regions for.
+    pub target: Target,
     /// Id of the request that brought the first event of the stream, if the caller takes one up.
     pub resumes: Option<String>,
     /// Software version at which the stream must go on, once it is known.
@@ -109,6 +122,11 @@
         Self {
             id: String::new(),
             organisation: None,
+            target: Target {
+                host: route.host.clone(),
+                path: route.prefix.clone(),
+                organisation: None,
+            },
             resumes: None,
             software: None,
             resolution: None,
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -153,6 +153,7 @@
     if left.is_zero() {
         return Err(Failure::new(End::Unsent, "no time left to send"));
     }
+    note_region(shared, flight, assignment);
     let headers = shared
         .ingress
         .forward_headers(&message.head, flight, assignment, left, resume);
@@ -198,6 +199,28 @@
     })
 }
 
+/// Logs and counts a request that is sent where the configuration in force does not allow it.
+fn note_region<I: Ingress>(shared: &Arc<Shared<I>>, flight: &Flight, assignment: &Assignment) {
+    let dispatcher = shared.dispatcher();
+    let (allowed, version) = dispatcher.regions_in_force(flight);
+    let region = dispatcher.region_of_endpoint(assignment.attempt.key());
+    if allowed.is_all() || region.is_some_and(|region| allowed.allows(region)) {
+        return;
+    }
+    let region = region.unwrap_or("unknown").to_owned();
+    drop(dispatcher);
+    shared.metrics.count_region_denial();
+    log::warn!(
+        "event=region_forbidden id={} endpoint={} region={region} allowed={allowed} admitted={} \
+         version={version} attempt={} ms={}",
+        flight.id,
+        assignment.instance,
+        flight.version,
+        flight.tried.len(),
+        clock::now().saturating_sub(flight.arrived).as_millis(),
+    );
+}
+
 /// Returns the failure that an error of hyper stands for.
 ///
 /// A cancelled request never left this process; any other one may have reached the endpoint. If the
--- a/crates/peridotdeck-relay/src/forwarding/logging.rs
+++ b/crates/peridotdeck-relay/src/forwarding/logging.rs
@@ -68,13 +68,18 @@
         let dispatcher = self.shared.dispatcher();
         let roster = dispatcher.registry().progress(Area::Roster).changed;
         let roster_age = dispatcher.registry().age(Area::Roster, now);
+        let policy_age = dispatcher.registry().age(Area::Policy, now);
+        let (regions, version) = dispatcher.regions_in_force(&self.flight);
+        let region = dispatcher.region_of_endpoint(assignment.attempt.key());
+        let region = region.unwrap_or("unknown").to_owned();
         drop(dispatcher);
         log::info!(
             "event=request_placed id={} route={} endpoint={} software={} detour={} resumes={} attempt={} \
              rank={} score={:.0} \
              expected_ms={} prompt={} shared={} known={} cached={} unread={} fetch={} running={} \
              backlog={} candidates={} view_age_ms={} corrected={} waited_ms={} left_ms={} roster={} \
-             roster_age_ms={}",
+             roster_age_ms={} region={region} allowed={regions} admitted={} version={version} \
+             policy_age_ms={}",
             self.flight.id,
             self.flight.route.name,
             assignment.instance,
@@ -104,6 +109,8 @@
             self.flight.time_left(now).as_millis(),
             roster,
             roster_age.as_millis(),
+            self.flight.version,
+            policy_age.as_millis(),
         );
     }
 
--- a/crates/peridotdeck-relay/src/metrics.rs
+++ b/crates/peridotdeck-relay/src/metrics.rs
@@ -29,6 +29,7 @@
     detours: IntCounterVec,
     judged_ends: IntCounterVec,
     unnamed_answers: IntCounter,
+    region_denials: IntCounter,
     publisher_failures: IntCounterVec,
     peer_messages: IntCounterVec,
     state: IntGaugeVec,
@@ -104,6 +105,7 @@
             &["verdict", "by"],
         );
         let unnamed_answers = register_unnamed_answers(&registry);
+        let region_denials = register_region_denials(&registry);
         let publisher_failures = counter(
             "peridotdeck_publisher_failures_total",
             "Failed reads of what is published",
@@ -134,6 +136,7 @@
             detours,
             judged_ends,
             unnamed_answers,
+            region_denials,
             publisher_failures,
             peer_messages,
             state,
@@ -215,6 +218,11 @@
         self.unnamed_answers.inc();
     }
 
+    /// Counts an attempt at an endpoint in a region that the configuration in force did not allow.
+    pub fn count_region_denial(&self) {
+        self.region_denials.inc();
+    }
+
     /// Counts a failed read of an area from the publisher.
     pub fn count_publisher_failure(&self, area: &str) {
         self.publisher_failures.with_label_values(&[area]).inc();
@@ -247,13 +255,27 @@
     }
 }
 
-/// Registers the counter of answers without an id.
+/// Registers the counter of answers that do not name their requests.
 fn register_unnamed_answers(registry: &Registry) -> IntCounter {
-    let counter = IntCounter::new(
+    register_count(
+        registry,
         "peridotdeck_unnamed_answers_total",
         "Answers of endpoints without the request's id, whose connections were closed",
     )
-    .expect("valid name");
+}
+
+/// Registers the counter of attempts at endpoints in regions that were not allowed.
+fn register_region_denials(registry: &Registry) -> IntCounter {
+    register_count(
+        registry,
+        "peridotdeck_region_denials_total",
+        "Attempts at endpoints in regions that the configuration in force did not allow",
+    )
+}
+
+/// Registers a counter without labels.
+fn register_count(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::new(name, help).expect("valid name");
     registry
         .register(Box::new(counter.clone()))
         .expect("unique name");
--- a/crates/peridotdeck-relay/src/shared.rs
+++ b/crates/peridotdeck-relay/src/shared.rs
@@ -169,6 +169,7 @@
     pub fn handle_change(&self, change: &registry::Change, source: &str) {
         if let Some(version) = change.version {
             log::info!("event=config_adopted version={version} source={source}");
+            self.log_regions();
             self.metrics.set_config_version(version);
         }
         for data_centre in &change.closed {
@@ -186,6 +187,30 @@
         }
     }
 
+    /// Logs which routes and organisations of a new configuration are bound to regions.
+    fn log_regions(&self) {
+        /// Most lines for one version.
+        const MAX_LINES: usize = 16;
+        let Some(config) = self.dispatcher().registry().config().cloned() else {
+            return;
+        };
+        let routes = config.routes.iter();
+        let routes = routes.map(|route| ("route", &route.name, &route.regions));
+        let organisations = config.organisations.iter();
+        let organisations =
+            organisations.map(|owner| ("organisation", &owner.name, &owner.regions));
+        let bound = routes
+            .chain(organisations)
+            .filter(|(.., regions)| !regions.is_empty());
+        for (kind, name, regions) in bound.take(MAX_LINES) {
+            log::info!(
+                "event=regions_adopted version={} {kind}={name} regions={}",
+                config.version,
+                regions.join("+"),
+            );
+        }
+    }
+
     fn failure_count(&self, area: Area) -> &AtomicU32 {
         match area {
             Area::Policy => &self.failure_counts[0],
