--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -37,6 +37,7 @@
 mod random;
 mod random_dispatch;
 mod recovery;
+mod region_changes;
 mod restored_publisher;
 mod roster_lapse;
 mod scarce_room;
