Send requests only where the regions in force allow it

A request kept the regions of the version under which it was admitted; second tries, hedges, resumed streams and requests that had waited went by them for up to 12 s, although a later version was in force at the node.

The class of fault is a rule that is copied when a request comes and used when it leaves. A request now has a set of regions that shrinks with each version it meets, looked up anew by its host, path and organisation where an endpoint is chosen. Time passes from there to the first byte, so the message for an endpoint can be built only with a clearance, which is given just before it is written and looks at the version in force, the endpoint, the peer in between and the source of cached parts. What is not cleared was not sent: it is placed anew, without a run or a mark on the endpoint.

docs/design/REGIONS.md has the ways that were weighed.

--- a/crates/peridotdeck-core/src/dispatch/attempt.rs
+++ b/crates/peridotdeck-core/src/dispatch/attempt.rs
@@ -165,6 +165,8 @@
     Unreachable,
     /// The request did not leave this node, for a reason that does not concern the endpoint.
     Unsent,
+    /// The regions in force by then forbade the endpoint, so the request was not sent.
+    Forbidden,
     /// The connection closed before the answer was complete.
     Broken,
     /// The connection closed where the answer may or may not have been complete.
@@ -195,7 +197,8 @@
             | Self::Misdirected
             | Self::Replaced
             | Self::Unreachable
-            | Self::Unsent => Verdict::NotRun,
+            | Self::Unsent
+            | Self::Forbidden => Verdict::NotRun,
             _ => Verdict::MayHaveRun,
         }
     }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/detours.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/detours.rs
@@ -14,6 +14,7 @@
         endpoint::{Health, State},
         flight::Flight,
         path::Return,
+        region,
     },
     id::Time,
     rendezvous,
@@ -222,14 +223,15 @@
 
     /// Returns whether a request may pass through the peer whose path replaces this node's own one.
     pub(super) fn detour_allows(&self, state: &State, flight: &Flight) -> bool {
-        let Some(peer) = state.path.detour() else {
-            return true;
-        };
-        let region = self
-            .fleet
-            .place_of(peer)
-            .and_then(|place| self.region_of(place));
-        region.is_some_and(|region| flight.may_run_in(region))
+        let peer = state.path.detour();
+        peer.is_none_or(|peer| self.may_see(peer, &flight.regions))
+    }
+
+    /// Returns whether a peer is known to be in a region of a set.
+    pub(super) fn may_see(&self, peer: Node, regions: &region::Set) -> bool {
+        let place = self.fleet.place_of(peer);
+        let region = place.and_then(|place| self.region_of(place));
+        region.is_some_and(|region| regions.allows(region))
     }
 
     /// Ends the detours through peers that are gone, leave, or no longer reach the endpoint.
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/explain.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/explain.rs
@@ -86,7 +86,10 @@
     let mut flight = Flight::new(Arc::clone(route), config.version, now);
     flight.rank = config.rank(route, organisation.as_deref());
     flight.prompt.tokens = query.tokens;
-    flight.target.organisation = organisation.as_ref().map(|owner| owner.name.clone());
+    if let Some(owner) = &organisation {
+        flight.target.organisation = Some(owner.name.clone());
+        flight.regions.narrow(&owner.regions);
+    }
     flight.organisation = organisation;
     Ok(flight)
 }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
@@ -192,7 +192,10 @@
         match end.verdict() {
             Verdict::NotRun => {
                 let enough_time = flight.time_left(now) > MIN_ATTEMPT_TIME;
-                let was_sent = !matches!(end, End::Unreachable | End::Unsent | End::Replaced);
+                let was_sent = !matches!(
+                    end,
+                    End::Unreachable | End::Unsent | End::Replaced | End::Forbidden
+                );
                 if !was_sent {
                     // The endpoint may soon be reached over another path; a replaced one is not placed to again.
                     flight.tried.pop();
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -109,6 +109,7 @@
             organisation: owner.map(|organisation| organisation.name.clone()),
         };
         Ok(Flight {
+            regions: config.regions(&target),
             target,
             id: request.id,
             rank,
@@ -172,6 +173,7 @@
         let Some(config) = self.registry.config().cloned() else {
             return Placement::Wait(Delay::poll(WaitCause::Unconfigured));
         };
+        self.narrow_regions(flight);
         let unknown = Service::default();
         let service = config.service(&flight.service).unwrap_or(&unknown);
         let Ranking {
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/ranking.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/ranking.rs
@@ -66,7 +66,7 @@
             && !(flight.goes_on() && state.is_replaced());
         let exclusions = [
             (info.service != flight.service, Exclusion::Service),
-            (!flight.may_run_in(&state.region), Exclusion::Region),
+            (!flight.regions.allows(&state.region), Exclusion::Region),
             (closed, Exclusion::Closed),
             (info.draining, Exclusion::Draining),
             (state.is_departing(), Exclusion::Departing),
--- a/crates/peridotdeck-core/src/dispatch/flight.rs
+++ b/crates/peridotdeck-core/src/dispatch/flight.rs
@@ -5,6 +5,7 @@
 use super::{
     Key, Prefix, Software,
     config::{Organisation, Route},
+    region,
     share::queue::Ticket,
     stream::Resolution,
 };
@@ -75,6 +76,10 @@
     pub organisation: Option<Arc<Organisation>>,
     /// What later versions of the configuration may have other regions for.
     pub target: Target,
+    /// Regions that may serve the request: those that each version since its admission allows.
+    pub regions: region::Set,
+    /// Latest version of the configuration by which the regions were narrowed.
+    pub narrowed_by: u64,
     /// Id of the request that brought the first event of the stream, if the caller takes one up.
     pub resumes: Option<String>,
     /// Software version at which the stream must go on, once it is known.
@@ -119,6 +124,8 @@
     /// Creates a request without an organisation, whose deadline is the route's timeout.
     #[must_use]
     pub fn new(route: Arc<Route>, version: u64, now: Time) -> Self {
+        let mut regions = region::Set::default();
+        regions.narrow(&route.regions);
         Self {
             id: String::new(),
             organisation: None,
@@ -127,6 +134,8 @@
                 path: route.prefix.clone(),
                 organisation: None,
             },
+            regions,
+            narrowed_by: version,
             resumes: None,
             software: None,
             resolution: None,
@@ -158,16 +167,6 @@
             .map_or("", |organisation| &organisation.name)
     }
 
-    /// Returns whether the route and the organisation allow a region to serve the request.
-    #[must_use]
-    pub fn may_run_in(&self, region: &str) -> bool {
-        let allows =
-            |regions: &[String]| regions.is_empty() || regions.iter().any(|name| name == region);
-        let organisation = self.organisation.as_ref();
-        allows(&self.route.regions)
-            && organisation.is_none_or(|organisation| allows(&organisation.regions))
-    }
-
     /// Returns whether a request that was sent to an endpoint may not be sent there again.
     ///
     /// A stream that goes on at one software version may return to an endpoint, but not at once.
--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -400,7 +400,7 @@
             && same_software
             && !other.path.is_lost()
             && !other.path.is_suspected()
-            && flight.may_run_in(&other.region)
+            && flight.regions.allows(&other.region)
     }
 
     fn fetch_ms(&self, state: &State, source: Key, tokens: u32, model: &Model) -> f64 {
--- a/crates/peridotdeck-core/src/dispatch/region.rs
+++ b/crates/peridotdeck-core/src/dispatch/region.rs
@@ -1,10 +1,57 @@
 //! Regions in which a request may be served.
 //!
 //! Data of some routes and organisations may not leave certain regions. Which ones these are may change
-//! while a request waits, or between two of its attempts. See `docs/design/REGIONS.md`.
+//! while a request waits, or between two of its attempts. So they are checked twice: where an endpoint
+//! is chosen, and just before a request is written, which only a [`Clearance`] allows. See
+//! `docs/design/REGIONS.md`.
 
 use std::fmt;
 
+use quick_error::quick_error;
+
+use super::Node;
+
+quick_error! {
+    /// Why a request may not be written to the endpoint that it was assigned to.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum Denial {
+        /// A later version of the configuration allows fewer regions than the endpoint was chosen by.
+        Narrowed(version: u64) {
+            display("version {version} allows fewer regions")
+        }
+        /// The endpoint is not known any more, and so neither is its region.
+        Unknown {
+            display("the endpoint's region is not known")
+        }
+        /// The endpoint is in a region that may not serve the request.
+        Endpoint(region: String) {
+            display("the endpoint is in region {region}")
+        }
+        /// The peer that would pass the request on is in a region that may not see it.
+        Peer(peer: Node) {
+            display("peer {peer} is in another region")
+        }
+        /// The endpoint from which cached parts of the prompt would be fetched may not hold them.
+        Source {
+            display("the cached prompt is in another region")
+        }
+    }
+}
+
+/// Permission to write a request to the endpoint that it was assigned to, for the moment.
+///
+/// Only [`Dispatcher::clear`](super::Dispatcher::clear) gives it, after it has compared the regions in
+/// force with those of all that would see the request.
+#[derive(Debug)]
+pub struct Clearance(());
+
+impl Clearance {
+    /// Creates the permission; only for the check of the regions.
+    pub(super) fn new() -> Self {
+        Self(())
+    }
+}
+
 /// Regions that may serve a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Set {
@@ -28,6 +75,15 @@
         names.retain(|name| listed.contains(name));
     }
 
+    /// Removes the regions that another set does not have.
+    pub fn intersect(&mut self, other: &Self) {
+        match (&mut self.names, &other.names) {
+            (_, None) => {}
+            (Some(names), Some(_)) => names.retain(|name| other.allows(name)),
+            (None, Some(_)) => self.clone_from(other),
+        }
+    }
+
     /// Returns whether a region may serve the request.
     #[must_use]
     pub fn allows(&self, region: &str) -> bool {
--- a/crates/peridotdeck-core/tests/testsuite/region_changes.rs
+++ b/crates/peridotdeck-core/tests/testsuite/region_changes.rs
@@ -14,6 +14,7 @@
         flight::Flight,
         placement::Exclusion,
         refusal::Refusal,
+        region::Denial,
         registry::{Area, Fact},
     },
 };
@@ -162,3 +163,47 @@
     let assignment = expect_sent(node.place(&mut flight, ms(4)));
     assert!(["far", "away"].contains(&assignment.instance.as_str()));
 }
+
+/// Guards against a version that is adopted while the connection to the endpoint is opened.
+#[test]
+fn placed_request_is_not_written_after_its_regions_change() {
+    let mut node = node();
+    adopt(&mut node, bound(2, &["oberbayern", "franken"], &[]), ms(1));
+    let mut flight = admit(&mut node, decoded_request("home"), ms(2));
+    let first = expect_sent(node.place(&mut flight, ms(3)));
+    assert!(node.clear(&flight, &first).is_ok());
+    adopt(&mut node, bound(3, &["franken"], &[]), ms(4));
+    let denial = node
+        .clear(&flight, &first)
+        .expect_err("the regions are fewer");
+    assert_eq!(denial, Denial::Narrowed(3));
+    node.finish(&first.attempt, End::Forbidden, &flight, ms(4));
+    let next = node.next_step(&mut flight, End::Forbidden, ms(4));
+    assert_eq!((next, flight.runs), (Next::Retry, 0));
+    let second = expect_sent(node.place(&mut flight, ms(5)));
+    assert!(["far", "away"].contains(&second.instance.as_str()));
+    assert!(node.clear(&flight, &second).is_ok());
+}
+
+/// Guards against an unknown region that counts as an allowed one.
+#[test]
+fn request_is_not_written_to_an_endpoint_that_is_gone() {
+    let mut node = node();
+    adopt(&mut node, bound(2, &["franken"], &[]), ms(1));
+    let mut flight = admit(&mut node, decoded_request("home"), ms(2));
+    let assignment = expect_sent(node.place(&mut flight, ms(3)));
+    publish(&mut node, 2, Fact::Gone(assignment.instance.clone()), ms(4));
+    let denial = node.clear(&flight, &assignment).expect_err("it is gone");
+    assert_eq!(denial, Denial::Unknown);
+}
+
+/// Guards against requests without regions that pay for those with some.
+#[test]
+fn request_of_all_regions_is_always_written() {
+    let mut node = node();
+    let mut flight = admit(&mut node, decoded_request("bulk"), ms(2));
+    let assignment = expect_sent(node.place(&mut flight, ms(3)));
+    adopt(&mut node, bound(3, &["franken"], &[]), ms(4));
+    publish(&mut node, 2, Fact::Gone(assignment.instance.clone()), ms(4));
+    assert!(node.clear(&flight, &assignment).is_ok());
+}
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -18,6 +18,7 @@
     detour::Search,
     due::{CacheQuery, Probe},
     flight::Flight,
+    region::Clearance,
 };
 
 use crate::{
@@ -120,7 +121,9 @@
 
 impl Message {
     /// Returns a copy of the request with other headers, as it is sent to an endpoint.
-    fn to_request(&self, headers: HeaderMap) -> Request<Full<Bytes>> {
+    ///
+    /// Its data may leave this node only with a clearance.
+    fn to_request(&self, headers: HeaderMap, _: &Clearance) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.head.method.clone();
         // The scheme and authority of an absolute target apply only to the caller's connection.
@@ -137,7 +140,7 @@
 /// `resume` is the id of the last event that the caller received, if a stream is resumed.
 ///
 /// # Errors
-/// If no head arrives, or one that belongs to another request or to none.
+/// If the regions in force forbid the endpoint, or no head arrives, or one of another request or none.
 pub async fn send<I: Ingress>(
     shared: &Arc<Shared<I>>,
     message: &Message,
@@ -153,11 +156,11 @@
     if left.is_zero() {
         return Err(Failure::new(End::Unsent, "no time left to send"));
     }
-    note_region(shared, flight, assignment);
+    let clearance = clear(shared, flight, assignment)?;
     let headers = shared
         .ingress
         .forward_headers(&message.head, flight, assignment, left, resume);
-    let answer = connection.send(message.to_request(headers));
+    let answer = connection.send(message.to_request(headers, &clearance));
     let answer = timeout(flight.time_left(clock::now()), answer).await;
     let late = |_| Failure::new(End::TimedOut, "no answer before the deadline");
     let answer = answer.map_err(late)?;
@@ -199,26 +202,30 @@
     })
 }
 
-/// Logs and counts a request that is sent where the configuration in force does not allow it.
-fn note_region<I: Ingress>(shared: &Arc<Shared<I>>, flight: &Flight, assignment: &Assignment) {
+/// Checks that the regions in force allow a request where it was assigned to, just before it is written.
+fn clear<I: Ingress>(
+    shared: &Arc<Shared<I>>,
+    flight: &Flight,
+    assignment: &Assignment,
+) -> Result<Clearance, Failure> {
     let dispatcher = shared.dispatcher();
+    let denial = match dispatcher.clear(flight, assignment) {
+        Ok(clearance) => return Ok(clearance),
+        Err(denial) => denial,
+    };
     let (allowed, version) = dispatcher.regions_in_force(flight);
-    let region = dispatcher.region_of_endpoint(assignment.attempt.key());
-    if allowed.is_all() || region.is_some_and(|region| allowed.allows(region)) {
-        return;
-    }
-    let region = region.unwrap_or("unknown").to_owned();
     drop(dispatcher);
     shared.metrics.count_region_denial();
-    log::warn!(
-        "event=region_forbidden id={} endpoint={} region={region} allowed={allowed} admitted={} \
-         version={version} attempt={} ms={}",
+    log::info!(
+        "event=region_forbidden id={} endpoint={} allowed={allowed} admitted={} version={version} \
+         attempt={} ms={} cause=\"{denial}\"",
         flight.id,
         assignment.instance,
         flight.version,
         flight.tried.len(),
         clock::now().saturating_sub(flight.arrived).as_millis(),
     );
+    Err(Failure::new(End::Forbidden, &denial))
 }
 
 /// Returns the failure that an error of hyper stands for.
