Take an endpoint's region from its last entry

Callers bound to regions would be served at an endpoint that has moved: a later entry of the same id and start replaced all of the first one but the region that was looked up for it. It is looked up with each entry now.

Whether an entry has ever moved on the users' platform isn't known.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -329,10 +329,10 @@
         }
         for endpoint in &change.updated {
             let key = endpoint.key();
+            let region = region(&self.options.regions, &endpoint.data_centre);
             match self.find(key) {
-                Ok(index) => self.states[index].update(endpoint.clone(), now),
+                Ok(index) => self.states[index].update(endpoint.clone(), region, now),
                 Err(index) => {
-                    let region = region(&self.options.regions, &endpoint.data_centre);
                     let mut state = State::new(endpoint.clone(), region, now);
                     state.peer_load = self.fleet.load_at(key);
                     state.speed = self.speeds.take_former(&endpoint.id);
--- a/crates/peridotdeck-core/src/dispatch/endpoint.rs
+++ b/crates/peridotdeck-core/src/dispatch/endpoint.rs
@@ -158,12 +158,13 @@
         }
     }
 
-    /// Replaces the registry entry; a changed cold time starts anew.
-    pub fn update(&mut self, info: registry::Endpoint, now: Time) {
+    /// Replaces the registry entry and the region of its data centre; a changed cold time starts anew.
+    pub fn update(&mut self, info: registry::Endpoint, region: String, now: Time) {
         if info.cold != self.info.cold {
             self.cold_until = now + info.cold;
         }
         self.software = info.software();
+        self.region = region;
         self.info = info;
     }
 
--- a/crates/peridotdeck-core/tests/testsuite/region_changes.rs
+++ b/crates/peridotdeck-core/tests/testsuite/region_changes.rs
@@ -207,3 +207,19 @@
     publish(&mut node, 2, Fact::Gone(assignment.instance.clone()), ms(4));
     assert!(node.clear(&flight, &assignment).is_ok());
 }
+
+/// Guards against an endpoint that counts as in the region of its first entry after it has moved.
+#[test]
+fn moved_endpoint_is_where_its_last_entry_says() {
+    let mut node = dispatcher(1, "muenchen", &[endpoint("moves", "text", "nuernberg")]);
+    adopt(&mut node, bound(2, &["franken"], &[]), ms(1));
+    let mut flight = admit(&mut node, decoded_request("home"), ms(2));
+    let assignment = expect_sent(node.place(&mut flight, ms(3)));
+    let moved = Fact::Endpoint(endpoint("moves", "text", "muenchen"));
+    publish(&mut node, 2, moved, ms(4));
+    let denial = node.clear(&flight, &assignment).expect_err("it has moved");
+    assert_eq!(denial, Denial::Endpoint("oberbayern".to_owned()));
+    let mut other = admit(&mut node, decoded_request("home"), ms(5));
+    let (_, exclusions) = expect_refused(node.place(&mut other, ms(6)));
+    assert_eq!(exclusions, [Exclusion::Region]);
+}
