Keep a key's regions on public routes

An organisation that is bound to regions would be served elsewhere where its callers bring their key to a public route: such a request is counted for no organisation, and with it the regions were dropped. The regions are looked up by the key's owner now; the rest of a public request stays as it was, one without a key has the route's regions only.

The users' pages let a public route do without a key and say nothing of one that is brought; the reading that keeps data in its regions is taken.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -102,11 +102,13 @@
         let rank = config.rank(&route, organisation.as_deref());
         let urgent = config.is_urgent_stream(&route, &service);
         let repeats = self.note_arrival(&service, rank, fingerprint, now);
-        let owner = organisation.as_ref();
+        // A public route counts a request for no organisation, but its key says whose data it holds.
+        let owner = request.key.as_deref();
+        let owner = owner.and_then(|key| config.organisation(key));
         let target = Target {
             host: request.host,
             path: request.path,
-            organisation: owner.map(|organisation| organisation.name.clone()),
+            organisation: owner.map(|owner| owner.name.clone()),
         };
         Ok(Flight {
             regions: config.regions(&target),
--- a/crates/peridotdeck-core/tests/testsuite/region_changes.rs
+++ b/crates/peridotdeck-core/tests/testsuite/region_changes.rs
@@ -223,3 +223,23 @@
     let (_, exclusions) = expect_refused(node.place(&mut other, ms(6)));
     assert_eq!(exclusions, [Exclusion::Region]);
 }
+
+/// Guards against a key on a public route whose organisation's regions are not looked at.
+#[test]
+fn key_on_a_public_route_brings_its_regions() {
+    let mut node = node();
+    let mut config = bound(2, &[], &["franken"]);
+    for route in &mut config.routes {
+        Arc::make_mut(route).public = true;
+    }
+    adopt(&mut node, config, ms(1));
+    let mut flight = admit(&mut node, decoded_request("home"), ms(2));
+    assert_eq!(flight.organisation_name(), "");
+    let assignment = expect_sent(node.place(&mut flight, ms(3)));
+    assert!(["far", "away"].contains(&assignment.instance.as_str()));
+    let mut anonymous = decoded_request("home");
+    anonymous.key = None;
+    let mut flight = admit(&mut node, anonymous, ms(4));
+    let assignment = expect_sent(node.place(&mut flight, ms(5)));
+    assert!(["near", "next"].contains(&assignment.instance.as_str()));
+}
