Show nodes that stay at an old configuration as their watchers read nothing

All nodes that watch the publisher, two a data centre, had lost it; the others could have read it and did not, for 24 s.

--- a/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
+++ b/crates/peridotdeck-core/tests/testsuite/fleet_beats.rs
@@ -1,6 +1,6 @@
 //! Heartbeats: nodes discover each other, announce their load and detect silent peers.
 
-mod fleet;
+pub mod fleet;
 
 use std::time::Duration;
 
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod joined_versions;
 mod late_requests;
 mod limit_shares;
+mod lost_watchers;
 mod membership;
 mod moved_sessions;
 mod named_rates;
