Let further nodes watch the publisher where those that do read nothing

The cause: nodes at the same position confirmed each other, with nobody among them who had asked, and the part of a watcher depended on being alive, not on reading. Each node now keeps when the publisher last confirmed what it knows, to itself or to a node before, and heartbeats carry that age. Where it is 2 s, the node that comes next begins to watch, the following ones 200 ms later each, for 5 s beyond the last need. What waited in a queue while a node stood still confirms nothing.

The product's own interface chooses its watchers in the same way (membership); it is not changed here.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -22,6 +22,7 @@
 //! - `detours`: a path to an endpoint is lost, or works again;
 //! - `probes`: a path needs a connection that only tests it;
 //! - `shutdown`: the node leaves, and a request may not end before it does;
+//! - `watchers`: those that read the publisher for others have not for too long;
 //! - `maintenance`: time passes, or the result of a probe or of a cache query arrives.
 
 mod balancing;
@@ -45,6 +46,7 @@
 mod speeds;
 mod streams;
 mod waiting;
+mod watchers;
 
 use std::time::Duration;
 
@@ -78,22 +80,6 @@
 /// Expected time of a complete answer before the first sample, in milliseconds.
 const INITIAL_WHOLE_ANSWER_MS: f64 = 2_000.0;
 
-/// Nodes of a data centre that watch the publisher, so that one may fail or be refused.
-const WATCHERS_PER_DATA_CENTRE: usize = 2;
-
-/// Shortest time between two watches of the first watcher of a data centre that found changes.
-///
-/// Changes that follow each other closely are then answered together.
-const WATCH_INTERVAL: Duration = Duration::from_millis(400);
-
-/// Shortest time between two watches of the other watchers that found changes.
-///
-/// They matter only while the first one cannot read the publisher.
-const STANDBY_WATCH_INTERVAL: Duration = Duration::from_millis(1_200);
-
-/// Key that ranks the nodes of a data centre, to choose those that watch the publisher.
-const WATCHER_RANKING_KEY: Key = 0x7761_7463;
-
 /// Fixed options of a node.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -167,6 +153,8 @@
     speeds: Speeds,
     /// Times that complete answers have taken.
     durations: duration::Table,
+    /// Time until which this node watches the publisher in place of those that cannot read it.
+    watches_until: Time,
     /// Time at which requests are cut, if this node leaves.
     end: Option<Time>,
     newer_states: Vec<(NewerState, Time)>,
@@ -224,6 +212,7 @@
             pause_ms: mean::Table::new(0.0),
             speeds: Speeds::default(),
             durations: duration::Table::default(),
+            watches_until: now,
             end: None,
             newer_states: Vec::new(),
             clean_up_due: now,
@@ -263,23 +252,6 @@
         self.registry.config().is_some() && !self.fleet.is_leaving()
     }
 
-    /// Returns whether this node watches the publisher itself, instead of fetching from peers.
-    #[must_use]
-    pub fn is_watcher(&self, now: Time) -> bool {
-        self.watch_interval(now).is_some()
-    }
-
-    /// Returns the shortest time between two watches that found changes, if this node watches.
-    #[must_use]
-    pub fn watch_interval(&self, now: Time) -> Option<Duration> {
-        let is_among = |count| self.fleet.is_among_first(count, WATCHER_RANKING_KEY, now);
-        if self.registry.config().is_none() || is_among(1) {
-            Some(WATCH_INTERVAL)
-        } else {
-            is_among(WATCHERS_PER_DATA_CENTRE).then_some(STANDBY_WATCH_INTERVAL)
-        }
-    }
-
     /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: &[Node], now: Time) {
         self.fleet.set_seeds(seeds, now);
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -52,6 +52,8 @@
         due.cache_queries = self.cache_queries(now);
         due.snapshot_requests = self.snapshot_requests(now);
         due.confirmation = self.step.begin_read(now);
+        due.watch_begun = self.begin_watch(now);
+        due.ages = self.registry.ages(now);
         due.crashes = self.crashes.take_notices();
         due.speeds = self.take_speed_notices(now);
         if tells && !due.heartbeats.is_empty() {
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/peers.rs
@@ -127,7 +127,7 @@
         }
     }
 
-    /// Records which areas a peer has in a newer state, and confirms those that are equal.
+    /// Records which areas a peer has in a newer state.
     fn note_newer_states(&mut self, beat: &beat::Beat, now: Time) {
         let node = Node::from(beat.node);
         let is_local = beat.place == data_centre(&self.options.data_centre);
@@ -138,9 +138,6 @@
         for (area, position, version) in reported {
             let position = Position::new(position.era, position.revision);
             let known = self.registry.progress(area).changed;
-            if position == known {
-                self.registry.confirm(area, now);
-            }
             let announced = NewerState {
                 request: SnapshotRequest { node, area, known },
                 position,
--- a/crates/peridotdeck-core/src/dispatch/due.rs
+++ b/crates/peridotdeck-core/src/dispatch/due.rs
@@ -1,6 +1,6 @@
 //! Periodic actions that a node's tick makes due: heartbeats, probes and requests.
 
-use std::net::SocketAddrV4;
+use std::{net::SocketAddrV4, time::Duration};
 
 use super::{
     Key, Node,
@@ -8,7 +8,7 @@
     detour::{self, Search},
     fleet::Broadcast,
     rate::News,
-    registry::{Area, Change, Position},
+    registry::{Ages, Area, Change, Position},
     speed,
 };
 
@@ -38,6 +38,8 @@
 /// Actions and changes that are due at a tick.
 #[derive(Clone, Debug, Default)]
 pub struct Due {
+    /// What goes with these heartbeats on how long ago the publisher has confirmed what they name.
+    pub ages: Ages,
     /// Endpoints whose cached prompt prefixes should be listed.
     pub cache_queries: Vec<CacheQuery>,
     /// Endpoints whose kept connections lead through peers that are of no use any more.
@@ -62,6 +64,8 @@
     pub speed_message: speed::Message,
     /// Changes since the last tick of what is believed of endpoints' speeds.
     pub speeds: Vec<speed::Notice>,
+    /// Age of what the node knows, if it begins to watch the publisher for that.
+    pub watch_begun: Option<Duration>,
     /// Postponed changes of the registry, such as the removal of endpoints missing for too long.
     pub change: Change,
     /// Peers whose heartbeats have stopped.
--- a/crates/peridotdeck-core/src/dispatch/fleet.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet.rs
@@ -243,13 +243,18 @@
     /// key.
     #[must_use]
     pub fn is_among_first(&self, count: usize, key: Key, now: Time) -> bool {
+        self.rank(key, now).is_some_and(|rank| rank < count)
+    }
+
+    /// Returns this node's rank among the live nodes of its data centre for a key, from 0.
+    ///
+    /// A node that leaves has none.
+    #[must_use]
+    pub fn rank(&self, key: Key, now: Time) -> Option<usize> {
         let nodes = self.live_nodes(self.data_centre, now);
         let numbers = nodes.iter().map(|&node| u32::from(node));
         let order = rendezvous::order(u64::from(key), numbers);
-        order
-            .iter()
-            .take(count)
-            .any(|&node| node == u32::from(self.me))
+        order.iter().position(|&node| node == u32::from(self.me))
     }
 
     /// Returns whether this node knows of no other node, not even as a seed.
--- a/crates/peridotdeck-core/src/dispatch/fleet/touch.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/touch.rs
@@ -56,6 +56,12 @@
         (!self.pulse.is_late(now)).then(|| since.max(resumed))
     }
 
+    /// Returns whether what is read now has not waited in a queue while this process stood still.
+    pub(in crate::dispatch) fn reads_promptly(&self, now: Time) -> bool {
+        let backlog = self.pulse.resumed.map(|resumed| resumed + BACKLOG);
+        !self.pulse.is_late(now) && backlog.is_none_or(|backlog| now >= backlog)
+    }
+
     /// Returns whether most nodes of the fleet have been heard lately, so that the others are cut off.
     ///
     /// Of another data centre, one heartbeat speaks for all nodes. How long it counts follows from the
--- a/crates/peridotdeck-core/src/dispatch/registry.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry.rs
@@ -11,6 +11,7 @@
 //! A publisher that is restored from a copy has forgotten its latest changes. What this node knew
 //! of them stays in force for a while (`restoration`), since it is published again soon.
 
+mod ages;
 pub mod endpoint;
 pub mod name;
 mod policy;
@@ -27,6 +28,7 @@
 
 use restoration::Restoration;
 
+pub use ages::Ages;
 pub use endpoint::Endpoint;
 pub use position::Position;
 pub use report::{Area, Change, Fact, Progress, Report};
@@ -87,12 +89,13 @@
         }
     }
 
-    /// Records that the publisher, or a peer at the same revision, confirms an area as up to date.
-    pub fn confirm(&mut self, area: Area, now: Time) {
-        self.confirmed[area as usize] = now;
+    /// Records that an area was up to date at a time, as the publisher has said to this node or a peer.
+    pub fn confirm(&mut self, area: Area, at: Time) {
+        let confirmed = &mut self.confirmed[area as usize];
+        *confirmed = at.max(*confirmed);
     }
 
-    /// Returns the time since an area was last confirmed as up to date.
+    /// Returns the time since the publisher last confirmed an area as up to date, to any node heard of.
     #[must_use]
     pub fn age(&self, area: Area, now: Time) -> Duration {
         now.saturating_sub(self.confirmed[area as usize])
@@ -194,7 +197,6 @@
         if progress.changed <= known.changed {
             return self.adopt_version(facts);
         }
-        self.confirm(area, now);
         self.enter_era(area, progress.changed.era, now);
         // The peer has read a later revision: its missing entries count, not this node's outage.
         let change = self.apply_facts(area, facts, whole, None, now);
--- a/crates/peridotdeck-core/tests/testsuite/fleet_beats/fleet.rs
+++ b/crates/peridotdeck-core/tests/testsuite/fleet_beats/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use peridotdeck_core::dispatch::{Dispatcher, Node};
+use peridotdeck_core::dispatch::{Dispatcher, Node, registry::Ages};
 use peridotdeck_wire::{beat::Beat, pack, unpack};
 
 use crate::dispatch::{copies, ms, node};
@@ -30,14 +30,26 @@
     pub fn run(&mut self, from_ms: u64, to_ms: u64) {
         for now_ms in (from_ms..to_ms).step_by(25) {
             for sender in 0..self.nodes.len() {
-                let heartbeats = copies(self.nodes[sender].1.tick(ms(now_ms)).heartbeats);
-                for (to, heartbeat) in heartbeats {
+                let due = self.nodes[sender].1.tick(ms(now_ms));
+                for (to, heartbeat) in copies(due.heartbeats) {
                     self.deliver(sender, to, &heartbeat, ms(now_ms));
+                    self.tell(to, &heartbeat, due.ages, ms(now_ms));
                 }
             }
         }
     }
 
+    /// Tells a node how old the news of a heartbeat is, unless one of the two is cut off.
+    fn tell(&mut self, to: Node, heartbeat: &Beat, ages: Ages, now: Duration) {
+        if self.cut.contains(&to) || self.cut.contains(&Node::from(heartbeat.node)) {
+            return;
+        }
+        let receiver = self.nodes.iter_mut().find(|(node, _)| *node == to);
+        if let Some((_, dispatcher)) = receiver {
+            dispatcher.receive_ages(heartbeat, ages, now);
+        }
+    }
+
     pub fn deliver(&mut self, sender: usize, to: Node, heartbeat: &Beat, now: Duration) {
         let bytes = pack(heartbeat).expect("fits a datagram");
         self.bytes += bytes.len();
--- a/crates/peridotdeck-core/tests/testsuite/lost_watchers.rs
+++ b/crates/peridotdeck-core/tests/testsuite/lost_watchers.rs
@@ -65,3 +65,26 @@
         assert_eq!(watchers(&fleet, now_ms + 999), first, "at {now_ms}");
     }
 }
+
+/// Guards against heartbeats that waited while a node stood still, and then vouch for what it knows.
+#[test]
+fn news_that_waited_during_a_pause_confirm_nothing() {
+    let mut fleet = fleet();
+    fleet.run(0, 500);
+    let (sender, stopped) = (watchers(&fleet, 500)[0], 0);
+    read(&mut fleet.nodes[sender].1, 500);
+    let mut ticks = (500..3_000).step_by(25);
+    let due = ticks.find_map(|now_ms| {
+        let due = fleet.nodes[sender].1.tick(ms(now_ms));
+        (!due.heartbeats.is_empty()).then_some(due)
+    });
+    let due = due.expect("a node sends heartbeats");
+    let beat = &due.heartbeats[0].beat;
+    let node = &mut fleet.nodes[stopped].1;
+    let woken = ms(5_000);
+    node.receive_ages(beat, due.ages, woken);
+    node.tick(woken);
+    node.receive_ages(beat, due.ages, woken + ms(10));
+    let age = node.registry().age(Area::Policy, woken + ms(10));
+    assert!(age > ms(4_000), "{age:?}");
+}
--- a/crates/peridotdeck-relay/src/node.rs
+++ b/crates/peridotdeck-relay/src/node.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     Ingress, Publisher, Shared, clock, control, exchange, front, memory, notice,
-    peers::{Peers, encode_speeds},
+    peers::{Peers, encode_ages, encode_speeds},
     server::{self, Limits},
     shared::{log_path, log_terms},
     shutdown,
@@ -192,12 +192,18 @@
         for notice in &due.speeds {
             log_speed(notice);
         }
-        let speeds = encode_speeds(&due.speed_message);
-        let extensions: Vec<Extension<'_>> = speeds
+        if let Some(age) = due.watch_begun {
+            log::info!("event=watch_begun age_ms={}", age.as_millis());
+        }
+        let told = [
+            (Extension::SPEEDS, encode_speeds(&due.speed_message)),
+            (Extension::AGES, encode_ages(due.ages)),
+        ];
+        let extensions: Vec<Extension<'_>> = told
             .iter()
-            .map(|bytes| Extension {
-                kind: Extension::SPEEDS,
-                bytes,
+            .filter_map(|(kind, bytes)| {
+                let (kind, bytes) = (*kind, bytes.as_deref()?);
+                Some(Extension { kind, bytes })
             })
             .collect();
         for heartbeat in &due.heartbeats {
--- a/crates/peridotdeck-relay/src/peers.rs
+++ b/crates/peridotdeck-relay/src/peers.rs
@@ -12,7 +12,7 @@
 use peridotdeck_core::dispatch::{
     Node,
     due::SnapshotRequest,
-    registry::{Area, Position, Snapshot},
+    registry::{Ages, Area, Position, Snapshot},
     speed,
 };
 use peridotdeck_io::budget::Budget;
@@ -94,7 +94,7 @@
             match unpack_with::<Beat>(&buffer[..length]) {
                 Ok((heartbeat, extensions)) if from.ip() == Node::from(heartbeat.node) => {
                     note_version(&mut versions, from, VERSION);
-                    handle_extensions(&shared, &extensions);
+                    handle_extensions(&shared, &heartbeat, &extensions);
                     self.handle_heartbeat(&shared, &heartbeat).await;
                 }
                 Ok(_) => shared.metrics.count_peer_messages("foreign", 1),
@@ -198,18 +198,33 @@
     postcard::to_allocvec(message).ok()
 }
 
-/// Takes over what peers say after a heartbeat.
-fn handle_extensions<I: Ingress>(shared: &Shared<I>, extensions: &[Extension<'_>]) {
+/// Encodes how long ago the publisher has confirmed what a node knows.
+#[must_use]
+pub fn encode_ages(ages: Ages) -> Option<Vec<u8>> {
+    postcard::to_allocvec(&ages).ok()
+}
+
+/// Takes over what a peer says after a heartbeat.
+fn handle_extensions<I: Ingress>(
+    shared: &Shared<I>,
+    heartbeat: &Beat,
+    extensions: &[Extension<'_>],
+) {
+    let now = clock::now();
     for extension in extensions {
-        if extension.kind != Extension::SPEEDS {
-            continue;
-        }
-        match postcard::from_bytes(extension.bytes) {
-            Ok(message) => shared.dispatcher().receive_speeds(&message, clock::now()),
-            Err(cause) => {
-                shared.metrics.count_peer_messages("malformed", 1);
-                log::debug!("event=peer_malformed kind=speeds cause=\"{cause}\"");
-            }
+        let handled = match extension.kind {
+            Extension::SPEEDS => postcard::from_bytes(extension.bytes)
+                .map(|message| shared.dispatcher().receive_speeds(&message, now)),
+            Extension::AGES => postcard::from_bytes(extension.bytes)
+                .map(|ages| shared.dispatcher().receive_ages(heartbeat, ages, now)),
+            _ => Ok(()),
+        };
+        if let Err(cause) = handled {
+            shared.metrics.count_peer_messages("malformed", 1);
+            log::debug!(
+                "event=peer_malformed kind={} cause=\"{cause}\"",
+                extension.kind
+            );
         }
     }
 }
--- a/crates/peridotdeck-wire/src/codec.rs
+++ b/crates/peridotdeck-wire/src/codec.rs
@@ -58,6 +58,8 @@
 impl Extension<'_> {
     /// Kind that tells of the speeds of endpoints.
     pub const SPEEDS: u16 = 1;
+    /// Kind that tells how long ago the publisher has confirmed what the sender knows.
+    pub const AGES: u16 = 2;
 }
 
 /// Encodes an envelope for a datagram.
