Mend what a reader found in the check of regions

- An attempt in progress was given up for a hedge that asked by the former regions, and then found none: its caller got "may have run".
Hedges ask by the regions in force.
- A request whose endpoint is still allowed was placed anew when its regions became fewer, and left its parts of a rate unused.
The check looks at the endpoint, the peer and the source by what is left.
- An entry that has moved to another address was reached over a kept connection to the former one.
Such a request is not written, and kept connections close.
- A forbidden attempt left its prompt's parts recorded at the endpoint.
- Two organisations of one name shared the regions of the first.
- request_placed logs the regions by which the choice was made, and looks nothing up for that.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -153,6 +153,8 @@
     speeds: Speeds,
     /// Times that complete answers have taken.
     durations: duration::Table,
+    /// Endpoints whose kept connections lead to a former address.
+    moved: Vec<Key>,
     /// Time until which this node watches the publisher in place of those that cannot read it.
     watches_until: Time,
     /// Time at which requests are cut, if this node leaves.
@@ -212,6 +214,7 @@
             pause_ms: mean::Table::new(0.0),
             speeds: Speeds::default(),
             durations: duration::Table::default(),
+            moved: Vec::new(),
             watches_until: now,
             end: None,
             newer_states: Vec::new(),
@@ -303,7 +306,12 @@
             let key = endpoint.key();
             let region = region(&self.options.regions, &endpoint.data_centre);
             match self.find(key) {
-                Ok(index) => self.states[index].update(endpoint.clone(), region, now),
+                Ok(index) => {
+                    if self.states[index].info.address != endpoint.address {
+                        self.moved.push(key);
+                    }
+                    self.states[index].update(endpoint.clone(), region, now);
+                }
                 Err(index) => {
                     let mut state = State::new(endpoint.clone(), region, now);
                     state.peer_load = self.fleet.load_at(key);
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -46,6 +46,7 @@
         due.heartbeats.append(&mut self.stream_messages(now));
         due.rates = std::mem::take(&mut self.rate_news);
         due.closed = self.end_detours(now);
+        due.closed.append(&mut self.moved);
         due.probes = self.probes(now);
         due.searches = self.searches(now);
         due.paths = std::mem::take(&mut self.path_news);
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
@@ -141,7 +141,7 @@
             End::Unreachable if attempt.detour.is_some() => self.end_detour(key, now),
             End::Unreachable => self.record_unreachable(key, now),
             End::Misdirected | End::Replaced => self.prefixes.remove_endpoint(key),
-            End::Rejected | End::Silent => self.forget_unread(attempt, flight),
+            End::Rejected | End::Silent | End::Forbidden => self.forget_unread(attempt, flight),
             _ => {}
         }
         match end {
@@ -167,12 +167,14 @@
     /// If so, a retry is taken from the service's budget.
     pub fn try_hedge(&mut self, flight: &Flight, now: Time) -> bool {
         let nodes = self.fleet.recent_size(self.options.regions.len(), now);
+        let regions = self.current_regions(flight);
         flight.may_run_after(flight.runs + 1)
             && self.suspicion(flight) == 0
             && flight.time_left(now) > MIN_ATTEMPT_TIME
             && self.ends_in_time(flight, now)
             && self.states.iter().any(|state| {
-                self.admits(state, flight, now).is_ok()
+                regions.allows(&state.region)
+                    && self.admits(state, flight, now).is_ok()
                     && self.rate_admits(state.key, flight.rank, now)
             })
             && self.budget.take_retry(&flight.service, nodes, now)
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -110,8 +110,13 @@
             path: request.path,
             organisation: owner.map(|owner| owner.name.clone()),
         };
+        let mut regions = config.regions(&target);
+        if let Some(owner) = owner {
+            // Another organisation may have the same name.
+            regions.narrow(&owner.regions);
+        }
         Ok(Flight {
-            regions: config.regions(&target),
+            regions,
             target,
             id: request.id,
             rank,
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/regions.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/regions.rs
@@ -1,5 +1,7 @@
 //! The regions that may serve a request, and the check just before it is written.
 
+use std::borrow::Cow;
+
 use super::Dispatcher;
 use crate::dispatch::{
     Key,
@@ -11,20 +13,24 @@
 impl Dispatcher {
     /// Narrows a request's regions to those that the configuration in force allows too.
     pub(super) fn narrow_regions(&self, flight: &mut Flight) {
-        if flight.narrowed_by == self.registry.version() {
-            return;
+        let version = self.registry.version();
+        if flight.narrowed_by != version {
+            flight.regions = self.current_regions(flight).into_owned();
+            flight.narrowed_by = version;
         }
-        let (regions, version) = self.regions_in_force(flight);
-        flight.regions.intersect(&regions);
-        flight.narrowed_by = version;
     }
 
-    /// Returns the regions that the configuration in force allows a request, and its version.
+    /// Returns a request's regions, narrowed by the configuration in force.
     #[must_use]
-    pub fn regions_in_force(&self, flight: &Flight) -> (region::Set, u64) {
+    pub fn current_regions<'a>(&self, flight: &'a Flight) -> Cow<'a, region::Set> {
         let config = self.registry.config();
-        let regions = config.map(|config| config.regions(&flight.target));
-        (regions.unwrap_or_default(), self.registry.version())
+        let newer = config.filter(|config| config.version != flight.narrowed_by);
+        let Some(config) = newer else {
+            return Cow::Borrowed(&flight.regions);
+        };
+        let mut regions = flight.regions.clone();
+        regions.intersect(&config.regions(&flight.target));
+        Cow::Owned(regions)
     }
 
     /// Returns the region of an endpoint, if the endpoint is known.
@@ -39,24 +45,19 @@
     /// endpoint is asked for its start.
     ///
     /// # Errors
-    /// If a version that was adopted meanwhile allows fewer regions, or the endpoint, the peer in between
-    /// or the source of cached parts is not known to be in one of them.
+    /// If the endpoint, the peer in between or the source of cached parts is not known to be in a region
+    /// that is still allowed, or the endpoint has moved to another address.
     pub fn clear(&self, flight: &Flight, assignment: &Assignment) -> Result<Clearance, Denial> {
-        let mut regions = flight.regions.clone();
-        if flight.narrowed_by != self.registry.version() {
-            let (in_force, version) = self.regions_in_force(flight);
-            regions.intersect(&in_force);
-            if regions != flight.regions {
-                return Err(Denial::Narrowed(version));
-            }
-        }
+        let regions = self.current_regions(flight);
         if regions.is_all() {
             return Ok(Clearance::new());
         }
-        let region = self.region_of_endpoint(assignment.attempt.key);
-        let region = region.ok_or(Denial::Unknown)?;
-        if !regions.allows(region) {
-            return Err(Denial::Endpoint(region.to_owned()));
+        let state = self.state(assignment.attempt.key).ok_or(Denial::Unknown)?;
+        if state.info.address != assignment.address {
+            return Err(Denial::Moved(state.info.address));
+        }
+        if !regions.allows(&state.region) {
+            return Err(Denial::Endpoint(state.region.clone()));
         }
         if let Some(peer) = assignment.attempt.detour
             && !self.may_see(peer, &regions)
--- a/crates/peridotdeck-core/src/dispatch/due.rs
+++ b/crates/peridotdeck-core/src/dispatch/due.rs
@@ -42,7 +42,7 @@
     pub ages: Ages,
     /// Endpoints whose cached prompt prefixes should be listed.
     pub cache_queries: Vec<CacheQuery>,
-    /// Endpoints whose kept connections lead through peers that are of no use any more.
+    /// Endpoints whose kept connections lead to a former address, or through peers of no use any more.
     pub closed: Vec<Key>,
     /// Whether to read the publisher, to confirm that the endpoint list is complete.
     pub confirmation: bool,
--- a/crates/peridotdeck-core/src/dispatch/region.rs
+++ b/crates/peridotdeck-core/src/dispatch/region.rs
@@ -5,7 +5,7 @@
 //! is chosen, and just before a request is written, which only a [`Clearance`] allows. See
 //! `docs/design/REGIONS.md`.
 
-use std::fmt;
+use std::{fmt, net::SocketAddrV4};
 
 use quick_error::quick_error;
 
@@ -15,10 +15,6 @@
     /// Why a request may not be written to the endpoint that it was assigned to.
     #[derive(Clone, Debug, PartialEq, Eq)]
     pub enum Denial {
-        /// A later version of the configuration allows fewer regions than the endpoint was chosen by.
-        Narrowed(version: u64) {
-            display("version {version} allows fewer regions")
-        }
         /// The endpoint is not known any more, and so neither is its region.
         Unknown {
             display("the endpoint's region is not known")
@@ -27,6 +23,10 @@
         Endpoint(region: String) {
             display("the endpoint is in region {region}")
         }
+        /// The endpoint has another address than the one to which the connection leads.
+        Moved(address: SocketAddrV4) {
+            display("the endpoint has moved to {address}")
+        }
         /// The peer that would pass the request on is in a region that may not see it.
         Peer(peer: Node) {
             display("peer {peer} is in another region")
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -213,7 +213,8 @@
         Ok(clearance) => return Ok(clearance),
         Err(denial) => denial,
     };
-    let (allowed, version) = dispatcher.regions_in_force(flight);
+    let allowed = dispatcher.current_regions(flight).into_owned();
+    let version = dispatcher.registry().version();
     drop(dispatcher);
     shared.metrics.count_region_denial();
     log::info!(
--- a/crates/peridotdeck-relay/src/forwarding/logging.rs
+++ b/crates/peridotdeck-relay/src/forwarding/logging.rs
@@ -69,7 +69,6 @@
         let roster = dispatcher.registry().progress(Area::Roster).changed;
         let roster_age = dispatcher.registry().age(Area::Roster, now);
         let policy_age = dispatcher.registry().age(Area::Policy, now);
-        let (regions, version) = dispatcher.regions_in_force(&self.flight);
         let region = dispatcher.region_of_endpoint(assignment.attempt.key());
         let region = region.unwrap_or("unknown").to_owned();
         drop(dispatcher);
@@ -78,7 +77,7 @@
              rank={} score={:.0} \
              expected_ms={} prompt={} shared={} known={} cached={} unread={} fetch={} running={} \
              backlog={} candidates={} view_age_ms={} corrected={} waited_ms={} left_ms={} roster={} \
-             roster_age_ms={} region={region} allowed={regions} admitted={} version={version} \
+             roster_age_ms={} region={region} allowed={} admitted={} version={} \
              policy_age_ms={}",
             self.flight.id,
             self.flight.route.name,
@@ -109,7 +108,9 @@
             self.flight.time_left(now).as_millis(),
             roster,
             roster_age.as_millis(),
+            self.flight.regions,
             self.flight.version,
+            self.flight.narrowed_by,
             policy_age.as_millis(),
         );
     }
--- a/crates/peridotdeck-relay/src/metrics.rs
+++ b/crates/peridotdeck-relay/src/metrics.rs
@@ -218,7 +218,7 @@
         self.unnamed_answers.inc();
     }
 
-    /// Counts an attempt at an endpoint in a region that the configuration in force did not allow.
+    /// Counts an attempt that was not written, since the regions in force did not allow it.
     pub fn count_region_denial(&self) {
         self.region_denials.inc();
     }
@@ -264,12 +264,12 @@
     )
 }
 
-/// Registers the counter of attempts at endpoints in regions that were not allowed.
+/// Registers the counter of attempts that were not written for their regions.
 fn register_region_denials(registry: &Registry) -> IntCounter {
     register_count(
         registry,
         "peridotdeck_region_denials_total",
-        "Attempts at endpoints in regions that the configuration in force did not allow",
+        "Attempts that were not written, since the regions in force did not allow them",
     )
 }
 
