--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -14,6 +14,7 @@
 //! - `speeds`: an answer or a stream shows an endpoint's speed, or a peer tells of it;
 //! - `quarantine`: an endpoint has crashed, or has answered on a prompt;
 //! - `rates`: an endpoint names a rate, or a request needs a part of one;
+//! - `regions`: a request may be served in some regions only;
 //! - `places`: an endpoint is brittle, or a request needs a place there;
 //! - `streams`: a stream begins, or a caller takes one up;
 //! - `holders`: other nodes are told of streams, or asked for them;
@@ -21,6 +22,7 @@
 //! - `detours`: a path to an endpoint is lost, or works again;
 //! - `probes`: a path needs a connection that only tests it;
 //! - `shutdown`: the node leaves, and a request may not end before it does;
+//! - `watchers`: those that read the publisher for others have not for too long;
 //! - `maintenance`: time passes, or the result of a probe or of a cache query arrives.
 
 mod balancing;
@@ -38,11 +40,13 @@
 mod quarantine;
 mod ranking;
 mod rates;
+mod regions;
 mod shares;
 mod shutdown;
 mod speeds;
 mod streams;
 mod waiting;
+mod watchers;
 
 use std::time::Duration;
 
@@ -76,22 +80,6 @@
 /// Expected time of a complete answer before the first sample, in milliseconds.
 const INITIAL_WHOLE_ANSWER_MS: f64 = 2_000.0;
 
-/// Nodes of a data centre that watch the publisher, so that one may fail or be refused.
-const WATCHERS_PER_DATA_CENTRE: usize = 2;
-
-/// Shortest time between two watches of the first watcher of a data centre that found changes.
-///
-/// Changes that follow each other closely are then answered together.
-const WATCH_INTERVAL: Duration = Duration::from_millis(400);
-
-/// Shortest time between two watches of the other watchers that found changes.
-///
-/// They matter only while the first one cannot read the publisher.
-const STANDBY_WATCH_INTERVAL: Duration = Duration::from_millis(1_200);
-
-/// Key that ranks the nodes of a data centre, to choose those that watch the publisher.
-const WATCHER_RANKING_KEY: Key = 0x7761_7463;
-
 /// Fixed options of a node.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -165,6 +153,10 @@
     speeds: Speeds,
     /// Times that complete answers have taken.
     durations: duration::Table,
+    /// Endpoints whose kept connections lead to a former address.
+    moved: Vec<Key>,
+    /// Time until which this node watches the publisher in place of those that cannot read it.
+    watches_until: Time,
     /// Time at which requests are cut, if this node leaves.
     end: Option<Time>,
     newer_states: Vec<(NewerState, Time)>,
@@ -222,6 +214,8 @@
             pause_ms: mean::Table::new(0.0),
             speeds: Speeds::default(),
             durations: duration::Table::default(),
+            moved: Vec::new(),
+            watches_until: now,
             end: None,
             newer_states: Vec::new(),
             clean_up_due: now,
@@ -261,23 +255,6 @@
         self.registry.config().is_some() && !self.fleet.is_leaving()
     }
 
-    /// Returns whether this node watches the publisher itself, instead of fetching from peers.
-    #[must_use]
-    pub fn is_watcher(&self, now: Time) -> bool {
-        self.watch_interval(now).is_some()
-    }
-
-    /// Returns the shortest time between two watches that found changes, if this node watches.
-    #[must_use]
-    pub fn watch_interval(&self, now: Time) -> Option<Duration> {
-        let is_among = |count| self.fleet.is_among_first(count, WATCHER_RANKING_KEY, now);
-        if self.registry.config().is_none() || is_among(1) {
-            Some(WATCH_INTERVAL)
-        } else {
-            is_among(WATCHERS_PER_DATA_CENTRE).then_some(STANDBY_WATCH_INTERVAL)
-        }
-    }
-
     /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: &[Node], now: Time) {
         self.fleet.set_seeds(seeds, now);
@@ -327,10 +304,15 @@
         }
         for endpoint in &change.updated {
             let key = endpoint.key();
+            let region = region(&self.options.regions, &endpoint.data_centre);
             match self.find(key) {
-                Ok(index) => self.states[index].update(endpoint.clone(), now),
+                Ok(index) => {
+                    if self.states[index].info.address != endpoint.address {
+                        self.moved.push(key);
+                    }
+                    self.states[index].update(endpoint.clone(), region, now);
+                }
                 Err(index) => {
-                    let region = region(&self.options.regions, &endpoint.data_centre);
                     let mut state = State::new(endpoint.clone(), region, now);
                     state.peer_load = self.fleet.load_at(key);
                     state.speed = self.speeds.take_former(&endpoint.id);
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -46,12 +46,15 @@
         due.heartbeats.append(&mut self.stream_messages(now));
         due.rates = std::mem::take(&mut self.rate_news);
         due.closed = self.end_detours(now);
+        due.closed.append(&mut self.moved);
         due.probes = self.probes(now);
         due.searches = self.searches(now);
         due.paths = std::mem::take(&mut self.path_news);
         due.cache_queries = self.cache_queries(now);
         due.snapshot_requests = self.snapshot_requests(now);
         due.confirmation = self.step.begin_read(now);
+        due.watch_begun = self.begin_watch(now);
+        due.ages = self.registry.ages(now);
         due.crashes = self.crashes.take_notices();
         due.speeds = self.take_speed_notices(now);
         if tells && !due.heartbeats.is_empty() {
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -18,7 +18,7 @@
         data_centre,
         endpoint::Load,
         feature::Feature,
-        flight::{DecodedRequest, Flight},
+        flight::{DecodedRequest, Flight, Target},
         key as endpoint_key,
         placement::{Estimate, Exclusion},
         refusal::{Cause, Refusal},
@@ -102,7 +102,22 @@
         let rank = config.rank(&route, organisation.as_deref());
         let urgent = config.is_urgent_stream(&route, &service);
         let repeats = self.note_arrival(&service, rank, fingerprint, now);
+        // A public route counts a request for no organisation, but its key says whose data it holds.
+        let owner = request.key.as_deref();
+        let owner = owner.and_then(|key| config.organisation(key));
+        let target = Target {
+            host: request.host,
+            path: request.path,
+            organisation: owner.map(|owner| owner.name.clone()),
+        };
+        let mut regions = config.regions(&target);
+        if let Some(owner) = owner {
+            // Another organisation may have the same name.
+            regions.narrow(&owner.regions);
+        }
         Ok(Flight {
+            regions,
+            target,
             id: request.id,
             rank,
             urgent,
@@ -165,6 +180,7 @@
         let Some(config) = self.registry.config().cloned() else {
             return Placement::Wait(Delay::poll(WaitCause::Unconfigured));
         };
+        self.narrow_regions(flight);
         let unknown = Service::default();
         let service = config.service(&flight.service).unwrap_or(&unknown);
         let Ranking {
