Count all that is open in one account, and give up connections that are not read

Callers that sent complete requests and did not read the answers took 80 to 98 MB of 64, 771 descriptors of 700, and kept ordinary callers out.

Cause: a caller's connection counted 32 KB and a descriptor, whatever it had asked for. The endpoint's connection and the part of an answer between the two counted nowhere, and a connection with a complete request was never given up.

Now callers' connections, requests in progress and kept connections to endpoints draw on one account of bytes and descriptors (connections::account). A complete request without room closes kept connections, then those whose callers have waited longest, or of whose answers nothing could be written for 250 ms (reset). What is given up counts until it has ended. Without room for 1 s the request is refused as not run (503, Retry-After). The kernel takes at most 16 KB that it has not sent; before it hid for seconds that an answer is not read. Below the bounds nothing is closed.

--- a/crates/peridotdeck-http/src/server.rs
+++ b/crates/peridotdeck-http/src/server.rs
@@ -101,6 +101,10 @@
 }
 
 impl connections::Activity for Activity {
+    fn millis() -> u64 {
+        millis()
+    }
+
     fn wait(&self) -> Option<Wait> {
         let last = self.last_ms.load(Ordering::SeqCst);
         if !self.is_busy() {
--- a/crates/peridotdeck-io/src/connections.rs
+++ b/crates/peridotdeck-io/src/connections.rs
@@ -2,25 +2,36 @@
 //!
 //! Callers that connect by the thousand and ask for nothing would take the descriptors and the memory
 //! of all others. Once as many connections are open as may be, a further one takes the place of the
-//! one that has waited for its caller longest. None is closed whose request is complete.
+//! one that has waited for its caller longest. None is closed whose request is complete, unless its
+//! caller does not read the answer.
+//!
+//! A request takes more than its caller's connection: the one to its endpoint, and the buffers between
+//! the two. All draw on one account, see [`Bound`], also connections that are kept for later requests.
+
+mod account;
 
 use std::{
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use async_channel::{Receiver, Sender};
 use futures_lite::future;
 
-/// Memory of a caller's connection that waits for the rest of a head, in bytes.
-pub const CONNECTION_BYTES: usize = 32 << 10;
+pub use account::{Bound, CONNECTION_BYTES, EXCHANGE_BYTES, Number};
+use account::{Kind, State};
 
 /// Shortest time between two log lines on connections that were closed for others.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for which a connection waits at least before it goes for a request, in milliseconds.
+///
+/// A new one would have no time to send its own.
+const MIN_WAIT_MS: u64 = 250;
+
 /// What a connection waits for that its caller has not sent, and since when.
 ///
 /// The first in order is the first to be given up.
@@ -28,47 +39,36 @@
 pub enum Wait {
     /// A request, or the rest of its head, since a time in milliseconds.
     Request(u64),
+    /// The answer to be read, of which nothing could be written since a time in milliseconds.
+    Read(u64),
     /// The rest of a body whose head came at a time in milliseconds.
     Body(u64),
 }
 
+impl Wait {
+    /// Returns the time since when the connection waits, in milliseconds.
+    fn since(self) -> u64 {
+        match self {
+            Self::Request(since) | Self::Read(since) | Self::Body(since) => since,
+        }
+    }
+}
+
 /// What a server knows of a connection.
 pub trait Activity {
+    /// Returns the time in milliseconds, by the clock of all connections.
+    fn millis() -> u64;
+
     /// Returns what the connection waits for, or none once a request is complete and until it is answered.
+    ///
+    /// One whose caller has long not read the answer waits too.
     fn wait(&self) -> Option<Wait>;
 }
 
-/// An open connection, by the order in which it was accepted.
-#[derive(Debug)]
-struct Open<A> {
-    number: u64,
-    activity: Arc<A>,
-    /// Dropping it closes the connection.
-    _close: Sender<()>,
-}
-
-/// Open connections, sorted by number.
-#[derive(Debug)]
-struct State<A> {
-    open: Vec<Open<A>>,
-    /// Number of the next connection.
-    next: u64,
-    logged: Option<Instant>,
-}
-
-impl<A: Activity> State<A> {
-    /// Removes the connection that has waited for its caller longest; returns whether there was one.
-    fn remove_waiting(&mut self) -> bool {
-        let waits = |(index, open): (usize, &Open<A>)| Some((open.activity.wait()?, index));
-        let longest = self.open.iter().enumerate().filter_map(waits).min();
-        longest.map(|(_, index)| self.open.remove(index)).is_some()
-    }
-}
-
 /// The open connections of a server.
 #[derive(Debug)]
 pub struct Connections<A> {
-    bound: usize,
+    bound: Bound,
     state: Mutex<State<A>>,
     /// Connections that were closed for others, or not taken.
     closed: AtomicU64,
@@ -79,15 +79,19 @@
 impl<A> Connections<A> {
     /// Creates a server's connections, of which so many may be open.
     #[must_use]
-    pub fn new(bound: usize) -> Self {
-        let state = State {
-            open: Vec::new(),
-            next: 0,
-            logged: None,
-        };
+    pub fn new(callers: usize) -> Self {
+        Self::within(Bound {
+            callers,
+            ..Bound::default()
+        })
+    }
+
+    /// Creates a server's connections, which together with those to endpoints are within a bound.
+    #[must_use]
+    pub fn within(bound: Bound) -> Self {
         Self {
             bound,
-            state: Mutex::new(state),
+            state: Mutex::default(),
             closed: AtomicU64::new(0),
             live: AtomicUsize::new(0),
         }
@@ -96,7 +100,13 @@
     /// Returns the number of open connections.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.lock().open.len()
+        self.lock().open()
+    }
+
+    /// Returns the number of requests in progress that count.
+    #[must_use]
+    pub fn exchanges(&self) -> usize {
+        self.lock().exchanges()
     }
 
     /// Returns whether no connection is open.
@@ -119,7 +129,8 @@
         /// Most turns of the other tasks.
         const TURNS: usize = 8;
         for _ in 0..TURNS {
-            if self.live.load(Ordering::Relaxed) <= self.bound {
+            let is_within = self.live.load(Ordering::Relaxed) <= self.bound.callers;
+            if is_within && self.lock().is_settled(&self.bound) {
                 return;
             }
             future::yield_now().await;
@@ -137,21 +148,17 @@
     /// Returns nothing if all others have complete requests.
     pub fn enter(self: &Arc<Self>, activity: &Arc<A>) -> Option<Place<A>> {
         let mut state = self.lock();
-        if state.open.len() >= self.bound {
+        let is_full = state.open() >= self.bound.callers;
+        if is_full || !state.will_fit(&self.bound, Kind::Caller) {
             self.closed.fetch_add(1, Ordering::Relaxed);
             self.log(&mut state);
-            if !state.remove_waiting() {
+            let has_place = !is_full || state.give_up_waiting(0);
+            if !has_place || !self.make_room(&mut state, Kind::Caller, 0) {
                 return None;
             }
         }
-        let number = state.next;
         let (close, closed) = async_channel::bounded(1);
-        state.next += 1;
-        state.open.push(Open {
-            number,
-            activity: Arc::clone(activity),
-            _close: close,
-        });
+        let number = state.enter(Arc::clone(activity), close);
         self.live.fetch_add(1, Ordering::Relaxed);
         let connections = Arc::clone(self);
         Some(Place {
@@ -161,25 +168,77 @@
         })
     }
 
+    /// Counts a complete request of a connection until it is answered; others may have to go.
+    ///
+    /// Returns nothing if there is no room yet, or the connection has been given up.
+    pub fn claim(self: &Arc<Self>, number: Number) -> Option<Exchange<A>> {
+        let mut state = self.lock();
+        if !state.fits(&self.bound, Kind::Exchange) {
+            if state.is_barren() {
+                return None;
+            }
+            self.log(&mut state);
+            if !self.make_room(&mut state, Kind::Exchange, MIN_WAIT_MS) {
+                state.set_barren();
+            }
+            // There is room only when those that are given up have ended.
+            if !state.fits(&self.bound, Kind::Exchange) {
+                return None;
+            }
+        }
+        state.begin_exchange(number).then(|| Exchange {
+            connections: Arc::clone(self),
+            number,
+        })
+    }
+
+    /// Closes connections, the ones that are missed least first, until one more of a kind fits.
+    fn make_room(&self, state: &mut State<A>, kind: Kind, least_ms: u64) -> bool {
+        while !state.will_fit(&self.bound, kind) {
+            if state.remove_kept() {
+                continue;
+            }
+            if !state.give_up_waiting(least_ms) {
+                return false;
+            }
+            self.closed.fetch_add(1, Ordering::Relaxed);
+        }
+        true
+    }
+
     /// Logs now and then that a connection is closed for another one, or not taken.
     fn log(&self, state: &mut State<A>) {
-        let is_recent = |logged: Instant| logged.elapsed() < LOG_INTERVAL;
-        if !state.logged.is_some_and(is_recent) {
-            state.logged = Some(Instant::now());
+        if state.may_log(LOG_INTERVAL) {
             log::warn!(
-                "event=connections_full open={} bound={} closed={}",
-                state.open.len(),
-                self.bound,
+                "event=connections_full open={} bound={} exchanges={} closed={}",
+                state.open(),
+                self.bound.callers,
+                state.exchanges(),
                 self.closed()
             );
         }
     }
 }
 
+impl<A> Connections<A> {
+    /// Counts a connection to an endpoint that is kept for later requests, if there is room.
+    ///
+    /// The channel is closed when others need the room; its receiver closes the connection then.
+    #[must_use]
+    pub fn keep(self: &Arc<Self>, close: Sender<()>) -> Option<Kept<A>> {
+        let mut state = self.lock();
+        let fits = state.fits(&self.bound, Kind::Kept);
+        fits.then(|| Kept {
+            connections: Arc::clone(self),
+            number: state.keep(close),
+        })
+    }
+}
+
 impl<A> Default for Connections<A> {
     /// Returns connections without a bound.
     fn default() -> Self {
-        Self::new(usize::MAX)
+        Self::within(Bound::default())
     }
 }
 
@@ -187,11 +246,17 @@
 #[derive(Debug)]
 pub struct Place<A> {
     connections: Arc<Connections<A>>,
-    number: u64,
+    number: Number,
     closed: Receiver<()>,
 }
 
 impl<A> Place<A> {
+    /// Returns the connection's number, for the claims of its requests.
+    #[must_use]
+    pub fn number(&self) -> Number {
+        self.number
+    }
+
     /// Waits until the place is needed for another connection.
     pub async fn taken(&self) {
         // An error means that the sender was dropped.
@@ -202,12 +267,32 @@
 impl<A> Drop for Place<A> {
     fn drop(&mut self) {
         self.connections.live.fetch_sub(1, Ordering::Relaxed);
-        let mut state = self.connections.lock();
-        let found = state
-            .open
-            .binary_search_by_key(&self.number, |open| open.number);
-        if let Ok(index) = found {
-            state.open.remove(index);
-        }
+        self.connections.lock().leave(self.number);
+    }
+}
+
+/// A complete request that counts until it is dropped.
+#[derive(Debug)]
+pub struct Exchange<A> {
+    connections: Arc<Connections<A>>,
+    number: Number,
+}
+
+impl<A> Drop for Exchange<A> {
+    fn drop(&mut self) {
+        self.connections.lock().end_exchange(self.number);
+    }
+}
+
+/// A connection to an endpoint that counts while it is kept, until it is dropped.
+#[derive(Debug)]
+pub struct Kept<A> {
+    connections: Arc<Connections<A>>,
+    number: Number,
+}
+
+impl<A> Drop for Kept<A> {
+    fn drop(&mut self) {
+        self.connections.lock().end_kept(self.number);
     }
 }
--- a/crates/peridotdeck-relay/src/control.rs
+++ b/crates/peridotdeck-relay/src/control.rs
@@ -133,6 +133,7 @@
     metrics.set_state("tunnels", tunnels.into());
     metrics.set_state("unframed", shared.answers.unframed().into());
     metrics.set_state("connections", shared.connections.len() as u64);
+    metrics.set_state("exchanges", shared.connections.exchanges() as u64);
     metrics.set_state("connections_closed", shared.connections.closed());
     metrics.set_state("kept_connections", shared.pool.len() as u64);
     let memory = shared.memory.usage();
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -23,6 +23,7 @@
         stream::Evidence,
     },
 };
+use peridotdeck_io::connections::Exchange;
 
 use crate::{
     Ingress, Shared,
@@ -30,6 +31,7 @@
     clock,
     exchange::{Channel, Message},
     plain,
+    server::Activity,
     shared::{Counted, detour_text},
     stream::Relay,
 };
@@ -71,6 +73,8 @@
 pub struct Forwarding<I: Ingress> {
     pub(crate) shared: Arc<Shared<I>>,
     _counted: Counted,
+    /// Room that the request takes until it has ended.
+    _exchange: Option<Exchange<Activity>>,
     pub(crate) message: Message,
     pub(crate) flight: Flight,
     current_attempt: Option<Attempt>,
@@ -97,12 +101,18 @@
 impl<I: Ingress> Forwarding<I> {
     /// Starts the forwarding of an admitted request.
     #[must_use]
-    pub fn new(shared: Arc<Shared<I>>, message: Message, flight: Flight) -> Self {
+    pub fn new(
+        shared: Arc<Shared<I>>,
+        message: Message,
+        flight: Flight,
+        exchange: Option<Exchange<Activity>>,
+    ) -> Self {
         let counted = shared.open_requests.begin();
         let tells_speeds_apart = shared.dispatcher().tells_speeds_apart();
         Self {
             shared,
             _counted: counted,
+            _exchange: exchange,
             message,
             flight,
             current_attempt: None,
--- a/crates/peridotdeck-relay/src/front.rs
+++ b/crates/peridotdeck-relay/src/front.rs
@@ -1,7 +1,8 @@
 //! The callers' side: reads requests within limits and answers them.
 
-use std::{error::Error, sync::Arc};
+use std::{error::Error, sync::Arc, time::Duration};
 
+use async_io::Timer;
 use async_std::future::timeout;
 use http_body_util::{BodyExt, Either, Full};
 use hyper::{
@@ -19,7 +20,10 @@
     },
     id::Time,
 };
-use peridotdeck_io::budget::{Buffer, Denied, Holder, PACE_BYTES, PACE_WINDOW};
+use peridotdeck_io::{
+    budget::{Buffer, Denied, Holder, PACE_BYTES, PACE_WINDOW},
+    connections::Exchange,
+};
 use quick_error::quick_error;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -27,9 +31,16 @@
     Ingress, Shared, clock,
     exchange::Message,
     forwarding::{Forwarding, Outcome},
-    memory, server,
+    memory,
+    server::{self, Activity},
 };
 
+/// Longest time for which a complete request waits until it can be counted.
+const MAX_CLAIM_TIME: Duration = Duration::from_secs(1);
+
+/// Time between two looks for room.
+const CLAIM_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Error of a response body; [`Either`] boxes the errors of the two bodies that it joins.
 type BodyError = Box<dyn Error + Send + Sync>;
 
@@ -69,17 +80,17 @@
     let limits = limits(&shared);
     let decoded = shared.ingress.decode(&head);
     let id = decoded.as_ref().ok().map(|request| request.id.clone());
-    let body = {
+    let received = {
         let _counted = shared.unread_requests.begin();
         let buffer = Buffer::new(shared.memory.reservation(holder(&shared, &decoded)));
-        read_body(body, buffer, &limits).await
+        match read_body(body, buffer, &limits).await {
+            Ok(body) => claim(&shared, &head).await.map(|exchange| (body, exchange)),
+            Err(unread) => Err(unread),
+        }
     };
-    let admitted = match body {
-        Ok(body) => {
-            if let Some(receipt) = head.extensions.get::<server::Receipt>() {
-                receipt.complete();
-            }
-            admit(&shared, &head, &body, decoded, arrived).map(|flight| (flight, body))
+    let admitted = match received {
+        Ok((body, exchange)) => {
+            admit(&shared, &head, &body, decoded, arrived).map(|flight| (flight, body, exchange))
         }
         Err(Unread::Refused(cause)) => Err(Refusal::not_run(cause, None)),
         Err(Unread::Denied(_)) => {
@@ -88,9 +99,9 @@
         }
     };
     let mut response = match admitted {
-        Ok((flight, body)) => {
+        Ok((flight, body, exchange)) => {
             let message = Message { head, body };
-            let forwarding = Forwarding::new(Arc::clone(&shared), message, flight);
+            let forwarding = Forwarding::new(Arc::clone(&shared), message, flight, exchange);
             match Box::pin(forwarding.run()).await {
                 Outcome::Whole(response) => {
                     let (head, body) = response.into_parts();
@@ -224,6 +235,30 @@
     Ok(Bytes::from_owner(buffer))
 }
 
+/// Notes that a request is complete, and counts it among those in progress.
+///
+/// If there is no room, it waits a little for others to end, or for callers to prove not to read.
+async fn claim<I: Ingress>(
+    shared: &Shared<I>,
+    head: &request::Parts,
+) -> Result<Option<Exchange<Activity>>, Unread> {
+    let Some(receipt) = head.extensions.get::<server::Receipt>() else {
+        return Ok(None);
+    };
+    receipt.complete();
+    let until = clock::now() + MAX_CLAIM_TIME;
+    loop {
+        let exchange = receipt.claim(&shared.connections);
+        if exchange.is_some() {
+            return Ok(exchange);
+        }
+        if clock::now() >= until {
+            return Err(Denied::Total.into());
+        }
+        Timer::after(CLAIM_INTERVAL).await;
+    }
+}
+
 /// Returns a response with an endpoint's head, and the framing of the caller's own connection.
 fn forwarded_response<B>(mut head: response::Parts, body: B) -> Response<B> {
     remove_connection_headers(&mut head.headers);
--- a/crates/peridotdeck-relay/src/memory.rs
+++ b/crates/peridotdeck-relay/src/memory.rs
@@ -6,7 +6,7 @@
 use peridotdeck_core::dispatch::{Key, config::Organisation};
 use peridotdeck_io::{
     budget::{Budget, Holder},
-    connections::CONNECTION_BYTES,
+    connections::{Bound, CONNECTION_BYTES, EXCHANGE_BYTES},
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -19,7 +19,7 @@
 /// Descriptors for files and the like, which no connection may take.
 const OTHER_DESCRIPTORS: usize = 200;
 
-/// Smallest bound of callers' connections.
+/// Smallest bound of callers' connections, and of requests in progress.
 const MIN_CONNECTIONS: usize = 64;
 
 /// Bit that tells the numbers of endpoints from those of organisations.
@@ -46,18 +46,24 @@
     })
 }
 
-/// Returns the number of callers' connections that a process may have open.
+/// Returns what the connections of a process may take.
 ///
 /// `memory` is what the process may have in bytes, and `descriptors` how many it may have open, if
-/// they are bounded. A quarter of the descriptors is for connections to endpoints and peers.
+/// they are bounded. A quarter of the descriptors is not for callers.
 #[must_use]
-pub fn connections(memory: Option<usize>, descriptors: Option<usize>) -> usize {
-    let by_memory = memory.map(|limit| limit.saturating_sub(IDLE_BYTES) / 2 / CONNECTION_BYTES);
-    let by_descriptors = descriptors.map(|limit| limit.saturating_sub(OTHER_DESCRIPTORS) / 4 * 3);
-    let bounds = by_memory.into_iter().chain(by_descriptors);
-    bounds
-        .min()
-        .map_or(usize::MAX, |bound| bound.max(MIN_CONNECTIONS))
+pub fn connections(memory: Option<usize>, descriptors: Option<usize>) -> Bound {
+    const MIN_BYTES: usize = MIN_CONNECTIONS * (CONNECTION_BYTES + EXCHANGE_BYTES);
+    const MIN_DESCRIPTORS: usize = 2 * MIN_CONNECTIONS;
+    let bytes = memory.map(|limit| limit.saturating_sub(IDLE_BYTES) / 2);
+    let descriptors = descriptors.map(|limit| limit.saturating_sub(OTHER_DESCRIPTORS));
+    let by_memory = bytes.map(|bytes| bytes / CONNECTION_BYTES);
+    let by_descriptors = descriptors.map(|descriptors| descriptors / 4 * 3);
+    let callers = by_memory.into_iter().chain(by_descriptors).min();
+    Bound {
+        callers: callers.map_or(usize::MAX, |bound| bound.max(MIN_CONNECTIONS)),
+        bytes: bytes.map_or(usize::MAX, |bytes| bytes.max(MIN_BYTES)),
+        descriptors: descriptors.map_or(usize::MAX, |number| number.max(MIN_DESCRIPTORS)),
+    }
 }
 
 /// Returns the holder of an endpoint's answers.
--- a/crates/peridotdeck-relay/src/node.rs
+++ b/crates/peridotdeck-relay/src/node.rs
@@ -81,7 +81,7 @@
         options.dispatch.node,
         options.control.port(),
         memory::budget(options.memory),
-        Connections::new(memory::connections(options.memory, options.descriptors)),
+        Connections::within(memory::connections(options.memory, options.descriptors)),
     ));
     task::spawn(publisher.clone().follow(Arc::clone(&shared)));
     let (closing, closed) = async_channel::bounded::<()>(1);
--- a/crates/peridotdeck-relay/src/pool.rs
+++ b/crates/peridotdeck-relay/src/pool.rs
@@ -29,10 +29,13 @@
     dispatch::{Key, Node},
     id::Time,
 };
-use peridotdeck_io::{Bounded, Head};
+use peridotdeck_io::{
+    Bounded, Head,
+    connections::{Connections, Kept},
+};
 use socket2::{SockRef, TcpKeepalive};
 
-use crate::clock;
+use crate::{clock, server::Activity};
 
 /// Longest time to open a connection.
 ///
@@ -104,8 +107,8 @@
 /// Guard that ends a connection's task, and so closes the connection, when it is dropped.
 #[derive(Debug)]
 struct CloseOnDrop {
-    // Dropping the sender wakes the task.
-    _sender: async_channel::Sender<()>,
+    // Dropping the sender wakes the task, and so does closing its channel.
+    sender: async_channel::Sender<()>,
 }
 
 /// How a connection leads to its endpoint.
@@ -136,7 +139,7 @@
     /// Time at which the connection was open.
     pub opened: Time,
     in_use: Arc<AtomicBool>,
-    _close_on_drop: CloseOnDrop,
+    close_on_drop: CloseOnDrop,
 }
 
 impl Connection {
@@ -179,6 +182,7 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
+    _kept: Kept<Activity>,
     since: Time,
     until: Time,
 }
@@ -186,7 +190,8 @@
 impl Idle {
     /// Returns whether the connection is open, as far as is known, and may still be used.
     fn is_open(&self, now: Time) -> bool {
-        !self.connection.sender.is_closed() && self.until > now
+        let is_given_up = self.connection.close_on_drop.sender.is_closed();
+        !is_given_up && !self.connection.sender.is_closed() && self.until > now
     }
 }
 
@@ -194,12 +199,21 @@
 type Table = Vec<(Key, Vec<Idle>)>;
 
 /// Idle connections to endpoints, kept for the next requests.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pool {
     idle: Mutex<Table>,
+    /// All connections, of which idle ones are the first to go.
+    connections: Arc<Connections<Activity>>,
 }
 
 impl Pool {
+    /// Creates a pool without connections, whose own count among these.
+    #[must_use]
+    pub fn new(connections: Arc<Connections<Activity>>) -> Self {
+        let idle = Mutex::default();
+        Self { idle, connections }
+    }
+
     fn table(&self) -> MutexGuard<'_, Table> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -243,11 +257,15 @@
     /// Keeps a connection after a complete answer or a probe.
     ///
     /// `limit` is the idle timeout that the endpoint announced. If the endpoint has too many idle
-    /// connections, the oldest is closed.
+    /// connections, the oldest is closed. It is not kept if all others need the room.
     pub fn keep(&self, key: Key, connection: Connection, limit: Option<Duration>) {
         if connection.sender.is_closed() {
             return;
         }
+        let close = connection.close_on_drop.sender.clone();
+        let Some(kept) = self.connections.keep(close) else {
+            return;
+        };
         let now = clock::now();
         let max_idle = limit.map_or(DEFAULT_MAX_IDLE, |limit| {
             limit.mul_f64(KEEP_ALIVE_FRACTION).min(MAX_IDLE)
@@ -267,6 +285,7 @@
         }
         idle.push(Idle {
             connection,
+            _kept: kept,
             since: now,
             until: now + max_idle,
         });
@@ -348,6 +367,6 @@
         path,
         opened: clock::now(),
         in_use,
-        _close_on_drop: CloseOnDrop { _sender: close },
+        close_on_drop: CloseOnDrop { sender: close },
     })
 }
--- a/crates/peridotdeck-relay/src/server.rs
+++ b/crates/peridotdeck-relay/src/server.rs
@@ -27,7 +27,7 @@
     server::conn::http1,
     service::service_fn,
 };
-use peridotdeck_io::connections::{Activity as _, Connections, Place};
+use peridotdeck_io::connections::{Activity as _, Connections, Place, Wait};
 use smol_hyper::rt::FuturesIo;
 pub(crate) use socket::Socket;
 use socket2::{Domain, Type};
@@ -147,12 +147,13 @@
     pool::set_options(stream.get_ref())?;
     let remote = Remote(stream.get_ref().peer_addr()?);
     let socket = Socket::new(stream, Arc::clone(&activity));
+    socket.bound_unsent()?;
     let label = OnceLock::new();
     let service = service_fn(|mut request: Request<Incoming>| {
         request.extensions_mut().insert(remote);
         request
             .extensions_mut()
-            .insert(Receipt(Arc::clone(&activity)));
+            .insert(Receipt::new(Arc::clone(&activity), place.number()));
         let busy = activity.begin();
         let knows_chunks = request.version() != Version::HTTP_10;
         let is_head = request.method() == Method::HEAD;
@@ -190,6 +191,7 @@
         Stop::Taken
     };
     let stop = future::or(ended, future::or(closed, future::or(idle, taken))).await;
+    let is_taken = matches!(stop, Stop::Taken);
     let rest = async {
         match stop {
             Stop::Ended(result) => return result,
@@ -197,12 +199,20 @@
             Stop::Closing | Stop::Idle | Stop::Taken => connection.as_mut().graceful_shutdown(),
         }
         let idle = async {
-            wait_idle(&activity, &limits).await;
+            if is_taken {
+                wait_given_up(&activity).await;
+            } else {
+                wait_idle(&activity, &limits).await;
+            }
             Ok(())
         };
         future::or(connection.as_mut(), idle).await
     };
     let result = rest.await;
+    if matches!(activity.wait(), Some(Wait::Read(_))) {
+        // What the caller has not read would stay in the kernel, and could look complete.
+        socket.reset_on_close()?;
+    }
     if let Some(id) = label.get() {
         let end = if activity.is_closed() {
             "orderly"
@@ -231,6 +241,15 @@
     }
 }
 
+/// Waits until a connection whose place is taken waits for its caller again.
+async fn wait_given_up(activity: &Activity) {
+    /// Time between two looks.
+    const INTERVAL: Duration = Duration::from_millis(50);
+    while activity.wait().is_none() {
+        Timer::after(INTERVAL).await;
+    }
+}
+
 /// Waits until a connection has been idle for the configured time.
 async fn wait_idle(activity: &Activity, limits: &impl Fn() -> Limits) {
     loop {
--- a/crates/peridotdeck-relay/src/server/activity.rs
+++ b/crates/peridotdeck-relay/src/server/activity.rs
@@ -11,10 +11,13 @@
 };
 
 use hyper::body::{Body, Frame, SizeHint};
-use peridotdeck_io::connections::{self, Wait};
+use peridotdeck_io::connections::{self, Connections, Exchange, Number, Wait};
 
 use crate::clock;
 
+/// Time for which nothing of an answer could be written, after which its caller does not read it.
+const UNREAD_TIME: Duration = Duration::from_millis(250);
+
 /// Counts of a server's answers in progress, over all its connections.
 #[derive(Debug, Default)]
 pub struct Answers {
@@ -55,6 +58,8 @@
     is_read: AtomicBool,
     /// Whether bytes of a response that has been read to its end are still to be written.
     is_unwritten: AtomicBool,
+    /// Time since which nothing could be written, in milliseconds of the node's clock; 0 if it could.
+    blocked_ms: AtomicU64,
     /// Whether this end of the connection was closed in an orderly way.
     is_closed: AtomicBool,
     answers: Arc<Answers>,
@@ -69,6 +74,7 @@
             ends_response: AtomicBool::new(false),
             is_read: AtomicBool::new(false),
             is_unwritten: AtomicBool::new(false),
+            blocked_ms: AtomicU64::new(0),
             is_closed: AtomicBool::new(false),
             answers,
         }
@@ -83,6 +89,22 @@
         Busy(Arc::clone(self))
     }
 
+    /// Records whether the kernel has taken some of what there is to write.
+    pub(super) fn record_write(&self, is_blocked: bool) {
+        let was_blocked = self.blocked_ms.load(Ordering::Relaxed) > 0;
+        if is_blocked != was_blocked {
+            let since = if is_blocked { millis().max(1) } else { 0 };
+            self.blocked_ms.store(since, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns since when the caller has not read, if that is for long.
+    fn unread(&self) -> Option<u64> {
+        let since = self.blocked_ms.load(Ordering::Relaxed);
+        let is_long = millis().saturating_sub(since) >= UNREAD_TIME.as_millis() as u64;
+        (since > 0 && is_long).then_some(since)
+    }
+
     /// Records that everything has been written that hyper has to write.
     pub(super) fn record_flush(&self) {
         if self.is_unwritten.swap(false, Ordering::Relaxed) {
@@ -126,11 +148,18 @@
 }
 
 impl connections::Activity for Activity {
+    fn millis() -> u64 {
+        millis()
+    }
+
     fn wait(&self) -> Option<Wait> {
         let last = self.last_ms.load(Ordering::Relaxed);
         if self.idle().is_some() {
             return Some(Wait::Request(last));
         }
+        if let Some(since) = self.unread() {
+            return Some(Wait::Read(since));
+        }
         let is_receiving = self.is_receiving.load(Ordering::Relaxed);
         is_receiving.then_some(Wait::Body(last))
     }
@@ -151,12 +180,30 @@
 
 /// Receipt of a request, as an extension of it, with which its reader notes that it is complete.
 #[derive(Clone, Debug)]
-pub(crate) struct Receipt(pub(super) Arc<Activity>);
+pub(crate) struct Receipt {
+    activity: Arc<Activity>,
+    connection: Number,
+}
 
 impl Receipt {
+    pub(super) fn new(activity: Arc<Activity>, connection: Number) -> Self {
+        Self {
+            activity,
+            connection,
+        }
+    }
+
+    /// Counts the request until it is answered, if there is room or another one can be given up.
+    pub(crate) fn claim(
+        &self,
+        connections: &Arc<Connections<Activity>>,
+    ) -> Option<Exchange<Activity>> {
+        connections.claim(self.connection)
+    }
+
     /// Notes that the whole request has come, so that its connection is not given up for others.
     pub(crate) fn complete(&self) {
-        self.0.is_receiving.store(false, Ordering::Relaxed);
+        self.activity.is_receiving.store(false, Ordering::Relaxed);
     }
 }
 
--- a/crates/peridotdeck-relay/src/server/socket.rs
+++ b/crates/peridotdeck-relay/src/server/socket.rs
@@ -17,6 +17,11 @@
 
 use super::activity::Activity;
 
+/// Bytes that the kernel takes beyond what it has sent.
+///
+/// More would take the machine's memory, and hide for long that the caller does not read.
+const UNSENT_BYTES: u32 = 16 << 10;
+
 /// A socket that stays accessible while hyper reads and writes it.
 #[derive(Clone, Debug)]
 pub(crate) struct Socket {
@@ -32,12 +37,23 @@
         }
     }
 
+    /// Bounds what the kernel keeps for a caller that does not read.
+    pub(super) fn bound_unsent(&self) -> io::Result<()> {
+        SockRef::from(self.stream.get_ref()).set_tcp_notsent_lowat(UNSENT_BYTES)
+    }
+
     /// Makes each close of the connection a reset, also by the end of the process.
     ///
     /// Only `AsyncWrite::poll_close` closes the connection in an orderly way from then on.
     pub(crate) fn reset_on_close(&self) -> io::Result<()> {
         SockRef::from(self.stream.get_ref()).set_linger(Some(Duration::ZERO))
     }
+
+    /// Notes whether the caller reads what is written.
+    fn note<T>(&self, written: Poll<T>) -> Poll<T> {
+        self.activity.record_write(written.is_pending());
+        written
+    }
 }
 
 impl AsyncRead for Socket {
@@ -56,7 +72,8 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut &*self.stream).poll_write(context, buffer)
+        let written = Pin::new(&mut &*self.stream).poll_write(context, buffer);
+        self.note(written)
     }
 
     fn poll_write_vectored(
@@ -64,7 +81,8 @@
         context: &mut Context<'_>,
         buffers: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut &*self.stream).poll_write_vectored(context, buffers)
+        let written = Pin::new(&mut &*self.stream).poll_write_vectored(context, buffers);
+        self.note(written)
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/peridotdeck-relay/src/shared.rs
+++ b/crates/peridotdeck-relay/src/shared.rs
@@ -99,13 +99,14 @@
         memory: Budget,
         connections: Connections<Activity>,
     ) -> Self {
+        let connections = Arc::new(connections);
         Self {
             ingress,
-            pool: Pool::default(),
+            pool: Pool::new(Arc::clone(&connections)),
             metrics: Metrics::new(),
             memory,
             answers: Arc::default(),
-            connections: Arc::new(connections),
+            connections,
             open_requests: Count::default(),
             unread_requests: Count::default(),
             ending: async_channel::bounded(1),
