Close the connection of a request that finds no room

300 callers with eight requests each on a connection left an ordinary request unanswered in two of three runs (503 after 1 s; limits 32 MB, 400 descriptors).

Cause: once the first request of a connection was refused, the next one behind it waited for room at once, so that about 30 always did, and the ordinary one had to find room among them. A refusal for want of room now closes its connection (Connection: close), as one of a node that leaves does.

--- a/crates/peridotdeck-relay/src/front.rs
+++ b/crates/peridotdeck-relay/src/front.rs
@@ -88,12 +88,14 @@
             Err(unread) => Err(unread),
         }
     };
+    // What waits behind a refused request would ask for room at once.
+    let is_full = matches!(received, Err(Unread::Full));
     let admitted = match received {
         Ok((body, exchange)) => {
             admit(&shared, &head, &body, decoded, arrived).map(|flight| (flight, body, exchange))
         }
         Err(Unread::Refused(cause)) => Err(Refusal::not_run(cause, None)),
-        Err(Unread::Denied(_)) => {
+        Err(Unread::Denied(_) | Unread::Full) => {
             let max_wait = decoded.ok().and_then(|request| request.max_wait);
             Err(shared.dispatcher().refuse_body(max_wait))
         }
@@ -124,7 +126,7 @@
     if let Some(id) = id {
         response.extensions_mut().insert(server::Label(id));
     }
-    if shared.dispatcher().fleet().is_leaving() {
+    if is_full || shared.dispatcher().fleet().is_leaving() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -180,6 +182,10 @@
             display("{cause}")
             from()
         }
+        /// It was read, and the node has no room left for one more in progress.
+        Full {
+            display("too many requests are in progress")
+        }
         /// The node has no memory left for it.
         Denied(cause: Denied) {
             display("{cause}")
@@ -253,7 +259,7 @@
             return Ok(exchange);
         }
         if clock::now() >= until {
-            return Err(Denied::Total.into());
+            return Err(Unread::Full);
         }
         Timer::after(CLAIM_INTERVAL).await;
     }
