Bound what the kernel keeps unsent only where connections have a bound

Connections to peers and nodes without limits are as before now. A node with limits still has it: there a big answer that its caller does not read stays at the peer.

Not run on this commit: the rest of the suite and of the crowds.

--- a/crates/peridotdeck-io/src/connections.rs
+++ b/crates/peridotdeck-io/src/connections.rs
@@ -251,6 +251,12 @@
 }
 
 impl<A> Place<A> {
+    /// Returns whether the connection counts towards a bound.
+    #[must_use]
+    pub fn is_bounded(&self) -> bool {
+        self.connections.bound != Bound::default()
+    }
+
     /// Returns the connection's number, for the claims of its requests.
     #[must_use]
     pub fn number(&self) -> Number {
--- a/crates/peridotdeck-relay/src/server.rs
+++ b/crates/peridotdeck-relay/src/server.rs
@@ -147,7 +147,9 @@
     pool::set_options(stream.get_ref())?;
     let remote = Remote(stream.get_ref().peer_addr()?);
     let socket = Socket::new(stream, Arc::clone(&activity));
-    socket.bound_unsent()?;
+    if place.is_bounded() {
+        socket.bound_unsent()?;
+    }
     let label = OnceLock::new();
     let service = service_fn(|mut request: Request<Incoming>| {
         request.extensions_mut().insert(remote);
