Add the way to an age that a peer tells

Ages of the publisher's word shrank by the delay of each hop as nodes passed them on to each other, so that a fleet with slow links could take old news for fresh and begin to watch late. Each hop adds 50 ms now. The backlog after a pause is reckoned in one place.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/watchers.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/watchers.rs
@@ -35,13 +35,19 @@
 
 /// Age of what a node knows at which the next node begins to watch.
 ///
-/// Watches end every few seconds without a change, so in calm some watcher of the fleet has read since.
+/// A watch without changes is answered after seconds, but those of a fleet's many watchers end at
+/// different times. With few watchers a further node may watch in calm.
 const MAX_AGE: Duration = Duration::from_secs(2);
 
+/// Time added to an age that a peer tells, for its way here.
+///
+/// Without it, ages would shrink as nodes pass them on to each other.
+const HOP_TIME: Duration = Duration::from_millis(50);
+
 /// Further age for each node that comes before, so that not all begin at once.
 const AGE_STEP: Duration = Duration::from_millis(200);
 
-/// Time for which a node goes on watching after the others' reads were last too old.
+/// Time for which a node goes on watching after its knowledge was last too old.
 const TERM: Duration = Duration::from_secs(5);
 
 impl Dispatcher {
@@ -62,7 +68,7 @@
         (is_watcher || now < self.watches_until).then_some(STANDBY_WATCH_INTERVAL)
     }
 
-    /// Begins to watch if nobody who does has read the publisher for too long.
+    /// Begins to watch once the publisher has confirmed nothing to any watcher for too long.
     ///
     /// Returns the age of what this node knows if it begins now.
     pub(super) fn begin_watch(&mut self, now: Time) -> Option<Duration> {
@@ -89,7 +95,7 @@
         for (area, position) in [(Area::Policy, &beat.policy), (Area::Roster, &beat.roster)] {
             let position = Position::new(position.era, position.revision);
             if position == self.registry.progress(area).changed {
-                let at = now.saturating_sub(ages.of(area));
+                let at = now.saturating_sub(ages.of(area) + HOP_TIME);
                 self.registry.confirm(area, at);
             }
         }
--- a/crates/peridotdeck-core/src/dispatch/due.rs
+++ b/crates/peridotdeck-core/src/dispatch/due.rs
@@ -38,7 +38,7 @@
 /// Actions and changes that are due at a tick.
 #[derive(Clone, Debug, Default)]
 pub struct Due {
-    /// What goes with these heartbeats on how long ago the publisher has confirmed what they name.
+    /// Ages of the configuration and the endpoint list, sent after each heartbeat.
     pub ages: Ages,
     /// Endpoints whose cached prompt prefixes should be listed.
     pub cache_queries: Vec<CacheQuery>,
--- a/crates/peridotdeck-core/src/dispatch/fleet/touch.rs
+++ b/crates/peridotdeck-core/src/dispatch/fleet/touch.rs
@@ -32,6 +32,12 @@
         }
     }
 
+    /// Returns whether what is read at a time cannot have waited during the last pause.
+    fn is_past_backlog(&self, at: Time) -> bool {
+        let backlog = self.resumed.map(|resumed| resumed + BACKLOG);
+        backlog.is_none_or(|backlog| at >= backlog)
+    }
+
     fn is_late(&self, now: Time) -> bool {
         now.saturating_sub(self.ticked) >= MIN_PAUSE
     }
@@ -58,8 +64,7 @@
 
     /// Returns whether what is read now has not waited in a queue while this process stood still.
     pub(in crate::dispatch) fn reads_promptly(&self, now: Time) -> bool {
-        let backlog = self.pulse.resumed.map(|resumed| resumed + BACKLOG);
-        !self.pulse.is_late(now) && backlog.is_none_or(|backlog| now >= backlog)
+        !self.pulse.is_late(now) && self.pulse.is_past_backlog(now)
     }
 
     /// Returns whether most nodes of the fleet have been heard lately, so that the others are cut off.
@@ -76,10 +81,8 @@
         ) else {
             return false;
         };
-        let backlog = self.pulse.resumed.map(|resumed| resumed + BACKLOG);
-        let is_new = |received: Time, since: Time| {
-            received >= since && backlog.is_none_or(|backlog| received >= backlog)
-        };
+        let is_new =
+            |received: Time, since: Time| received >= since && self.pulse.is_past_backlog(received);
         let heard_places = self.remotes.iter();
         let heard_places: Vec<_> = heard_places
             .filter(|place| is_new(place.received, remote))
--- a/crates/peridotdeck-core/src/dispatch/registry.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry.rs
@@ -95,7 +95,7 @@
         *confirmed = at.max(*confirmed);
     }
 
-    /// Returns the time since the publisher last confirmed an area as up to date, to any node heard of.
+    /// Returns the time since the publisher last confirmed an area, to this node or to one that told it so.
     #[must_use]
     pub fn age(&self, area: Area, now: Time) -> Duration {
         now.saturating_sub(self.confirmed[area as usize])
--- a/crates/peridotdeck-core/src/dispatch/registry/ages.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry/ages.rs
@@ -7,7 +7,7 @@
 use super::{Area, Registry};
 use crate::id::Time;
 
-/// Time since the publisher last confirmed each area, in milliseconds, to the sender or a node before.
+/// Time since the publisher last confirmed each area, as known to the sender of a heartbeat.
 ///
 /// It goes with a heartbeat, and holds for the positions that the heartbeat names. See
 /// `docs/design/PLATFORM.md`.
