Count each connection that is closed for others once

An operator read more closed connections than there were, and a warning where only kept connections had gone: the count rose before anything was closed and again for each that was. One function gives a connection up, counts and logs it. An error of the reset no longer hides the result and the log line of a connection.

--- a/crates/peridotdeck-io/src/connections.rs
+++ b/crates/peridotdeck-io/src/connections.rs
@@ -27,9 +27,9 @@
 /// Shortest time between two log lines on connections that were closed for others.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time for which a connection waits at least before it goes for a request, in milliseconds.
+/// Shortest wait after which a connection may be closed in favour of a request, in milliseconds.
 ///
-/// A new one would have no time to send its own.
+/// A caller that has just connected needs time to send its own request.
 const MIN_WAIT_MS: u64 = 250;
 
 /// What a connection waits for that its caller has not sent, and since when.
@@ -77,7 +77,7 @@
 }
 
 impl<A> Connections<A> {
-    /// Creates a server's connections, of which so many may be open.
+    /// Creates connections of a server that bounds only the number of its callers.
     #[must_use]
     pub fn new(callers: usize) -> Self {
         Self::within(Bound {
@@ -145,15 +145,15 @@
 impl<A: Activity> Connections<A> {
     /// Enters a new connection, for which another one may have to go.
     ///
-    /// Returns nothing if all others have complete requests.
+    /// Returns nothing if there is no room, and no open connection waits for its caller.
     pub fn enter(self: &Arc<Self>, activity: &Arc<A>) -> Option<Place<A>> {
         let mut state = self.lock();
         let is_full = state.open() >= self.bound.callers;
         if is_full || !state.will_fit(&self.bound, Kind::Caller) {
-            self.closed.fetch_add(1, Ordering::Relaxed);
-            self.log(&mut state);
-            let has_place = !is_full || state.give_up_waiting(0);
+            let has_place = !is_full || self.give_up(&mut state, 0);
             if !has_place || !self.make_room(&mut state, Kind::Caller, 0) {
+                self.closed.fetch_add(1, Ordering::Relaxed);
+                self.log(&mut state);
                 return None;
             }
         }
@@ -174,12 +174,12 @@
     pub fn claim(self: &Arc<Self>, number: Number) -> Option<Exchange<A>> {
         let mut state = self.lock();
         if !state.fits(&self.bound, Kind::Exchange) {
-            if state.is_barren() {
+            if state.is_search_paused() {
                 return None;
             }
-            self.log(&mut state);
             if !self.make_room(&mut state, Kind::Exchange, MIN_WAIT_MS) {
-                state.set_barren();
+                self.log(&mut state);
+                state.pause_searches();
             }
             // There is room only when those that are given up have ended.
             if !state.fits(&self.bound, Kind::Exchange) {
@@ -192,20 +192,26 @@
         })
     }
 
-    /// Closes connections, the ones that are missed least first, until one more of a kind fits.
+    /// Closes kept connections, then those that wait for their callers, until one more of a kind fits.
     fn make_room(&self, state: &mut State<A>, kind: Kind, least_ms: u64) -> bool {
         while !state.will_fit(&self.bound, kind) {
-            if state.remove_kept() {
-                continue;
-            }
-            if !state.give_up_waiting(least_ms) {
+            if !state.remove_kept() && !self.give_up(state, least_ms) {
                 return false;
             }
-            self.closed.fetch_add(1, Ordering::Relaxed);
         }
         true
     }
 
+    /// Gives up the connection that has waited for its caller longest; returns whether there was one.
+    fn give_up(&self, state: &mut State<A>, least_ms: u64) -> bool {
+        let found = state.give_up_waiting(least_ms);
+        if found {
+            self.closed.fetch_add(1, Ordering::Relaxed);
+            self.log(state);
+        }
+        found
+    }
+
     /// Logs now and then that a connection is closed for another one, or not taken.
     fn log(&self, state: &mut State<A>) {
         if state.may_log(LOG_INTERVAL) {
--- a/crates/peridotdeck-io/src/connections/account.rs
+++ b/crates/peridotdeck-io/src/connections/account.rs
@@ -21,8 +21,10 @@
 /// Memory of a connection that is kept for later requests, in bytes.
 const KEPT_BYTES: usize = 24 << 10;
 
-/// Time for which no connection is looked for that may go, after none was found.
-const BARREN_TIME: Duration = Duration::from_millis(20);
+/// Time without a further search after one found no connection to give up.
+///
+/// A search looks at every open connection under the lock.
+const SEARCH_PAUSE: Duration = Duration::from_millis(20);
 
 /// Number of a connection, in the order in which they were opened.
 pub type Number = u64;
@@ -51,7 +53,7 @@
     }
 }
 
-/// What takes room.
+/// What draws on the bound.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Kind {
     Caller,
@@ -80,20 +82,27 @@
     close: Option<Sender<()>>,
 }
 
-/// All that takes room; connections are sorted by number.
+/// Callers' connections that were given up and have not ended, and their requests.
+#[derive(Clone, Copy, Debug, Default)]
+struct GivenUp {
+    connections: usize,
+    exchanges: usize,
+}
+
+/// All that draws on the bound; connections are sorted by number.
 #[derive(Debug)]
 pub(super) struct State<A> {
     open: Vec<Open<A>>,
-    /// How many of the open ones have been given up, and the requests of these.
-    given_up: (usize, usize),
+    /// Those of the open ones that have been given up.
+    given_up: GivenUp,
     /// Connections to endpoints that are kept, and how they are closed.
     kept: VecDeque<(Number, Sender<()>)>,
     /// Requests in progress that count.
     exchanges: usize,
     /// Number of the next connection.
     next: Number,
-    /// Time until which no connection is looked for that may go.
-    barren: Option<Instant>,
+    /// Time from which a connection to give up is searched for again.
+    searches_from: Option<Instant>,
     logged: Option<Instant>,
 }
 
@@ -101,11 +110,11 @@
     fn default() -> Self {
         Self {
             open: Vec::new(),
-            given_up: (0, 0),
+            given_up: GivenUp::default(),
             kept: VecDeque::new(),
             exchanges: 0,
             next: 0,
-            barren: None,
+            searches_from: None,
             logged: None,
         }
     }
@@ -114,7 +123,7 @@
 impl<A> State<A> {
     /// Returns the number of callers' connections that have not been given up.
     pub(super) fn open(&self) -> usize {
-        self.open.len() - self.given_up.0
+        self.open.len() - self.given_up.connections
     }
 
     pub(super) fn exchanges(&self) -> usize {
@@ -128,12 +137,17 @@
 
     /// Returns whether one more of a kind is within the bound, once those that are given up have ended.
     pub(super) fn will_fit(&self, bound: &Bound, kind: Kind) -> bool {
-        self.is_within(bound, kind, self.open(), self.exchanges - self.given_up.1)
+        self.is_within(
+            bound,
+            kind,
+            self.open(),
+            self.exchanges - self.given_up.exchanges,
+        )
     }
 
-    /// Returns whether no room is taken by connections that have been given up and have not ended.
+    /// Returns whether all that were given up have ended, or one more caller fits beside them.
     pub(super) fn is_settled(&self, bound: &Bound) -> bool {
-        self.given_up.0 == 0 || self.fits(bound, Kind::Caller)
+        self.given_up.connections == 0 || self.fits(bound, Kind::Caller)
     }
 
     fn is_within(&self, bound: &Bound, kind: Kind, open: usize, exchanges: usize) -> bool {
@@ -171,8 +185,8 @@
             let open = self.open.remove(index);
             self.exchanges -= open.exchanges;
             if open.close.is_none() {
-                self.given_up.0 -= 1;
-                self.given_up.1 -= open.exchanges;
+                self.given_up.connections -= 1;
+                self.given_up.exchanges -= open.exchanges;
             }
         }
     }
@@ -195,7 +209,7 @@
             open.exchanges -= 1;
             self.exchanges -= 1;
             if open.close.is_none() {
-                self.given_up.1 -= 1;
+                self.given_up.exchanges -= 1;
             }
         }
     }
@@ -221,13 +235,14 @@
         oldest.map(|(_, close)| close.close()).is_some()
     }
 
-    /// Returns whether none was found a moment ago that may go.
-    pub(super) fn is_barren(&self) -> bool {
-        self.barren.is_some_and(|until| Instant::now() < until)
+    /// Returns whether a recent search found no connection to give up.
+    pub(super) fn is_search_paused(&self) -> bool {
+        self.searches_from
+            .is_some_and(|until| Instant::now() < until)
     }
 
-    pub(super) fn set_barren(&mut self) {
-        self.barren = Some(Instant::now() + BARREN_TIME);
+    pub(super) fn pause_searches(&mut self) {
+        self.searches_from = Some(Instant::now() + SEARCH_PAUSE);
     }
 
     /// Returns whether nothing has been logged for an interval, and notes that something is.
@@ -241,9 +256,9 @@
 }
 
 impl<A: Activity> State<A> {
-    /// Gives up the connection that has waited for its caller longest; returns whether there was one.
+    /// Gives up the connection that has waited for its caller longest, and at least this many milliseconds.
     ///
-    /// It must have waited for some milliseconds.
+    /// Returns whether there was one.
     pub(super) fn give_up_waiting(&mut self, least_ms: u64) -> bool {
         let until = A::millis().saturating_sub(least_ms);
         let waits = |(index, open): (usize, &Open<A>)| -> Option<(Wait, usize)> {
@@ -257,8 +272,8 @@
         };
         let open = &mut self.open[index];
         open.close = None;
-        self.given_up.0 += 1;
-        self.given_up.1 += open.exchanges;
+        self.given_up.connections += 1;
+        self.given_up.exchanges += open.exchanges;
         true
     }
 }
--- a/crates/peridotdeck-relay/src/front.rs
+++ b/crates/peridotdeck-relay/src/front.rs
@@ -38,7 +38,7 @@
 /// Longest time for which a complete request waits until it can be counted.
 const MAX_CLAIM_TIME: Duration = Duration::from_secs(1);
 
-/// Time between two looks for room.
+/// Time between two attempts to count a request.
 const CLAIM_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Error of a response body; [`Either`] boxes the errors of the two bodies that it joins.
@@ -88,7 +88,7 @@
             Err(unread) => Err(unread),
         }
     };
-    // What waits behind a refused request would ask for room at once.
+    // The next pipelined request of a refused one would ask for room at once, so the connection closes.
     let is_full = matches!(received, Err(Unread::Full));
     let admitted = match received {
         Ok((body, exchange)) => {
@@ -243,7 +243,7 @@
 
 /// Notes that a request is complete, and counts it among those in progress.
 ///
-/// If there is no room, it waits a little for others to end, or for callers to prove not to read.
+/// Without room, it waits for other requests to end, or for callers to count as not reading.
 async fn claim<I: Ingress>(
     shared: &Shared<I>,
     head: &request::Parts,
--- a/crates/peridotdeck-relay/src/server.rs
+++ b/crates/peridotdeck-relay/src/server.rs
@@ -213,7 +213,9 @@
     let result = rest.await;
     if matches!(activity.wait(), Some(Wait::Read(_))) {
         // What the caller has not read would stay in the kernel, and could look complete.
-        socket.reset_on_close()?;
+        if let Err(cause) = socket.reset_on_close() {
+            log::debug!("event=reset_failed cause=\"{cause}\"");
+        }
     }
     if let Some(id) = label.get() {
         let end = if activity.is_closed() {
@@ -243,9 +245,9 @@
     }
 }
 
-/// Waits until a connection whose place is taken waits for its caller again.
+/// Waits until a connection that was given up waits for its caller, so that no answer in progress is cut.
 async fn wait_given_up(activity: &Activity) {
-    /// Time between two looks.
+    /// Time between two checks.
     const INTERVAL: Duration = Duration::from_millis(50);
     while activity.wait().is_none() {
         Timer::after(INTERVAL).await;
