Use a kept connection only to the address of the last entry

A request bound to regions could be written over a kept connection to the former address of an endpoint that has moved: between the entry and the next tick, or after a request in progress had given its connection back.

Log lines on regions name what they leave out.

--- a/crates/peridotdeck-core/src/dispatch/config.rs
+++ b/crates/peridotdeck-core/src/dispatch/config.rs
@@ -186,6 +186,8 @@
     }
 
     /// Returns the regions that may serve a request: those that its route and its organisation allow.
+    ///
+    /// Of several organisations with one name, only the first is looked at.
     #[must_use]
     pub fn regions(&self, target: &Target) -> region::Set {
         let mut regions = region::Set::default();
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/detours.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/detours.rs
@@ -224,11 +224,11 @@
     /// Returns whether a request may pass through the peer whose path replaces this node's own one.
     pub(super) fn detour_allows(&self, state: &State, flight: &Flight) -> bool {
         let peer = state.path.detour();
-        peer.is_none_or(|peer| self.may_see(peer, &flight.regions))
+        peer.is_none_or(|peer| self.is_in_regions(peer, &flight.regions))
     }
 
     /// Returns whether a peer is known to be in a region of a set.
-    pub(super) fn may_see(&self, peer: Node, regions: &region::Set) -> bool {
+    pub(super) fn is_in_regions(&self, peer: Node, regions: &region::Set) -> bool {
         let place = self.fleet.place_of(peer);
         let region = place.and_then(|place| self.region_of(place));
         region.is_some_and(|region| regions.allows(region))
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/regions.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/regions.rs
@@ -60,7 +60,7 @@
             return Err(Denial::Endpoint(state.region.clone()));
         }
         if let Some(peer) = assignment.attempt.detour
-            && !self.may_see(peer, &regions)
+            && !self.is_in_regions(peer, &regions)
         {
             return Err(Denial::Peer(peer));
         }
--- a/crates/peridotdeck-core/src/dispatch/flight.rs
+++ b/crates/peridotdeck-core/src/dispatch/flight.rs
@@ -54,7 +54,7 @@
     pub prompt: Prompt,
 }
 
-/// What a configuration's rules on regions are looked up by.
+/// What the regions of a request are looked up by when the configuration changes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Target {
     /// Host that the request is addressed to.
@@ -74,7 +74,7 @@
     pub route: Arc<Route>,
     /// Organisation that sent it, if the route requires a key.
     pub organisation: Option<Arc<Organisation>>,
-    /// What later versions of the configuration may have other regions for.
+    /// Host, path and organisation, to look up the regions again under a later version.
     pub target: Target,
     /// Regions that may serve the request: those that each version since its admission allows.
     pub regions: region::Set,
--- a/crates/peridotdeck-core/src/dispatch/region.rs
+++ b/crates/peridotdeck-core/src/dispatch/region.rs
@@ -52,6 +52,9 @@
     }
 }
 
+/// Most names of a set that are written to the log.
+const MAX_SHOWN: usize = 8;
+
 /// Regions that may serve a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Set {
@@ -106,7 +109,14 @@
         match &self.names {
             None => formatter.write_str("all"),
             Some(names) if names.is_empty() => formatter.write_str("none"),
-            Some(names) => formatter.write_str(&names.join("+")),
+            Some(names) => {
+                let shown = names.len().min(MAX_SHOWN);
+                formatter.write_str(&names[..shown].join("+"))?;
+                match names.len() - shown {
+                    0 => Ok(()),
+                    rest => write!(formatter, "+{rest}_more"),
+                }
+            }
         }
     }
 }
--- a/crates/peridotdeck-relay/src/dial.rs
+++ b/crates/peridotdeck-relay/src/dial.rs
@@ -85,5 +85,8 @@
 {
     let stream = pool::bounded(pool::connect(address.into()).await?);
     let head = stream.head();
-    Ok(pool::handshake(FuturesIo::new(stream), head, Path::OWN, on_broken).await?)
+    let io = FuturesIo::new(stream);
+    let mut opened = pool::handshake(io, head, Path::OWN, on_broken).await?;
+    opened.address = Some(address);
+    Ok(opened)
 }
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -262,7 +262,7 @@
     let detour = assignment.attempt.detour();
     // The id does not tell the answers to two attempts of one request apart. A kept connection may have ended.
     let may_reuse = !flight.returns_to(key) && !assignment.confirm;
-    let kept = may_reuse.then(|| shared.pool.reuse(key, detour, max_idle));
+    let kept = may_reuse.then(|| shared.pool.reuse(key, assignment.address, detour, max_idle));
     if let Some(connection) = kept.flatten() {
         return Ok((connection, false));
     }
--- a/crates/peridotdeck-relay/src/pool.rs
+++ b/crates/peridotdeck-relay/src/pool.rs
@@ -7,7 +7,7 @@
 
 use std::{
     io,
-    net::{SocketAddr, TcpStream},
+    net::{SocketAddr, SocketAddrV4, TcpStream},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -136,6 +136,8 @@
     head: Head,
     /// How the connection leads to the endpoint.
     pub path: Path,
+    /// Address to which it was opened, unless a peer has opened it.
+    pub address: Option<SocketAddrV4>,
     /// Time at which the connection was open.
     pub opened: Time,
     in_use: Arc<AtomicBool>,
@@ -207,7 +209,7 @@
 }
 
 impl Pool {
-    /// Creates a pool without connections, whose own count among these.
+    /// Creates an empty pool, whose idle connections count towards the bound of all.
     #[must_use]
     pub fn new(connections: Arc<Connections<Activity>>) -> Self {
         let idle = Mutex::default();
@@ -220,13 +222,28 @@
 
     /// Takes the newest connection to an endpoint that has been idle for less than `max_idle`.
     ///
-    /// It must lead through the peer `detour`, or over the own path. Others are closed when they have
-    /// been idle for too long.
+    /// It must lead to the endpoint's address through the peer `detour`, or over the own path. Others are
+    /// closed when they have been idle for too long.
     #[must_use]
-    pub fn reuse(&self, key: Key, detour: Option<Node>, max_idle: Duration) -> Option<Connection> {
-        self.take(key, |idle, now| {
-            idle.connection.path.detour == detour && now.saturating_sub(idle.since) < max_idle
-        })
+    pub fn reuse(
+        &self,
+        key: Key,
+        address: SocketAddrV4,
+        detour: Option<Node>,
+        max_idle: Duration,
+    ) -> Option<Connection> {
+        self.take(
+            key,
+            |Idle {
+                 connection, since, ..
+             },
+             now| {
+                let leads_there = connection.address.is_none_or(|own| own == address);
+                leads_there
+                    && connection.path.detour == detour
+                    && now.saturating_sub(*since) < max_idle
+            },
+        )
     }
 
     /// Takes the newest connection over a path that was open by a time.
@@ -257,7 +274,7 @@
     /// Keeps a connection after a complete answer or a probe.
     ///
     /// `limit` is the idle timeout that the endpoint announced. If the endpoint has too many idle
-    /// connections, the oldest is closed. It is not kept if all others need the room.
+    /// connections, the oldest is closed. It is closed instead if there is no room for it.
     pub fn keep(&self, key: Key, connection: Connection, limit: Option<Duration>) {
         if connection.sender.is_closed() {
             return;
@@ -365,6 +382,7 @@
         sender,
         head,
         path,
+        address: None,
         opened: clock::now(),
         in_use,
         close_on_drop: CloseOnDrop { sender: close },
--- a/crates/peridotdeck-relay/src/shared.rs
+++ b/crates/peridotdeck-relay/src/shared.rs
@@ -200,16 +200,23 @@
         let organisations = config.organisations.iter();
         let organisations =
             organisations.map(|owner| ("organisation", &owner.name, &owner.regions));
-        let bound = routes
+        let mut bound = routes
             .chain(organisations)
             .filter(|(.., regions)| !regions.is_empty());
-        for (kind, name, regions) in bound.take(MAX_LINES) {
+        for (kind, name, regions) in bound.by_ref().take(MAX_LINES) {
             log::info!(
                 "event=regions_adopted version={} {kind}={name} regions={}",
                 config.version,
                 regions.join("+"),
             );
         }
+        let omitted = bound.count();
+        if omitted > 0 {
+            log::info!(
+                "event=regions_omitted version={} count={omitted}",
+                config.version
+            );
+        }
     }
 
     fn failure_count(&self, area: Area) -> &AtomicU32 {
