Pass on removals of endpoints that a node has never known

Removals are kept as they are heard, and a whole list, which does not name what has come and gone, begins the record anew. passed_removals has three cases, all of which failed before.

--- a/crates/peridotdeck-core/src/dispatch/registry.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry.rs
@@ -170,15 +170,19 @@
 
     /// Keeps the ids that a change of the endpoint list concerned, for incremental snapshots.
     ///
-    /// Changes up to the first known position are not available.
-    fn record_change(&mut self, change: &Change, first: bool) {
+    /// Changes up to the position of a whole list are not available, as it does not name what has come
+    /// and gone before.
+    fn record_change(&mut self, change: &Change, whole: bool) {
         let position = self.roster.changed;
-        if first {
+        if whole {
+            self.recent_changes.clear();
             self.recent_complete_after = position;
             return;
         }
         let changed = change.updated.iter().chain(&change.removed);
-        let ids = changed.map(|endpoint| (position, endpoint.id.clone()));
+        let changed = changed.map(|endpoint| &endpoint.id);
+        let ids = changed.chain(&change.passed_by);
+        let ids = ids.map(|id| (position, id.clone()));
         self.recent_changes.extend(ids);
         let surplus = self.recent_changes.len().saturating_sub(MAX_RECENT_CHANGES);
         if surplus > 0 {
@@ -208,7 +212,7 @@
             }
         }
         let read = progress.read.max(known.read);
-        self.set_progress(area, Progress { read, ..progress }, &change);
+        self.set_progress(area, Progress { read, ..progress }, &change, whole);
         change
     }
 
@@ -258,7 +262,7 @@
             changed: changed.max(known.changed),
             read: position,
         };
-        self.set_progress(area, progress, &change);
+        self.set_progress(area, progress, &change, whole);
         change
     }
 
@@ -274,14 +278,14 @@
         self.note_publisher_failure(now);
     }
 
-    /// Sets the positions of an area that a change has led to.
-    fn set_progress(&mut self, area: Area, progress: Progress, change: &Change) {
+    /// Sets the positions of an area that a change has led to, or a whole list.
+    fn set_progress(&mut self, area: Area, progress: Progress, change: &Change, whole: bool) {
         match area {
             Area::Policy => self.policy = progress,
             Area::Roster => {
                 let first = self.roster.changed == Position::default();
                 self.roster = progress;
-                self.record_change(change, first);
+                self.record_change(change, first || whole);
             }
         }
     }
--- a/crates/peridotdeck-core/src/dispatch/registry/report.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry/report.rs
@@ -107,6 +107,8 @@
     pub updated: Vec<Endpoint>,
     /// Endpoints that were removed, also if a restarted process replaces them.
     pub removed: Vec<Endpoint>,
+    /// Ids of removed endpoints that this node has never known, while peers may know them.
+    pub passed_by: Vec<String>,
 }
 
 impl Change {
--- a/crates/peridotdeck-core/src/dispatch/registry/roster.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry/roster.rs
@@ -88,7 +88,10 @@
     /// publisher, the entry may have expired because no heartbeat reached the publisher. A draining
     /// endpoint is always removed.
     fn remove(&mut self, id: &str, grace_until: Option<Time>, change: &mut Change) {
-        let Ok(index) = self.find(id) else { return };
+        let Ok(index) = self.find(id) else {
+            change.passed_by.push(id.to_owned());
+            return;
+        };
         match grace_until {
             Some(until) if !self.endpoints[index].draining => {
                 if !self.missing.iter().any(|(missing, _)| missing == id) {
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -30,6 +30,7 @@
 mod older_bytes;
 mod out_of_step;
 mod overload_waits;
+mod passed_removals;
 mod poison;
 mod preemption;
 mod prefix_index;
