--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -2,8 +2,10 @@
 
 mod alone;
 mod bigger;
+mod crowd;
 mod deadly;
 mod limits;
+mod moved;
 mod renewed;
 
 use crate::record::Record;
@@ -13,8 +15,10 @@
     match name {
         "alone" => alone::run(trouble, record),
         "bigger" => bigger::run(trouble, record),
+        "crowd" => crowd::run(trouble, record),
         "deadly" => deadly::run(trouble, record),
         "limits" => limits::run(trouble, record),
+        "moved" => moved::run(trouble, record),
         "renewed" => renewed::run(trouble, record),
         _ => Err(format!("there is no case {name}")),
     }
--- a/review/standins-2/cases/alone.rs
+++ b/review/standins-2/cases/alone.rs
@@ -27,6 +27,9 @@
 const COLD_SLACK: f64 = 5.0;
 const COLD_MS: u64 = 3_000;
 
+/// Requests in a second at which a cold server falls over; the pages say "well above" `coldPerS`.
+const FALLS_AT: usize = 45;
+
 fn config() -> String {
     format!(
         r#"{{"version":7,"routes":[{{"name":"label-tag","host":"desk.example","pathPrefix":"/stream/","kind":"streaming","timeoutMs":3000,"targetLatencyMs":400,"priority":1,"service":"wickmind","maxAttempts":1,"public":false,"sticky":true,"streamResume":false,"gapAimMs":300,"allowedRegions":[]}}],"services":[{{"name":"wickmind","healthPath":"/health","maxConns":620,"protocol":"h1","tls":false,"coldS":3.0,"coldPerS":{COLD_PER_S},"engine":{{"slots":128,"kvCapacityTokens":1026544,"kvBytes":18432,"linkMbps":280000.0,"moves":true,"backups":true,"stride":6,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleTtlS":5.0,"models":[{{"name":"m"}}]}}}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"society","apiKeys":["{KEY}"],"priority":1,"allowedRegions":[]}}]}}"#
@@ -114,7 +117,7 @@
                     let answer = request().send(front);
                     let mut served = served.lock().expect("held briefly");
                     served.0 += 1;
-                    served.1 += u32::from(answer.status == 200);
+                    served.1 += u32::from(answer.status == 200 && answer.whole);
                 }
             })
         })
@@ -122,14 +125,28 @@
     thread::sleep(Duration::from_secs(3));
     // The server comes back cold after a second.
     servers[1].crash();
-    store.remove("servers/i-1");
     thread::sleep(Duration::from_secs(1));
     servers[1].cold_ms = COLD_MS;
     servers[1].start();
     servers[1].register(&store, "ready");
     let cold_from = record.now();
-    thread::sleep(Duration::from_millis(COLD_MS));
-    let cold_until = record.now();
+    let mut cold_until = cold_from + Duration::from_millis(COLD_MS);
+    let mut has_fallen = false;
+    while record.now() < cold_until {
+        thread::sleep(Duration::from_millis(2));
+        let since = record.now().saturating_sub(Duration::from_secs(1));
+        let runs = runs.lock().expect("held briefly");
+        let recent = runs.iter().rev().take_while(|run| run.at >= since);
+        let recent = recent.filter(|run| run.server == "i-1" && run.at >= cold_from).count();
+        drop(runs);
+        if recent >= FALLS_AT {
+            servers[1].crash();
+            record.line(&format!("{recent} requests in a second are too many for the cold server"));
+            has_fallen = true;
+            cold_until = record.now();
+        }
+    }
+    thread::sleep(Duration::from_millis(500));
     ends.store(true, Ordering::Relaxed);
     for client in clients {
         let _ = client.join();
@@ -146,8 +163,8 @@
     let most = at_cold.iter().map(|at| in_second(*at)).max().unwrap_or(0);
     let bound = COLD_PER_S * COLD_OVER + COLD_SLACK;
     let (all, good) = *served.lock().expect("held briefly");
-    record.line(&format!("{most} requests in one second at the cold server, bound {bound}; {good} of {all} served"));
-    println!("{most} requests in one second at the cold server, bound {bound}; {good} of {all} served");
+    record.line(&format!("{most} requests in one second at the cold server, bound {bound}; it fell over: {has_fallen}; {good} of {all} served"));
+    println!("{most} requests in one second at the cold server, bound {bound}; it fell over: {has_fallen}; {good} of {all} served");
     if good * 2 < all {
         return Err("less than half of the requests were served".to_owned());
     }
--- a/review/standins-2/node.rs
+++ b/review/standins-2/node.rs
@@ -155,6 +155,15 @@
         child.try_wait().ok().flatten().map(|status| status.to_string())
     }
 
+    /// Returns the resident memory of the process in kilobytes.
+    pub fn resident_kb(&self) -> u64 {
+        let id = self.child.as_ref().map_or(0, Child::id);
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let words = line.unwrap_or_default().split_whitespace().next();
+        words.and_then(|kilobytes| kilobytes.parse().ok()).unwrap_or(0)
+    }
+
     pub fn front(&self) -> SocketAddrV4 {
         SocketAddrV4::new(self.ip, self.ports.front)
     }
--- a/review/standins-2/server.rs
+++ b/review/standins-2/server.rs
@@ -60,6 +60,7 @@
     /// Parts of prompts in the cache.
     held: Arc<Mutex<Vec<String>>>,
     doomed: Arc<AtomicBool>,
+    leaving: Arc<AtomicBool>,
     runs: Runs,
     record: Record,
 }
@@ -83,6 +84,7 @@
             listener: None,
             held: Arc::default(),
             doomed: Arc::default(),
+            leaving: Arc::default(),
             runs: Arc::clone(runs),
             record: record.clone(),
         };
@@ -95,6 +97,7 @@
         self.born = unix_millis();
         self.held = Arc::default();
         self.doomed = Arc::default();
+        self.leaving = Arc::default();
         let process = Process {
             id: self.id.clone(),
             service: self.service.clone(),
@@ -103,6 +106,7 @@
             stream: self.stream,
             held: Arc::clone(&self.held),
             doomed: Arc::clone(&self.doomed),
+            leaving: Arc::clone(&self.leaving),
             runs: Arc::clone(&self.runs),
             record: self.record.clone(),
         };
@@ -124,6 +128,12 @@
         self.record.line(&format!("server {} crashes", self.id));
     }
 
+    /// Says in all answers from now on that the server leaves.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+        self.record.line(&format!("server {} leaves", self.id));
+    }
+
     /// Returns whether a request is about to crash the server.
     pub fn is_doomed(&self) -> bool {
         self.doomed.load(Ordering::SeqCst)
@@ -147,6 +157,7 @@
     stream: Stream,
     held: Arc<Mutex<Vec<String>>>,
     doomed: Arc<AtomicBool>,
+    leaving: Arc<AtomicBool>,
     runs: Runs,
     record: Record,
 }
@@ -207,15 +218,21 @@
             let mut held = self.held.lock().expect("held briefly");
             held.extend(parts.split(',').filter_map(|part| Some(part.split_once(':')?.0.to_owned())));
         }
-        let fields = format!("Request-Id: {id}\r\nResponse-Seal: {}.{}\r\n", self.id, self.born);
+        let leaving = if self.leaving.load(Ordering::SeqCst) { "Server-Leaving: 1\r\n" } else { "" };
+        let fields = format!("Request-Id: {id}\r\nResponse-Seal: {}.{}\r\n{leaving}", self.id, self.born);
         if path.starts_with("/stream/") {
-            return self.write_stream(stream, &fields, head.get("last-event-id"));
+            let events = if path.ends_with("/short") { 2 } else { self.stream.events };
+            let pace = if path.ends_with("/short") { Duration::from_millis(5) } else { self.stream.pace };
+            return self.write_stream(stream, &fields, head.get("last-event-id"), Stream { events, pace });
+        }
+        if path.ends_with("/report") {
+            return answer(stream, 200, &fields, &vec![b'z'; 600_000]);
         }
-        thread::sleep(Duration::from_millis(30));
+        thread::sleep(Duration::from_millis(if path.ends_with("/booking") { 200 } else { 30 }));
         answer(stream, 200, &fields, format!("answer of {id} by {}", self.id).as_bytes())
     }
 
-    fn write_stream(&self, stream: &mut TcpStream, fields: &str, last: Option<&str>) -> bool {
+    fn write_stream(&self, stream: &mut TcpStream, fields: &str, last: Option<&str>, long: Stream) -> bool {
         let head = format!(
             "HTTP/1.1 200 OK\r\n{fields}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
@@ -223,8 +240,8 @@
             return false;
         }
         let last: u64 = last.and_then(|text| text.parse().ok()).unwrap_or(0);
-        for number in last + 1..=self.stream.events {
-            thread::sleep(self.stream.pace);
+        for number in last + 1..=long.events {
+            thread::sleep(long.pace);
             let event = format!("id: {number}\ndata: {} of {}\n\n", self.version, self.id);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if stream.write_all(chunk.as_bytes()).is_err() {
