--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,8 +1,9 @@
 //! Runs one case of the second review: starts the nodes as processes, and plays the store, the
 //! servers and the clients as threads. Standard library only; `review/build-2.sh` builds it.
 //!
-//! Usage: `world CASE FOLDER`. It exits with 1 if the rule was broken, 0 if it held, and 2 if the
-//! case could not run. With `TROUBLE=0` the disruption is left out.
+//! Usage: `world CASE RECORD`, where RECORD is the file of what was sent, answered and run. It exits
+//! with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` the
+//! disruption is left out.
 
 #![allow(dead_code, reason = "each case uses a part of the stand-ins")]
 
@@ -18,8 +19,8 @@
 
 fn main() {
     let mut words = env::args().skip(1);
-    let (Some(case), Some(folder)) = (words.next(), words.next()) else {
-        eprintln!("usage: world CASE FOLDER");
+    let (Some(case), Some(file)) = (words.next(), words.next()) else {
+        eprintln!("usage: world CASE RECORD");
         exit(2);
     };
     // A stand-in that fails must not leave processes behind.
@@ -29,7 +30,7 @@
         exit(2);
     }));
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
-    let record = record::Record::create(&PathBuf::from(folder).join("record.txt"));
+    let record = record::Record::create(&PathBuf::from(file));
     let outcome = cases::run(&case, trouble, &record);
     let code = match &outcome {
         Ok(true) => 0,
