Log why no version could be named for a stream that was taken up

Callers whose streams were refused after a common restart saw 503, and the log said unknown-stream, whatever the reason was: no cache, caches of two versions, a list that was late, a publisher not read, or a version that had left.

One line for each refusal names the first reason, the endpoints that have not listed their caches since the request came, and the age of the endpoint list. No decision changes.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -11,7 +11,7 @@
         flight::Flight,
         refusal::Cause,
         registry::Area,
-        stream::{self, Entry, Evidence, Resolution, Table, step::CONFIRMED},
+        stream::{self, Doubt, Entry, Evidence, Resolution, Table, step::CONFIRMED},
     },
     id::Time,
 };
@@ -91,7 +91,7 @@
                 self.record_resolution(flight, by, Some(entry.software), now);
                 return None;
             }
-            _ => return Some(self.refuse_unknown(flight, now)),
+            _ => return Some(self.refuse_unknown(flight, Doubt::Contradicted, now)),
         }
         let may_be_only = stream.is_none() && self.may_be_only_version(&flight.service, now);
         if may_be_only && self.is_list_confirmed(now) {
@@ -108,15 +108,18 @@
         if !is_over && (self.ask(flight, stream, now) || may_be_only) {
             return Some(Placement::Wait(Delay::poll(WaitCause::Lookup)));
         }
-        if let Some(software) = cached {
-            self.record_resolution(flight, Evidence::Cache, Some(software), now);
-            return None;
+        match cached {
+            Ok(software) => {
+                self.record_resolution(flight, Evidence::Cache, Some(software), now);
+                None
+            }
+            Err(doubt) => Some(self.refuse_unknown(flight, doubt, now)),
         }
-        Some(self.refuse_unknown(flight, now))
     }
 
     /// Refuses a stream that nothing names a version of, or that is said to have several.
-    fn refuse_unknown(&mut self, flight: &mut Flight, now: Time) -> Placement {
+    fn refuse_unknown(&mut self, flight: &mut Flight, doubt: Doubt, now: Time) -> Placement {
+        flight.doubt = Some(doubt);
         let wait = self.retry_after(flight, now);
         let refusal = give_up(flight, Cause::UnknownStream, Some(wait));
         Placement::Refuse(refusal, Vec::new())
@@ -215,11 +218,14 @@
     /// the prompt, for an earlier request of the session or without an event. So no endpoint of another
     /// version may have it, in a list of now and not of the start; and none may be missing from the
     /// endpoint list.
-    fn cached_version(&mut self, flight: &Flight, now: Time) -> Option<Software> {
+    ///
+    /// # Errors
+    /// The first reason for which no version can be named.
+    fn cached_version(&mut self, flight: &Flight, now: Time) -> Result<Software, Doubt> {
         if !self.versions.is_history_short(now) {
-            return None;
+            return Err(Doubt::Untold);
         }
-        let own = flight.prompt.own?;
+        let own = flight.prompt.own.ok_or(Doubt::Uncached)?;
         let holders = self.prefixes.holders(own).iter();
         let listed = holders.filter_map(|holding| self.state(holding.endpoint));
         let told = self.streams.get(stream::part(own)).iter();
@@ -229,17 +235,24 @@
             .collect();
         versions.sort_unstable();
         versions.dedup();
-        let [software] = versions[..] else {
-            return None;
+        let software = match versions[..] {
+            [software] => software,
+            [] => return Err(Doubt::Uncached),
+            _ => return Err(Doubt::SeveralCached),
         };
         if !self.are_others_listed(flight, software) {
             self.listing.want();
-            return None;
+            return Err(Doubt::Unlisted);
         }
-        let is_certain = self.is_list_confirmed(now)
-            && !self.has_other_left(flight, software, now)
-            && !self.has_unlisted_left(flight, software);
-        is_certain.then_some(software)
+        if !self.is_list_confirmed(now) {
+            return Err(Doubt::Unconfirmed);
+        }
+        let has_left =
+            self.has_other_left(flight, software, now) || self.has_unlisted_left(flight, software);
+        if has_left {
+            return Err(Doubt::Departed);
+        }
+        Ok(software)
     }
 
     /// Returns whether all endpoints of other versions have listed their caches since a request came.
@@ -254,6 +267,15 @@
         others.all(|state| self.listing.shows_since(state.key, flight.arrived))
     }
 
+    /// Returns how many endpoints of a request's service have not listed their caches since it came.
+    #[must_use]
+    pub fn unlisted(&self, flight: &Flight) -> usize {
+        let endpoints = self.endpoints_of(&flight.service);
+        let unlisted =
+            endpoints.filter(|state| !self.listing.shows_since(state.key, flight.arrived));
+        unlisted.count()
+    }
+
     /// Returns whether an endpoint of another version has left whose cache nobody has listed.
     fn has_unlisted_left(&self, flight: &Flight, software: Software) -> bool {
         let mut departed = self.listing.departed().iter();
--- a/crates/peridotdeck-core/src/dispatch/flight.rs
+++ b/crates/peridotdeck-core/src/dispatch/flight.rs
@@ -7,7 +7,7 @@
     config::{Organisation, Route},
     region,
     share::queue::Ticket,
-    stream::Resolution,
+    stream::{Doubt, Resolution},
 };
 use crate::id::{Fingerprint, Time};
 
@@ -86,6 +86,8 @@
     pub software: Option<Software>,
     /// What this version, or the choice of any, was last based on, if the caller takes a stream up.
     pub resolution: Option<Resolution>,
+    /// Why the request was refused, if its stream's version is not known.
+    pub doubt: Option<Doubt>,
     /// Time at which other nodes were last asked for that version.
     pub looked_up: Option<Time>,
     /// Urgency among all requests; 0 is served first.
@@ -139,6 +141,7 @@
             resumes: None,
             software: None,
             resolution: None,
+            doubt: None,
             looked_up: None,
             rank: route.priority,
             urgent: false,
--- a/crates/peridotdeck-core/src/dispatch/stream.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream.rs
@@ -23,7 +23,7 @@
 
 use super::{Key, Prefix};
 
-pub use evidence::{Evidence, Resolution};
+pub use evidence::{Doubt, Evidence, Resolution};
 pub use listing::Listing;
 pub use outbox::Outbox;
 pub use step::Step;
--- a/crates/peridotdeck-core/src/dispatch/stream/evidence.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/evidence.rs
@@ -20,6 +20,26 @@
     Publisher,
 }
 
+/// What kept a node from naming the version of a stream that its caller takes up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Doubt {
+    /// Nodes tell of several versions.
+    Contradicted,
+    /// No node knows the stream, and caches do not count, as peers have known all versions for long.
+    Untold,
+    /// No endpoint is known to hold the last part of the prompt.
+    Uncached,
+    /// Endpoints of several versions hold it.
+    SeveralCached,
+    /// An endpoint of another version has not listed its cache in time.
+    Unlisted,
+    /// The publisher has not shown lately that the endpoint list is complete.
+    Unconfirmed,
+    /// Endpoints of another version have left, and may have run the stream.
+    Departed,
+}
+
 /// A decision on a stream's version, with the facts that were known then.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Resolution {
--- a/crates/peridotdeck-relay/src/forwarding.rs
+++ b/crates/peridotdeck-relay/src/forwarding.rs
@@ -229,6 +229,7 @@
                     Timer::after(delay.time).await;
                 }
                 Placement::Refuse(refusal, exclusions) => {
+                    self.log_unknown();
                     self.log_unplaced(&exclusions);
                     return Err(refusal);
                 }
--- a/crates/peridotdeck-relay/src/forwarding/logging.rs
+++ b/crates/peridotdeck-relay/src/forwarding/logging.rs
@@ -164,6 +164,25 @@
         );
     }
 
+    /// Logs why no version could be named for a stream that was taken up, if that is why it is refused.
+    pub(super) fn log_unknown(&self) {
+        let Some(doubt) = self.flight.doubt else {
+            return;
+        };
+        let now = clock::now();
+        let dispatcher = self.shared.dispatcher();
+        let unlisted = dispatcher.unlisted(&self.flight);
+        let age = dispatcher.registry().age(Area::Roster, now);
+        drop(dispatcher);
+        log::info!(
+            "event=stream_unknown id={} resumes={} doubt={doubt} unlisted={unlisted} roster_age_ms={} ms={}",
+            self.flight.id,
+            self.flight.resumes.as_deref().unwrap_or("none"),
+            age.as_millis(),
+            now.saturating_sub(self.flight.arrived).as_millis(),
+        );
+    }
+
     /// Logs why the request waits, whenever the cause changes.
     pub(super) fn log_waiting(&mut self, delay: &Delay) {
         if self.wait_cause.replace(delay.cause) == Some(delay.cause) {
