Let sessions say at which version their streams may have begun

Cause: a cache shows which version has read the last part of a prompt, not which one began the stream, and a version that has left before a node starts is in no list.

Change: the version of a session is no matter of chance any more. Each session ranks the endpoints by a digest, and its streams begin at the version of the first one while that answers in time. A node that starts reads the changes that the publisher still keeps, so it knows what has left, and in which order endpoints joined and left. A cache decides unless the session ranks the version of an endpoint that left unlisted first, and may have moved there. A removal without an entry counts as of any version. Absent from the history is what left before it.

Tests changed: two let one session be served by both versions through chance, which is gone; they serve sessions by v1 alone first and then beside v2, and now refuse each of those that moved (5 and more) where they refused one.

--- a/crates/peridotdeck-core/src/dispatch.rs
+++ b/crates/peridotdeck-core/src/dispatch.rs
@@ -80,6 +80,14 @@
     digest.digest() as Key
 }
 
+/// Returns the digest of an endpoint's id, which stands for all processes that start under it.
+#[must_use]
+pub fn id_key(id: &str) -> Key {
+    /// Start time that no process has.
+    const ANY_START: u64 = 0;
+    key(id, ANY_START)
+}
+
 /// Returns the digest of a data centre's name.
 #[must_use]
 pub fn data_centre(name: &str) -> DataCentre {
--- a/crates/peridotdeck-core/src/dispatch/config.rs
+++ b/crates/peridotdeck-core/src/dispatch/config.rs
@@ -342,13 +342,19 @@
         }
     }
 
+    /// Returns whether the route's answers are streams that callers may take up.
+    #[must_use]
+    pub fn is_resumable(&self) -> bool {
+        self.kind == Kind::Stream && self.resumable
+    }
+
     /// Returns whether a request that may have run at one endpoint may run at another.
     #[must_use]
     pub fn is_repeatable(&self) -> bool {
         match self.kind {
             Kind::Idempotent => true,
             Kind::NonIdempotent => false,
-            Kind::Stream => self.resumable,
+            Kind::Stream => self.is_resumable(),
         }
     }
 }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -134,6 +134,7 @@
     streams: stream::Table,
     versions: stream::Versions,
     listing: stream::Listing,
+    history: stream::History,
     outbox: stream::Outbox,
     step: stream::Step,
     /// Streams whose versions are to be asked for.
@@ -200,6 +201,7 @@
             streams: stream::Table::default(),
             versions,
             listing: stream::Listing::default(),
+            history: stream::History::default(),
             outbox: stream::Outbox::default(),
             step: stream::Step::default(),
             lookups: Vec::new(),
@@ -269,9 +271,16 @@
     pub fn apply_report(&mut self, report: Report, now: Time) -> Change {
         // Also what has come and gone since the last report.
         let listed = report.facts.iter().filter_map(Fact::endpoint_entry);
-        self.versions.observe(listed, now);
+        self.versions.observe(listed.clone(), now);
+        let listed = listed.filter(|_| self.versions.is_history_short(now));
+        let listed: Vec<registry::Endpoint> = listed.cloned().collect();
         let change = self.registry.apply(report, now);
         self.apply_change(&change, now);
+        for entry in listed {
+            if self.find(entry.key()).is_err() {
+                self.keep_departed(&entry, now);
+            }
+        }
         if change.takes_away() {
             // The publisher may turn other data centres away, whose next round may be seconds off.
             self.fleet.mark_urgent();
@@ -284,6 +293,25 @@
         self.step.confirm(begun);
     }
 
+    /// Records the latest changes of the endpoint list, oldest first, as the publisher has kept them.
+    ///
+    /// They name endpoints that left before this node knew of them.
+    pub fn record_history(&mut self, changes: Vec<stream::Past>, now: Time) {
+        if !self.versions.is_history_short(now) {
+            return;
+        }
+        let (history, states) = (&mut self.history, &self.states);
+        history.record(changes, |key| {
+            states.binary_search_by_key(&key, |state| state.key).is_ok()
+        });
+    }
+
+    /// Returns the number of endpoints that have left while streams of before the start may be open.
+    #[must_use]
+    pub fn departed_count(&self) -> usize {
+        self.history.departed().count()
+    }
+
     /// Adopts a snapshot that a peer sent and returns what it changed.
     pub fn adopt(&mut self, snapshot: registry::Snapshot, now: Time) -> Change {
         let change = self.registry.adopt(snapshot, now);
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/holders.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/holders.rs
@@ -91,7 +91,7 @@
         if !self.versions.is_history_short(now) {
             return;
         }
-        self.listing.depart(endpoint);
+        self.history.depart(endpoint);
         let until = now + self.versions.history_left(now);
         let parts = self.prefixes.held_by(endpoint.key());
         let entries = parts.map(|part| Entry {
@@ -110,11 +110,10 @@
             return;
         }
         let listed = self.registry.endpoints().iter();
-        let all = listed.chain(self.listing.departed());
-        let unknown = all.filter(|endpoint| !self.has_listed(endpoint.key()));
-        let lists: Vec<stream::Id> = unknown
-            .map(|endpoint| stream::list(endpoint.key()))
-            .collect();
+        let departed = self.history.departed().filter_map(stream::Departed::key);
+        let all = listed.map(registry::Endpoint::key).chain(departed);
+        let unknown = all.filter(|key| !self.has_listed(*key));
+        let lists: Vec<stream::Id> = unknown.map(stream::list).collect();
         self.lookups.extend(lists);
     }
 
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -53,6 +53,7 @@
         due.cache_queries = self.cache_queries(now);
         due.snapshot_requests = self.snapshot_requests(now);
         due.confirmation = self.step.begin_read(now);
+        due.history = self.history.begin_read(now);
         due.watch_begun = self.begin_watch(now);
         due.ages = self.registry.ages(now);
         due.crashes = self.crashes.take_notices();
@@ -71,7 +72,7 @@
             self.streams.expire(now);
             self.versions.observe(self.registry.endpoints().iter(), now);
             if !self.versions.is_history_short(now) {
-                self.listing.forget_departed();
+                self.history.forget();
             }
             self.expire_suspicions(now);
         }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/placing.rs
@@ -19,7 +19,7 @@
         endpoint::Load,
         feature::Feature,
         flight::{DecodedRequest, Flight, Target},
-        key as endpoint_key,
+        id_key,
         placement::{Estimate, Exclusion},
         refusal::{Cause, Refusal},
     },
@@ -257,7 +257,7 @@
             || self.fleet.is_isolated(now)
             || !self
                 .fleet
-                .is_among_first(senders, sender_ranking(&state.info.id), now)
+                .is_among_first(senders, id_key(&state.info.id), now)
         {
             return Err(Exclusion::ColdElsewhere);
         }
@@ -333,13 +333,6 @@
     }
 }
 
-/// Returns the key that ranks the nodes of a data centre as senders to an endpoint while cold.
-fn sender_ranking(id: &str) -> Key {
-    /// Start time that stands for all processes under the id.
-    const ANY_START: u64 = 0;
-    endpoint_key(id, ANY_START)
-}
-
 /// Returns the time after which another endpoint is tried, if the request may run again.
 fn hedge_after(flight: &Flight, estimate: &Estimate) -> Option<Duration> {
     let target = flight.route.target;
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/ranking.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/ranking.rs
@@ -208,6 +208,22 @@
         Comparison { endpoints, step }
     }
 
+    /// Moves endpoints of the version at which a session's streams begin to the front.
+    ///
+    /// They must answer within the route's target and not fail more than others do by chance: a caller
+    /// loses more by a late or failed answer now than by a refusal if all nodes should end.
+    fn prefer_session_version(&self, flight: &Flight, ranked: &mut [(Key, Estimate)], now: Time) {
+        let Some(software) = self.session_version(flight) else {
+            return;
+        };
+        let is_preferred = |(key, estimate): &(Key, Estimate)| {
+            let state = self.state(*key).filter(|state| state.software == software);
+            let is_sound = state.is_some_and(|state| state.is_sound(now));
+            is_sound && estimate.time_to_first <= flight.route.target
+        };
+        ranked.sort_by_key(|endpoint| !is_preferred(endpoint));
+    }
+
     /// Returns the eligible endpoints, best first, and the reasons that excluded the others.
     pub(super) fn rank(&mut self, flight: &Flight, service: &Service, now: Time) -> Ranking {
         self.correct_views(&flight.service, now);
@@ -233,6 +249,7 @@
             order.then_with(|| preference(*key).cmp(&preference(*other_key)))
         });
         let choice = step.map_or_else(Choice::default, |step| self.draw(&mut ranked, step));
+        self.prefer_session_version(flight, &mut ranked, now);
         Ranking {
             endpoints: ranked,
             exclusions,
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -5,13 +5,13 @@
 use super::{Dispatcher, waiting::give_up};
 use crate::{
     dispatch::{
-        Software,
+        Prefix, Software,
         attempt::{Attempt, Delay, Placement, WaitCause},
         endpoint::State,
         flight::Flight,
         refusal::Cause,
         registry::Area,
-        stream::{self, Doubt, Entry, Evidence, Resolution, Table, step::CONFIRMED},
+        stream::{self, Doubt, Entry, Evidence, Resolution, Table, session, step::CONFIRMED},
     },
     id::Time,
 };
@@ -216,8 +216,8 @@
     ///
     /// An endpoint that ran the stream has, also after all nodes have ended. But so has one that only read
     /// the prompt, for an earlier request of the session or without an event. So no endpoint of another
-    /// version may have it, in a list of now and not of the start; and none may be missing from the
-    /// endpoint list.
+    /// version may have it, in a list of now and not of the start; none may be missing from the endpoint
+    /// list; and the session's streams may not have begun at one that has left.
     ///
     /// # Errors
     /// The first reason for which no version can be named.
@@ -247,9 +247,11 @@
         if !self.is_list_confirmed(now) {
             return Err(Doubt::Unconfirmed);
         }
-        let has_left =
-            self.has_other_left(flight, software, now) || self.has_unlisted_left(flight, software);
-        if has_left {
+        if !self.history.is_read() {
+            self.history.want();
+            return Err(Doubt::Unread);
+        }
+        if self.may_have_begun_elsewhere(flight, own, software) {
             return Err(Doubt::Departed);
         }
         Ok(software)
@@ -276,20 +278,34 @@
         unlisted.count()
     }
 
-    /// Returns whether an endpoint of another version has left whose cache nobody has listed.
-    fn has_unlisted_left(&self, flight: &Flight, software: Software) -> bool {
-        let mut departed = self.listing.departed().iter();
-        departed.any(|endpoint| {
-            endpoint.service == flight.service
-                && endpoint.software() != software
-                && !self.has_listed(endpoint.key())
-        })
+    /// Returns whether a stream may have begun at an endpoint of another version that has left unlisted.
+    fn may_have_begun_elsewhere(&self, flight: &Flight, own: Prefix, software: Software) -> bool {
+        let service = flight.service.as_str();
+        let lasting = self.lasting(service).map(|state| &state.info);
+        let has_listed = |key| self.has_listed(key);
+        self.history
+            .may_have_begun(own, (service, software), lasting, has_listed)
+    }
+
+    /// Returns the version at which the streams of a request's session begin, if there are several.
+    ///
+    /// None if the request begins no stream that its caller may take up, or has no part of its own.
+    pub(super) fn session_version(&self, flight: &Flight) -> Option<Software> {
+        let own = flight.prompt.own?;
+        if flight.goes_on() || !flight.route.is_resumable() {
+            return None;
+        }
+        let mut lasting = self.lasting(&flight.service);
+        let rank = |state: &&State| session::rank(own, &state.info.id);
+        let first = lasting.clone().max_by_key(rank)?.software;
+        let is_mixed = lasting.any(|state| state.software != first);
+        is_mixed.then_some(first)
     }
 
-    /// Returns whether another version of a request's service is known to have been there, and is gone.
-    fn has_other_left(&self, flight: &Flight, software: Software, now: Time) -> bool {
-        self.versions.is_mixed(&flight.service, now)
-            && self.others(flight, software).next().is_none()
+    /// Returns the endpoints of a service that are not about to leave.
+    fn lasting(&self, service: &str) -> impl Iterator<Item = &State> + Clone {
+        let endpoints = self.endpoints_of(service);
+        endpoints.filter(|state| !state.info.draining && !state.is_departing())
     }
 
     /// Returns the endpoints of a request's service that run another version.
--- a/crates/peridotdeck-core/src/dispatch/due.rs
+++ b/crates/peridotdeck-core/src/dispatch/due.rs
@@ -48,6 +48,8 @@
     pub confirmation: bool,
     /// Changes since the last tick of what is blamed for crashes.
     pub crashes: Vec<Notice>,
+    /// Whether to read the publisher's latest changes, to learn which endpoints have left.
+    pub history: bool,
     /// Heartbeats to send, each with the peers that receive it.
     pub heartbeats: Vec<Broadcast>,
     /// Changes of the paths to endpoints since the last tick.
--- a/crates/peridotdeck-core/src/dispatch/endpoint.rs
+++ b/crates/peridotdeck-core/src/dispatch/endpoint.rs
@@ -16,6 +16,9 @@
 /// Weight of the newest answer in the moving average of the slowdown.
 const NEWEST_WEIGHT: f64 = 0.1;
 
+/// Share of failed attempts that any endpoint may show by chance.
+pub const CHANCE_FAILURE_SHARE: f64 = 0.15;
+
 /// Bounds of the slowdown of one answer, so that a single one cannot dominate the average.
 const SLOWDOWN_RANGE: (f64, f64) = (0.5, 12.0);
 
@@ -251,6 +254,13 @@
         self.departing
     }
 
+    /// Returns whether the endpoint answers, and fails no more than any endpoint may by chance.
+    #[must_use]
+    pub fn is_sound(&self, now: Time) -> bool {
+        let fails = self.failure_rate(now) > CHANCE_FAILURE_SHARE;
+        !fails && !self.is_silent(now) && !self.path.is_suspected()
+    }
+
     /// Marks the endpoint as departing, which never ends.
     pub fn mark_departing(&mut self) {
         self.departing = true;
--- a/crates/peridotdeck-core/src/dispatch/placement.rs
+++ b/crates/peridotdeck-core/src/dispatch/placement.rs
@@ -15,7 +15,7 @@
 use super::{
     Key,
     config::{Model, Service},
-    endpoint::{Load, State},
+    endpoint::{CHANCE_FAILURE_SHARE, Load, State},
     flight::Flight,
     lending::Levels,
     speed::{Pace, Usual},
@@ -106,9 +106,6 @@
 /// Score of an endpoint whose attempts all fail, in targets of the route.
 const FAILURE_TARGETS: f64 = 5.0;
 
-/// Share of failed attempts that any endpoint may show by chance, which adds no score.
-const CHANCE_FAILURE_SHARE: f64 = 0.15;
-
 /// Score of an endpoint whose connection has just broken without an answer.
 const SUSPECTED_SCORE_MS: f64 = 80.0;
 
--- a/crates/peridotdeck-core/src/dispatch/registry/endpoint.rs
+++ b/crates/peridotdeck-core/src/dispatch/registry/endpoint.rs
@@ -107,6 +107,20 @@
         software(&self.version)
     }
 
+    /// Returns whether another endpoint runs the same version of the same service.
+    #[must_use]
+    pub fn is_same_build(&self, other: &Self) -> bool {
+        self.service == other.service && self.version == other.version
+    }
+
+    /// Returns whether the process may have started after one that started at `born`.
+    ///
+    /// An entry without a start may be of any time.
+    #[must_use]
+    pub fn may_be_younger_than(&self, born: u64) -> bool {
+        self.born == 0 || self.born > born
+    }
+
     /// Returns whether this entry describes a later state than another entry of the same id.
     ///
     /// A process that drains never stops to, and a later process has a later start.
--- a/crates/peridotdeck-core/src/dispatch/stream.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream.rs
@@ -13,8 +13,11 @@
 //! `docs/design/VERSIONS.md` compares the ways to know the version.
 
 mod evidence;
+mod history;
 mod listing;
+mod origin;
 mod outbox;
+pub mod session;
 pub(super) mod step;
 mod table;
 mod versions;
@@ -24,6 +27,7 @@
 use super::{Key, Prefix};
 
 pub use evidence::{Doubt, Evidence, Resolution};
+pub use history::{Departed, History, Past};
 pub use listing::Listing;
 pub use outbox::Outbox;
 pub use step::Step;
--- a/crates/peridotdeck-core/src/dispatch/stream/evidence.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/evidence.rs
@@ -36,7 +36,9 @@
     Unlisted,
     /// The publisher has not shown lately that the endpoint list is complete.
     Unconfirmed,
-    /// Endpoints of another version have left, and may have run the stream.
+    /// The publisher's history has not been read, so endpoints may have left that nobody knows of.
+    Unread,
+    /// An endpoint of another version has left at which the stream may have begun.
     Departed,
 }
 
--- a/crates/peridotdeck-core/src/dispatch/stream/listing.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/listing.rs
@@ -3,13 +3,11 @@
 //! Where there are too many endpoints for one node, each node lists some of them and tells others of
 //! the parts, by the parts' digests, and of the endpoints that have listed theirs. So the list of all
 //! is shared out, and a node that needs to know who holds a part asks the same nodes.
-//!
-//! Endpoints that leave stay known here: one that has not listed its cache may have run any stream.
 
 use std::time::Duration;
 
 use crate::{
-    dispatch::{Key, Prefix, registry},
+    dispatch::{Key, Prefix},
     id::Time,
 };
 
@@ -40,7 +38,6 @@
     is_wanted: bool,
     repeated: Option<Time>,
     is_partial: bool,
-    departed: Vec<registry::Endpoint>,
     begun: Option<Time>,
     turns: usize,
     parts: Vec<(Key, Vec<Prefix>)>,
@@ -96,22 +93,6 @@
         self.shows_since(key, Time::ZERO)
     }
 
-    /// Keeps an endpoint that has left.
-    pub fn depart(&mut self, endpoint: &registry::Endpoint) {
-        self.departed.push(endpoint.clone());
-    }
-
-    /// Returns the endpoints that have left.
-    #[must_use]
-    pub fn departed(&self) -> &[registry::Endpoint] {
-        &self.departed
-    }
-
-    /// Forgets the endpoints that have left, since no stream from before the start is open any more.
-    pub fn forget_departed(&mut self) {
-        self.departed.clear();
-    }
-
     fn call(&mut self, key: Key) -> &mut Call {
         let index = match self.calls.binary_search_by_key(&key, |call| call.key) {
             Ok(index) => index,
--- a/crates/peridotdeck-core/tests/testsuite/common_restarts.rs
+++ b/crates/peridotdeck-core/tests/testsuite/common_restarts.rs
@@ -3,7 +3,11 @@
 //! Nobody is left who knows the software versions of before. A node that refuses what it does not know
 //! loses streams, and one that guesses joins events of two versions.
 
-use crate::{dispatch::ms, software_versions::endpoints, world::World};
+use crate::{
+    dispatch::ms,
+    software_versions::{endpoints, serve_at_both_versions},
+    world::World,
+};
 
 /// Returns nodes before endpoints of one version, which have all ended and started again.
 fn restarted(nodes: usize, endpoints: usize, seed: u64) -> World {
@@ -164,14 +168,16 @@
     let mut world = World::new(7, 3, 4);
     world.callers.0.clear();
     large_service(&mut world, 20, 20);
-    for at in 0..60 {
-        world.stream_of(at % 7, &format!("a{at}"), None, Some(7));
-    }
+    let both: Vec<_> = world.endpoints.iter().map(|one| one.info.clone()).collect();
+    let moved = serve_at_both_versions(&mut world, &both);
     world.restart_all();
     world.run(ms(2_000));
-    for node in 0..7 {
-        let went_on = world.stream_of(node, &format!("b{node}"), Some("a1"), Some(7));
-        assert_eq!(went_on, None, "node {node}");
+    for session in moved {
+        for node in 0..7 {
+            let (id, began) = (format!("b{session}-{node}"), format!("a{session}"));
+            let went_on = world.stream_of(node, &id, Some(&began), Some(session));
+            assert_eq!(went_on, None, "{id}");
+        }
     }
 }
 
--- a/crates/peridotdeck-core/tests/testsuite/main.rs
+++ b/crates/peridotdeck-core/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod handover;
 mod joined_versions;
 mod late_requests;
+mod left_versions;
 mod limit_shares;
 mod lost_watchers;
 mod membership;
--- a/crates/peridotdeck-core/tests/testsuite/software_versions.rs
+++ b/crates/peridotdeck-core/tests/testsuite/software_versions.rs
@@ -3,7 +3,7 @@
 //! A stream goes on at its node after a break, or its caller takes it up at any node, also after the
 //! first node has ended. A node that does not know its version joins events that do not fit together.
 
-use peridotdeck_core::dispatch::registry::Endpoint;
+use peridotdeck_core::dispatch::{Prefix, registry::Endpoint};
 
 use crate::{
     dispatch::{endpoint, ms},
@@ -25,6 +25,27 @@
     listed.collect()
 }
 
+/// Lets the old version serve sessions alone, and then both; returns the sessions that have moved.
+///
+/// The request `a` with the session's number begins the later stream.
+pub fn serve_at_both_versions(world: &mut World, both: &[Endpoint]) -> Vec<Prefix> {
+    let old = both.iter().filter(|endpoint| endpoint.version == "v1");
+    let mut moved = Vec::new();
+    for (name, listed) in [("first", old.cloned().collect()), ("a", both.to_vec())] {
+        world.publish(listed);
+        world.run(ms(500));
+        moved.clear();
+        for session in 0..40 {
+            let node = session as usize % world.nodes.len();
+            let id = format!("{name}{session}");
+            let version = world.stream_of(node, &id, None, Some(session));
+            moved.extend((version.as_deref() == Some("v2")).then_some(session));
+        }
+    }
+    assert!(moved.len() > 5, "{} sessions", moved.len());
+    moved
+}
+
 /// Returns nodes before three endpoints of each of two versions.
 fn rollout(nodes: usize, seed: u64) -> World {
     let mut world = World::new(nodes, 3, seed);
@@ -225,19 +246,17 @@
 #[test]
 fn stream_of_a_session_at_both_versions_is_refused() {
     let mut world = rollout(7, 6);
-    let own = Some(7);
-    let mut versions = Vec::new();
-    for at in 0..40 {
-        versions.extend(world.stream_of(at % 7, &format!("a{at}"), None, own));
-    }
-    versions.sort_unstable();
-    versions.dedup();
-    assert_eq!(versions.len(), 2);
+    let both: Vec<Endpoint> = world.endpoints.iter().map(|one| one.info.clone()).collect();
+    let moved = serve_at_both_versions(&mut world, &both);
     world.restart_all();
     for node in 0..7 {
         world.list_caches(node);
     }
-    assert_eq!(world.stream_of(1, "b", Some("a1"), own), None);
+    for session in moved {
+        let (id, began) = (format!("b{session}"), format!("a{session}"));
+        let went_on = world.stream_of(1, &id, Some(&began), Some(session));
+        assert_eq!(went_on, None, "{id}");
+    }
 }
 
 /// The old version had just left when all nodes ended, and its streams went on at the new one.
--- a/crates/peridotdeck-core/tests/testsuite/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world.rs
@@ -16,6 +16,7 @@
     attempt::{Attempt, End, Placement},
     flight::Flight,
     rate::Terms,
+    stream::Past,
 };
 use peridotdeck_wire::{beat::Beat, pack};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -94,6 +95,10 @@
     pub deaf: Vec<usize>,
     /// Reads of the publisher on behalf of streams: when one began, and the node.
     reads: Vec<(Duration, usize)>,
+    /// Nodes that have asked for the latest changes of the endpoint list.
+    history_reads: Vec<usize>,
+    /// Changes of the endpoint list, which the publisher keeps for a while.
+    history: Vec<(Duration, Past)>,
     pub read_count: usize,
     /// Bytes of messages that tell of streams or ask for them, in a data centre and between them.
     pub told_bytes: [usize; 2],
@@ -143,9 +148,13 @@
             stopped: Vec::new(),
             deaf: Vec::new(),
             reads: Vec::new(),
+            history_reads: Vec::new(),
+            history: Vec::new(),
             read_count: 0,
             told_bytes: [0; 2],
         };
+        let infos: Vec<_> = world.endpoints.iter().map(|one| one.info.clone()).collect();
+        world.keep_changes(&[], &infos);
         world.nodes = (0..nodes).map(|index| Some(world.node(index))).collect();
         world.run(ms(2_000));
         world
@@ -213,6 +222,7 @@
                 self.fetch(index, &due.snapshot_requests);
                 self.reads
                     .extend(due.confirmation.then_some((self.now, index)));
+                self.history_reads.extend(due.history.then_some(index));
             }
         }
         let now = self.now;
--- a/crates/peridotdeck-relay/src/node.rs
+++ b/crates/peridotdeck-relay/src/node.rs
@@ -222,6 +222,10 @@
             let (shared, publisher) = (Arc::clone(shared), publisher.clone());
             task::spawn(async move { confirm_roster(&shared, &publisher).await });
         }
+        if due.history {
+            let (shared, publisher) = (Arc::clone(shared), publisher.clone());
+            task::spawn(async move { read_history(&shared, &publisher).await });
+        }
         for query in due.cache_queries {
             let shared = Arc::clone(shared);
             task::spawn(async move { exchange::fetch_cache_list(&shared, query).await });
@@ -271,6 +275,20 @@
     }
 }
 
+/// Reads which endpoints have left, as streams of before the start may have begun there.
+async fn read_history<I: Ingress, P: Publisher>(shared: &Arc<Shared<I>>, publisher: &P) {
+    let begun = clock::now();
+    if let Err(cause) = publisher.read_history(Arc::clone(shared)).await {
+        log::info!("event=history_unread cause=\"{cause}\"");
+        return;
+    }
+    let departed = shared.dispatcher().departed_count();
+    log::info!(
+        "event=history_read departed={departed} ms={}",
+        clock::now().saturating_sub(begun).as_millis()
+    );
+}
+
 /// Waits for a termination signal; until then, applies changes of the seeds.
 async fn wait_for_signal<I: Ingress, R>(mut signals: Signals, shared: &Shared<I>, reload: R)
 where
--- a/crates/peridotdeck-relay/src/publisher.rs
+++ b/crates/peridotdeck-relay/src/publisher.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use peridotdeck_core::dispatch::registry::{Area, Position, Report};
+use peridotdeck_core::dispatch::{
+    registry::{Area, Position, Report},
+    stream::Past,
+};
 use peridotdeck_io::budget::Budget;
 
 /// Receiver of a publisher's reports, which the node implements.
@@ -10,6 +13,9 @@
     /// Reports published facts.
     fn report(&self, report: Report);
 
+    /// Reports the latest changes of the endpoint list, oldest first, also those of before the last read.
+    fn report_history(&self, changes: Vec<Past>);
+
     /// Reports that a read of an area failed, with the cause for the log.
     fn report_failure(&self, area: Area, cause: &str);
 
@@ -41,4 +47,12 @@
         area: Area,
         sink: Arc<S>,
     ) -> impl Future<Output = Result<(), String>> + Send;
+
+    /// Reports the changes of the endpoint list that the publisher still keeps.
+    ///
+    /// Returns the cause if they cannot be read.
+    fn read_history<S: Sink>(
+        &self,
+        sink: Arc<S>,
+    ) -> impl Future<Output = Result<(), String>> + Send;
 }
--- a/crates/peridotdeck-relay/src/shared.rs
+++ b/crates/peridotdeck-relay/src/shared.rs
@@ -16,6 +16,7 @@
     detour::{self, Change},
     rate::News,
     registry::{self, Area, Endpoint, Position, Report},
+    stream::Past,
 };
 use peridotdeck_io::{budget::Budget, connections::Connections};
 
@@ -300,6 +301,11 @@
         self.handle_change(&change, "publisher");
     }
 
+    fn report_history(&self, changes: Vec<Past>) {
+        let mut dispatcher = self.dispatcher();
+        dispatcher.record_history(changes, clock::now());
+    }
+
     fn report_failure(&self, area: Area, cause: &str) {
         let count = self.failure_count(area).fetch_add(1, Ordering::Relaxed);
         if count == 0 {
