Wait for evidence of a stream's version while it is on its way

Cause, by event=stream_unknown: of 444 refused streams 217 waited for lists of caches. A list must be of after the request, lists are a quarter of a second apart, and those of another region took about as long again, but a stream waited for 250 ms in all. Beside 18 endpoints a node listed 16 of them only.

Change: where only a list or a read of the publisher is missing, a stream waits for up to 1 s. A node lists up to 32 endpoints, which holds a rollout of 16, and reads the history when it lists caches, not when the first stream comes.

Evidence: left_versions::streams_wait_for_lists_that_take_a_while, 7 nodes, lists of 300 ms: 1 of 30 go on before, 30 of 30 now, none mixed.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -327,6 +327,9 @@
             self.versions.observe(self.registry.endpoints().iter(), now);
         }
         let query_caches = self.states.is_empty() && self.options.is_restart;
+        if query_caches {
+            self.history.want();
+        }
         for endpoint in &change.removed {
             self.remove(endpoint, now);
         }
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -18,7 +18,7 @@
 const CLEAN_UP_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Number of endpoints whose cached prefixes a node queries after its start.
-const MAX_CACHE_QUERIES: usize = 16;
+const MAX_CACHE_QUERIES: usize = 32;
 
 impl Dispatcher {
     /// Performs the periodic work and returns the actions that are due.
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -22,6 +22,11 @@
 /// Longest wait for other nodes to say which version began a stream.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Longest wait for lists of caches and reads of the publisher, where these decide.
+///
+/// Lists are at most a quarter of a second apart, and another region's take as long to come.
+const EVIDENCE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time after which other nodes are asked again, since messages may be lost.
 const LOOKUP_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -104,7 +109,11 @@
         }
         // The lists of caches are asked for together with the peers, and count only if none of these knows.
         let cached = self.cached_version(flight, now);
-        let is_over = now.saturating_sub(flight.arrived) >= LOOKUP_TIMEOUT;
+        let timeout = match cached {
+            Err(doubt) if doubt.may_pass() => EVIDENCE_TIMEOUT,
+            _ => LOOKUP_TIMEOUT,
+        };
+        let is_over = now.saturating_sub(flight.arrived) >= timeout;
         if !is_over && (self.ask(flight, stream, now) || may_be_only) {
             return Some(Placement::Wait(Delay::poll(WaitCause::Lookup)));
         }
--- a/crates/peridotdeck-core/src/dispatch/stream/evidence.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/evidence.rs
@@ -42,6 +42,14 @@
     Departed,
 }
 
+impl Doubt {
+    /// Returns whether what is missing has been asked for and may come soon.
+    #[must_use]
+    pub fn may_pass(self) -> bool {
+        matches!(self, Self::Unlisted | Self::Unconfirmed | Self::Unread)
+    }
+}
+
 /// A decision on a stream's version, with the facts that were known then.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Resolution {
--- a/crates/peridotdeck-core/tests/testsuite/left_versions.rs
+++ b/crates/peridotdeck-core/tests/testsuite/left_versions.rs
@@ -146,3 +146,24 @@
         }
     }
 }
+
+/// Guards against refusals of sound streams, because endpoints of other regions take a while to list their caches.
+#[test]
+fn streams_wait_for_lists_that_take_a_while() {
+    for nodes in [7, 60] {
+        let mut world = world(nodes, 5);
+        world.publish(endpoints(&[OLD, NEW].concat()));
+        world.run(ms(1_500));
+        let versions = begin(&mut world, "begun");
+        world.listing_time = ms(300);
+        world.restart_all();
+        world.run(ms(500));
+        for version in ["v1", "v2"] {
+            let counts = take_up(&mut world, &versions, version);
+            assert!(
+                10 * counts.going >= 9 * counts.begun && counts.mixed == 0,
+                "{nodes} nodes, {version}, {counts:?}"
+            );
+        }
+    }
+}
--- a/crates/peridotdeck-core/tests/testsuite/world.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world.rs
@@ -66,6 +66,9 @@
     pub lost: Vec<(usize, usize)>,
     /// Software versions whose endpoints do not list their caches.
     pub unlisted: Vec<&'static str>,
+    /// Time that an endpoint takes to list its cache, and the lists that are due.
+    pub listing_time: Duration,
+    listings: Vec<(Duration, usize, Vec<Key>)>,
     /// Time by which heartbeats are late.
     pub late: Duration,
     pub endpoints: Vec<Endpoint>,
@@ -129,6 +132,8 @@
             groups: vec![0; nodes],
             lost: Vec::new(),
             unlisted: Vec::new(),
+            listing_time: Duration::ZERO,
+            listings: Vec::new(),
             late: Duration::ZERO,
             endpoints: endpoints.collect(),
             callers: ((0..nodes).collect(), 4.0),
@@ -174,6 +179,7 @@
     pub fn kill(&mut self, index: usize) {
         self.nodes[index] = None;
         self.heartbeats.retain(|(_, to, _)| *to != index);
+        self.listings.retain(|(_, node, _)| *node != index);
         self.open.retain(|open| open.node != index);
         self.waiting.retain(|(_, node, _)| *node != index);
     }
@@ -218,7 +224,8 @@
                 self.rate_changes += due.rates.len();
                 self.schedule_paths(index, &due);
                 self.send(index, copies(due.heartbeats));
-                self.answer_queries(index, &queried);
+                self.listings
+                    .push((self.now + self.listing_time, index, queried));
                 self.fetch(index, &due.snapshot_requests);
                 self.reads
                     .extend(due.confirmation.then_some((self.now, index)));
@@ -226,6 +233,10 @@
             }
         }
         let now = self.now;
+        let due = self.listings.extract_if(.., |(at, ..)| *at <= now);
+        for (_, index, keys) in due.collect::<Vec<_>>() {
+            self.answer_queries(index, &keys);
+        }
         let arrived: Vec<_> = self
             .heartbeats
             .extract_if(.., |(at, to, _)| *at <= now && !self.stopped.contains(to))
