Ask endpoints which prompts they have evicted

Callers saw: a request was tried at v1, which read the prompt and closed, and its stream began at v2.

Cause: an endpoint's list shows what it holds, not what it has read. Eviction makes the version that ran the stream look like one that never saw it. It also hides the only evidence of sound streams, which were refused.

Change: a node that starts also asks each endpoint once, before its list, for the latest changes of its cache. What was evicted counts as read by its version, and is told on when the endpoint leaves. An endpoint that reports none counts by its list alone.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/holders.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/holders.rs
@@ -7,7 +7,7 @@
 use super::{Dispatcher, batch, peers::millis};
 use crate::{
     dispatch::{
-        DataCentre, Key, Node, data_centre,
+        DataCentre, Key, Node, Prefix, Software, data_centre,
         fleet::Broadcast,
         registry,
         stream::{self, Entry},
@@ -92,11 +92,21 @@
             return;
         }
         self.history.depart(endpoint);
+        let parts: Vec<Prefix> = self.prefixes.held_by(endpoint.key()).collect();
+        self.keep_read_parts(endpoint.software(), parts.into_iter(), now);
+    }
+
+    /// Remembers the parts that a version has read, while streams of before the start may be open.
+    pub(super) fn keep_read_parts(
+        &mut self,
+        software: Software,
+        parts: impl Iterator<Item = Prefix>,
+        now: Time,
+    ) {
         let until = now + self.versions.history_left(now);
-        let parts = self.prefixes.held_by(endpoint.key());
         let entries = parts.map(|part| Entry {
             stream: stream::part(part),
-            software: endpoint.software(),
+            software,
             until,
             told: true,
             is_own: false,
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -130,6 +130,21 @@
         }
     }
 
+    /// Returns whether the evictions of an endpoint matter that is about to list its cache.
+    ///
+    /// They do once after a start in a fleet that has run before.
+    #[must_use]
+    pub fn needs_evictions(&self, key: Key, now: Time) -> bool {
+        self.versions.is_history_short(now) && !self.listing.shows(key)
+    }
+
+    /// Records the prompt prefixes that an endpoint has evicted, which it has read nevertheless.
+    pub fn record_evicted(&mut self, key: Key, parts: &[Prefix], now: Time) {
+        if let Some(software) = self.state(key).map(|state| state.software) {
+            self.keep_read_parts(software, parts.iter().copied(), now);
+        }
+    }
+
     /// Treats an endpoint as cold that is reachable again.
     ///
     /// It may have restarted while it was unreachable, and its new entry may not be known yet.
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -298,10 +298,12 @@
 
     /// Returns the version at which the streams of a request's session begin, if there are several.
     ///
-    /// None if the request begins no stream that its caller may take up, or has no part of its own.
+    /// None if the request begins no stream that its caller may take up, or has no part of its own. None
+    /// either once an attempt has failed: the version may be at fault, and its other endpoints would
+    /// fail too.
     pub(super) fn session_version(&self, flight: &Flight) -> Option<Software> {
         let own = flight.prompt.own?;
-        if flight.goes_on() || !flight.route.is_resumable() {
+        if flight.goes_on() || flight.has_failed || !flight.route.is_resumable() {
             return None;
         }
         let mut lasting = self.lasting(&flight.service);
--- a/crates/peridotdeck-relay/src/exchange.rs
+++ b/crates/peridotdeck-relay/src/exchange.rs
@@ -46,6 +46,9 @@
 /// Longest time to fetch the list of prompt prefixes that an endpoint has cached.
 const CACHE_LIST_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest time to fetch what an endpoint has evicted, for which its list waits.
+const CACHE_CHANGES_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Longest idle time of a connection that is reused for a request which may run again.
 ///
 /// The pool's own limits are shorter.
@@ -334,15 +337,45 @@
     }
 }
 
+/// Fetches the prompt prefixes that an endpoint has evicted lately, and records them.
+///
+/// Endpoints need not report them; their lists count all the same.
+async fn fetch_evictions<I: Ingress>(shared: &Shared<I>, query: CacheQuery, client: &mut Client) {
+    let Some(path) = shared.ingress.cache_changes_path() else {
+        return;
+    };
+    let read = client.get(path, CACHE_CHANGES_TIMEOUT).await;
+    let evicted = read.map_err(|cause| cause.to_string());
+    let evicted = evicted.and_then(|response| {
+        let evicted = shared.ingress.decode_evicted(response.body());
+        evicted.map_err(|cause| cause.to_string())
+    });
+    let key = query.key;
+    match evicted {
+        Ok(parts) => {
+            let count = parts.len();
+            log::info!("event=evictions_reported endpoint_key={key:08x} parts={count}");
+            shared
+                .dispatcher()
+                .record_evicted(key, &parts, clock::now());
+        }
+        Err(cause) => {
+            log::info!("event=evictions_unreported endpoint_key={key:08x} cause=\"{cause}\"");
+        }
+    }
+}
+
 /// Fetches the list of prompt prefixes that an endpoint has cached, and records it.
 pub async fn fetch_cache_list<I: Ingress>(shared: &Arc<Shared<I>>, query: CacheQuery) {
     let Some(path) = shared.ingress.cache_list_path() else {
         return;
     };
     let holder = memory::of_endpoint(query.key);
-    let read = Client::new(query.address, shared.memory.clone(), holder)
-        .get(path, CACHE_LIST_TIMEOUT)
-        .await;
+    let mut client = Client::new(query.address, shared.memory.clone(), holder);
+    if shared.dispatcher().needs_evictions(query.key, clock::now()) {
+        fetch_evictions(shared, query, &mut client).await;
+    }
+    let read = client.get(path, CACHE_LIST_TIMEOUT).await;
     let list = match read {
         Ok(response) => shared
             .ingress
--- a/crates/peridotdeck-relay/src/ingress.rs
+++ b/crates/peridotdeck-relay/src/ingress.rs
@@ -88,6 +88,15 @@
     /// If the body is not such a list.
     fn decode_cache_list(&self, body: &[u8]) -> Result<Vec<Prefix>, serde_json::Error>;
 
+    /// Returns the path at which endpoints report the latest changes of their caches, if they do.
+    fn cache_changes_path(&self) -> Option<&str>;
+
+    /// Decodes the prompt prefixes that an endpoint has evicted, from its report of the latest changes.
+    ///
+    /// # Errors
+    /// If the body is not such a report.
+    fn decode_evicted(&self, body: &[u8]) -> Result<Vec<Prefix>, serde_json::Error>;
+
     /// Returns the path at which an endpoint reports while it lives.
     fn report_path(&self) -> &'static str;
 
