--- a/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/outcomes.rs
@@ -215,7 +215,7 @@
             }
             Verdict::MayHaveRun | Verdict::Ran => {
                 flight.runs += 1;
-                flight.has_failed = true;
+                flight.failures += 1;
                 let suspected = self.suspicion(flight) >= crashes::RETRY_LIMIT;
                 if flight.may_run_after(flight.runs)
                     && flight.time_left(now) > MIN_ATTEMPT_TIME
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/ranking.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/ranking.rs
@@ -221,7 +221,7 @@
             let is_sound = state.is_some_and(|state| state.is_sound(now));
             is_sound && estimate.time_to_first <= flight.route.target
         };
-        ranked.sort_by_key(|endpoint| !is_preferred(endpoint));
+        ranked.sort_by_cached_key(|endpoint| !is_preferred(endpoint));
     }
 
     /// Returns the eligible endpoints, best first, and the reasons that excluded the others.
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -303,7 +303,7 @@
     /// fail too.
     pub(super) fn session_version(&self, flight: &Flight) -> Option<Software> {
         let own = flight.prompt.own?;
-        if flight.goes_on() || flight.has_failed || !flight.route.is_resumable() {
+        if flight.goes_on() || flight.failures > 0 || !flight.route.is_resumable() {
             return None;
         }
         let mut lasting = self.lasting(&flight.service);
--- a/crates/peridotdeck-core/src/dispatch/flight.rs
+++ b/crates/peridotdeck-core/src/dispatch/flight.rs
@@ -116,8 +116,8 @@
     pub tried: Vec<Key>,
     /// Number of attempts that ran or may have run.
     pub runs: u32,
-    /// Whether an attempt that may have run has failed, other than by silence.
-    pub has_failed: bool,
+    /// Number of attempts that ran or may have run and failed, other than by silence.
+    pub failures: u32,
     /// Number of attempts that were sent to an endpoint and did not run there.
     pub rejections: u32,
     /// Time at which the request began to wait for an eligible endpoint, if it waits.
@@ -158,7 +158,7 @@
             service: String::new(),
             tried: Vec::new(),
             runs: 0,
-            has_failed: false,
+            failures: 0,
             rejections: 0,
             waiting_since: None,
             route,
