Keep the cost of a start in a large fleet as it was

Suspected cause: beside 66 endpoints each node that starts listed 32 caches in place of 16, asked each for its evictions as well, and read the publisher's history. Lists delay the endpoints just when all nodes come back.

Up to 32 endpoints nothing changes.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher.rs
@@ -51,9 +51,10 @@
 use std::time::Duration;
 
 pub use explain::{Explanation, Query, Unknown};
+use maintenance::MAX_CACHE_QUERIES;
 use probes::Schedule;
 use quarantine::{Begun, Suspicion};
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rand::{SeedableRng, rngs::SmallRng};
 use rates::Grant;
 use speeds::Speeds;
 
@@ -77,9 +78,6 @@
 /// Expected time of a plain service's answer before the first sample, in milliseconds.
 const INITIAL_PLAIN_ANSWER_MS: f64 = 40.0;
 
-/// Time for each endpoint over which nodes that start together spread their reads of the publisher's history.
-const HISTORY_SPREAD: Duration = Duration::from_millis(10);
-
 /// Expected time of a complete answer before the first sample, in milliseconds.
 const INITIAL_WHOLE_ANSWER_MS: f64 = 2_000.0;
 
@@ -330,10 +328,9 @@
             self.versions.observe(self.registry.endpoints().iter(), now);
         }
         let query_caches = self.states.is_empty() && self.options.is_restart;
-        if query_caches {
-            // All nodes may have started at once, and a large fleet has many endpoints.
-            let most = HISTORY_SPREAD * u32::try_from(change.updated.len()).unwrap_or(u32::MAX);
-            self.history.want(now + most.mul_f64(self.rng.random()));
+        if query_caches && change.updated.len() <= MAX_CACHE_QUERIES {
+            // A large fleet that starts at once reads it only where a stream is in doubt.
+            self.history.want();
         }
         for endpoint in &change.removed {
             self.remove(endpoint, now);
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -17,8 +17,11 @@
 /// Time between two clean-ups of prefixes, crashes and suspicions, which expire slowly.
 const CLEAN_UP_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Number of endpoints whose cached prefixes a node queries after its start.
-const MAX_CACHE_QUERIES: usize = 32;
+/// Most endpoints whose cached prefixes one node queries after its start.
+pub(super) const MAX_CACHE_QUERIES: usize = 32;
+
+/// Endpoints that each node queries if there are more, since the lists of a large fleet delay its endpoints.
+const SHARED_CACHE_QUERIES: usize = 16;
 
 impl Dispatcher {
     /// Performs the periodic work and returns the actions that are due.
@@ -111,7 +114,7 @@
             .collect();
         due.sort_by_key(|(rank, _)| *rank);
         if due.len() > MAX_CACHE_QUERIES {
-            due.truncate(MAX_CACHE_QUERIES);
+            due.truncate(SHARED_CACHE_QUERIES);
             self.listing.skip();
         }
         for (_, query) in &due {
@@ -132,10 +135,11 @@
 
     /// Returns whether the evictions of an endpoint matter that is about to list its cache.
     ///
-    /// They do once after a start in a fleet that has run before.
+    /// They do once after a start in a fleet that has run before, where nodes do not share the lists out.
     #[must_use]
     pub fn needs_evictions(&self, key: Key, now: Time) -> bool {
-        self.versions.is_history_short(now) && !self.listing.shows(key)
+        let is_first = !self.listing.shows(key) && !self.listing.is_partial();
+        self.versions.is_history_short(now) && is_first
     }
 
     /// Records the prompt prefixes that an endpoint has evicted, which it has read nevertheless.
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -257,7 +257,7 @@
             return Err(Doubt::Unconfirmed);
         }
         if !self.history.is_read() {
-            self.history.want(now);
+            self.history.want();
             return Err(Doubt::Unread);
         }
         if self.may_have_begun_elsewhere(flight, own, software) {
--- a/crates/peridotdeck-core/src/dispatch/stream/history.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/history.rs
@@ -83,26 +83,22 @@
     /// Number of changes of the list that are known.
     changes: usize,
     is_read: bool,
-    /// Time from which a read is asked for.
-    wanted: Option<Time>,
+    is_wanted: bool,
     read_begun: Option<Time>,
 }
 
 impl History {
-    /// Asks for a read of the publisher's history from a time on, unless it has been read or asked for.
-    pub fn want(&mut self, from: Time) {
-        if !self.is_read {
-            self.wanted.get_or_insert(from);
-        }
+    /// Asks for a read of the publisher's history, unless it has been read.
+    pub fn want(&mut self) {
+        self.is_wanted = !self.is_read;
     }
 
     /// Returns whether to begin a read now.
     pub fn begin_read(&mut self, now: Time) -> bool {
         let is_running = |begun: Time| now.saturating_sub(begun) < MAX_READ;
-        let is_due = self.wanted.is_some_and(|from| now >= from);
-        let begins = is_due && !self.read_begun.is_some_and(is_running);
+        let begins =
+            std::mem::take(&mut self.is_wanted) && !self.read_begun.is_some_and(is_running);
         if begins {
-            self.wanted = None;
             self.read_begun = Some(now);
         }
         begins
