Rank a session's endpoints only beside several versions

Callers see nothing: each placement of a resumable stream ranked all endpoints by a digest before it looked whether there are several versions at all, which there mostly are not. The versions are compared first now; the decision is the same.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -306,11 +306,13 @@
         if flight.goes_on() || flight.failures > 0 || !flight.route.is_resumable() {
             return None;
         }
-        let mut lasting = self.lasting(&flight.service);
+        let lasting = self.lasting(&flight.service);
+        let any = lasting.clone().next()?.software;
+        if lasting.clone().all(|state| state.software == any) {
+            return None;
+        }
         let rank = |state: &&State| session::rank(own, &state.info.id);
-        let first = lasting.clone().max_by_key(rank)?.software;
-        let is_mixed = lasting.any(|state| state.software != first);
-        is_mixed.then_some(first)
+        lasting.max_by_key(rank).map(|state| state.software)
     }
 
     /// Returns the endpoints of a service that are not about to leave.
