Count the endpoints without a list that counts for a stream

What operators saw: event=stream_unknown doubt=unlisted unlisted=N told how many endpoints this node had not listed itself since the request. In services of more endpoints than a node lists that is nearly all of them, whatever others have told, so the line could not tell a list that comes late from one that nobody makes.

The count is of the endpoints that the decision itself lacks.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -272,19 +272,24 @@
     /// each must have been listed by anyone.
     fn are_others_listed(&self, flight: &Flight, software: Software) -> bool {
         let mut others = self.others(flight, software);
+        others.all(|state| self.is_listed(state, flight))
+    }
+
+    /// Returns whether an endpoint's list counts for a stream that is taken up.
+    fn is_listed(&self, state: &State, flight: &Flight) -> bool {
         if self.listing.is_partial() {
-            return others.all(|state| self.has_listed(state.key));
+            return self.has_listed(state.key);
         }
-        others.all(|state| self.listing.shows_since(state.key, flight.arrived))
+        self.listing.shows_since(state.key, flight.arrived)
     }
 
-    /// Returns how many endpoints of a request's service have not listed their caches since it came.
+    /// Returns how many endpoints of a request's service lack a list that counts for its stream.
     #[must_use]
     pub fn unlisted(&self, flight: &Flight) -> usize {
         let endpoints = self.endpoints_of(&flight.service);
-        let unlisted =
-            endpoints.filter(|state| !self.listing.shows_since(state.key, flight.arrived));
-        unlisted.count()
+        endpoints
+            .filter(|state| !self.is_listed(state, flight))
+            .count()
     }
 
     /// Returns whether a stream may have begun at an endpoint of another version that has left unlisted.
