--- a/crates/peridotdeck-core/src/dispatch/dispatcher/holders.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/holders.rs
@@ -17,7 +17,7 @@
 };
 
 /// Nodes of a data centre that tell others of the parts that an endpoint has cached.
-const LISTERS: usize = 2;
+pub(super) const LISTERS: usize = 2;
 
 /// Most streams or lookups in one message, so that it fits a datagram.
 const MAX_ENTRIES: usize = 48;
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Reverse, time::Duration};
 
-use super::Dispatcher;
+use super::{Dispatcher, holders::LISTERS};
 use crate::{
     dispatch::{
         Key, Prefix,
@@ -96,6 +96,9 @@
         if !self.listing.is_partial() && self.listing.take_wanted(now) {
             queries = self.states.iter().map(State::cache_query).collect();
         }
+        if self.listing.take_check(now) {
+            queries.extend(self.missed_lists(now));
+        }
         let states = queries
             .iter()
             .filter_map(|query| Some((query, self.state(query.key)?)));
@@ -115,7 +118,7 @@
         due.sort_by_key(|(rank, _)| *rank);
         if due.len() > MAX_CACHE_QUERIES {
             due.truncate(SHARED_CACHE_QUERIES);
-            self.listing.skip();
+            self.listing.skip(now);
         }
         for (_, query) in &due {
             self.listing.begin(query.key, now);
@@ -123,6 +126,21 @@
         due.into_iter().map(|(_, query)| query).collect()
     }
 
+    /// Returns queries of the endpoints here that this node has not listed, though it is to tell of them.
+    ///
+    /// They joined after the start, or have not answered. Nobody else calls them, and while one of another
+    /// version is unlisted, no stream that only caches know goes on.
+    fn missed_lists(&self, now: Time) -> impl Iterator<Item = CacheQuery> {
+        let is_history_short = self.versions.is_history_short(now);
+        let missed = self.states.iter().filter(move |state| {
+            is_history_short
+                && state.info.data_centre == self.options.data_centre
+                && self.listing.lacks(state.key, now)
+                && self.fleet.is_among_first(LISTERS, state.key, now)
+        });
+        missed.map(State::cache_query)
+    }
+
     /// Records the prompt prefixes that an endpoint holds in memory.
     pub fn record_cached(&mut self, key: Key, parts: &[Prefix], now: Time) {
         if self.find(key).is_ok() {
--- a/crates/peridotdeck-core/src/dispatch/stream/listing.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/listing.rs
@@ -2,7 +2,8 @@
 //!
 //! Where there are too many endpoints for one node, each node lists some of them and tells others of
 //! the parts, by the parts' digests, and of the endpoints that have listed theirs. So the list of all
-//! is shared out, and a node that needs to know who holds a part asks the same nodes.
+//! is shared out, and a node that needs to know who holds a part asks the same nodes. What nobody has
+//! listed, since it joined after the start or did not answer, is called again by its own data centre.
 
 use std::time::Duration;
 
@@ -11,13 +12,19 @@
     id::Time,
 };
 
-/// Times after the first list at which other nodes are told: peers that start together know each other
+/// Times after a list at which other nodes are told of it: peers that start together know each other
 /// at the first one, and later ones have started by the second one.
 const TURNS: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(4)];
 
 /// Shortest time between two lists of all endpoints, which delay their work.
 const INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time between two looks at what is to be told, since all that is known is sorted each time.
+const TOLD_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time between two searches for endpoints that this node should have listed.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Time after which a call without an answer has failed.
 const MAX_CALL: Duration = Duration::from_millis(1_200);
 
@@ -31,6 +38,16 @@
     answered: Option<Time>,
 }
 
+/// The parts of one endpoint, of which others are told.
+#[derive(Clone, Debug)]
+struct List {
+    key: Key,
+    parts: Vec<Prefix>,
+    added: Time,
+    /// Turns at which others have been told.
+    turns: usize,
+}
+
 /// The caches that a node has listed since its start, while others need to be told of them.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
@@ -38,15 +55,33 @@
     is_wanted: bool,
     repeated: Option<Time>,
     is_partial: bool,
-    begun: Option<Time>,
-    turns: usize,
-    parts: Vec<(Key, Vec<Prefix>)>,
+    lists: Vec<List>,
+    told: Time,
+    checked: Time,
 }
 
 impl Listing {
-    /// Records that an endpoint is not asked by this node, since there are too many.
-    pub fn skip(&mut self) {
+    /// Records that some endpoints are not called by this node, since there are too many.
+    pub fn skip(&mut self, now: Time) {
         self.is_partial = true;
+        self.checked = now;
+    }
+
+    /// Returns whether to look for endpoints that this node should have listed, and has not.
+    pub fn take_check(&mut self, now: Time) -> bool {
+        let is_due = self.is_partial && now.saturating_sub(self.checked) >= CHECK_INTERVAL;
+        if is_due {
+            self.checked = now;
+        }
+        is_due
+    }
+
+    /// Returns whether an endpoint has answered no call, and may be called again.
+    #[must_use]
+    pub fn lacks(&self, key: Key, now: Time) -> bool {
+        let is_running = |begun: Time| now.saturating_sub(begun) < MAX_CALL;
+        let mut calls = self.calls.iter().filter(|call| call.key == key);
+        calls.all(|call| call.answered.is_none() && !call.begun.is_some_and(is_running))
     }
 
     /// Returns whether this node lists some of the endpoints only.
@@ -112,27 +147,32 @@
     /// Keeps the parts that an endpoint has cached, if other nodes need to be told of them.
     pub fn add(&mut self, key: Key, parts: &[Prefix], now: Time) {
         let call = self.call(key);
+        let is_first = call.answered.is_none();
         call.answered = call.begun.take().max(call.answered);
-        if self.is_partial && self.turns < TURNS.len() {
-            self.begun.get_or_insert(now);
-            self.parts.push((key, parts.to_vec()));
+        if self.is_partial && is_first {
+            self.lists.push(List {
+                key,
+                parts: parts.to_vec(),
+                added: now,
+                turns: 0,
+            });
         }
     }
 
     /// Returns the parts of each endpoint that others are to be told of now, if it is time to.
     pub fn take_due(&mut self, now: Time) -> Vec<(Key, Vec<Prefix>)> {
-        let Some(begun) = self.begun else {
-            return Vec::new();
-        };
-        let is_due = |turn: &Duration| now.saturating_sub(begun) >= *turn;
-        if !TURNS.get(self.turns).is_some_and(is_due) {
+        if self.lists.is_empty() || now.saturating_sub(self.told) < TOLD_INTERVAL {
             return Vec::new();
         }
-        self.turns += 1;
-        if self.turns == TURNS.len() {
-            std::mem::take(&mut self.parts)
-        } else {
-            self.parts.clone()
+        self.told = now;
+        let mut due = Vec::new();
+        for list in &mut self.lists {
+            if now.saturating_sub(list.added) >= TURNS[list.turns] {
+                list.turns += 1;
+                due.push((list.key, list.parts.clone()));
+            }
         }
+        self.lists.retain(|list| list.turns < TURNS.len());
+        due
     }
 }
--- a/crates/peridotdeck-core/tests/testsuite/left_versions.rs
+++ b/crates/peridotdeck-core/tests/testsuite/left_versions.rs
@@ -3,55 +3,16 @@
 //! The endpoints that stay have read sessions whose streams began elsewhere. A node that trusts such a cache
 //! joins events of two versions, and one that trusts none refuses sound streams.
 
-use crate::{dispatch::ms, software_versions::endpoints, world::World};
+use crate::{
+    dispatch::ms,
+    software_versions::endpoints,
+    taken_streams::{begin, take_up},
+    world::World,
+};
 
 const OLD: [(usize, &str); 3] = [(0, "v1"), (1, "v1"), (2, "v1")];
 const NEW: [(usize, &str); 3] = [(0, "v2"), (1, "v2"), (2, "v2")];
 
-/// Number of streams that are begun in each play.
-const STREAMS: u64 = 60;
-
-/// Streams of one play: begun, gone on, and gone on at another version.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Counts {
-    begun: usize,
-    going: usize,
-    mixed: usize,
-}
-
-/// Begins a stream of each session, and returns the versions.
-fn begin(world: &mut World, name: &str) -> Vec<String> {
-    let nodes = world.nodes.len() as u64;
-    let versions = (0..STREAMS).map(|session| {
-        let node = (session % nodes) as usize;
-        world.stream_of(node, &format!("{name}{session}"), None, Some(session))
-    });
-    versions.map(|version| version.expect("begun")).collect()
-}
-
-/// Takes all streams up, and counts those of one version.
-fn take_up(world: &mut World, versions: &[String], of: &str) -> Counts {
-    let nodes = world.nodes.len();
-    let mut counts = Counts::default();
-    for (session, version) in versions.iter().enumerate() {
-        if version != of {
-            continue;
-        }
-        let (id, began) = (format!("taken{session}"), format!("begun{session}"));
-        let went_on = world.stream_of(
-            (session * 5 + 1) % nodes,
-            &id,
-            Some(&began),
-            Some(session as u64),
-        );
-        counts.begun += 1;
-        counts.going += usize::from(went_on.is_some());
-        counts.mixed += usize::from(went_on.is_some_and(|other| other != of));
-    }
-    println!("{nodes} nodes: {of} {counts:?}");
-    counts
-}
-
 fn world(nodes: usize, seed: u64) -> World {
     let mut world = World::new(nodes, 3, seed);
     world.callers.0.clear();
