Keep the reads that streams wait for in one type

Step and History had the same begin_read and the same bound on a read, word for word. Reading holds whether a read is asked for and whether one runs; both use it.

--- a/crates/peridotdeck-core/src/dispatch/stream.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream.rs
@@ -17,6 +17,7 @@
 mod listing;
 mod origin;
 mod outbox;
+mod reading;
 pub mod session;
 pub(super) mod step;
 mod table;
--- a/crates/peridotdeck-core/src/dispatch/stream/history.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/history.rs
@@ -3,9 +3,7 @@
 //! The publisher keeps the latest changes of its entries, also those of before this node's start. They
 //! name what has left before anyone who is left had listed it.
 
-use std::time::Duration;
-
-use super::origin::Origin;
+use super::{origin::Origin, reading::Reading};
 use crate::{
     dispatch::{
         Key, Prefix, Software,
@@ -14,9 +12,6 @@
     id::Time,
 };
 
-/// Time for which a read of the history may run before another is begun.
-const MAX_READ: Duration = Duration::from_millis(500);
-
 /// Most endpoints that are kept; if there are more, the history counts as unknown.
 const MAX_DEPARTED: usize = 4_096;
 
@@ -83,25 +78,18 @@
     /// Number of changes of the list that are known.
     changes: usize,
     is_read: bool,
-    is_wanted: bool,
-    read_begun: Option<Time>,
+    reading: Reading,
 }
 
 impl History {
     /// Asks for a read of the publisher's history, unless it has been read.
     pub fn want(&mut self) {
-        self.is_wanted = !self.is_read;
+        self.reading.set_wanted(!self.is_read);
     }
 
     /// Returns whether to begin a read now.
     pub fn begin_read(&mut self, now: Time) -> bool {
-        let is_running = |begun: Time| now.saturating_sub(begun) < MAX_READ;
-        let begins =
-            std::mem::take(&mut self.is_wanted) && !self.read_begun.is_some_and(is_running);
-        if begins {
-            self.read_begun = Some(now);
-        }
-        begins
+        self.reading.begin(now)
     }
 
     /// Returns whether the endpoints that left before the start are known.
--- a/crates/peridotdeck-core/src/dispatch/stream/step.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/step.rs
@@ -2,14 +2,12 @@
 
 use std::time::Duration;
 
+use super::reading::Reading;
 use crate::{dispatch::registry::Position, id::Time};
 
 /// Time for which a read of the publisher shows that the list is complete.
 pub const CONFIRMED: Duration = Duration::from_secs(1);
 
-/// Time for which a read may run before another is begun.
-const MAX_READ: Duration = Duration::from_millis(500);
-
 /// Time for which a change that a peer has announced counts; live peers repeat it.
 const ANNOUNCED: Duration = Duration::from_secs(2);
 
@@ -20,8 +18,7 @@
     announced: Option<(Position, Time)>,
     /// Time at which the last read began that has shown the whole list.
     confirmed: Option<Time>,
-    is_wanted: bool,
-    read_begun: Option<Time>,
+    reading: Reading,
 }
 
 impl Step {
@@ -42,7 +39,7 @@
 
     /// Records that a read which began at a time has shown the whole list.
     pub fn confirm(&mut self, begun: Time) {
-        self.read_begun = None;
+        self.reading.end();
         self.confirmed = self.confirmed.max(Some(begun));
     }
 
@@ -54,23 +51,17 @@
 
     /// Asks for a read of the publisher, because nothing else shows whether the list is complete.
     pub fn want_read(&mut self) {
-        self.is_wanted = true;
+        self.reading.set_wanted(true);
     }
 
     /// Returns whether a read is asked for, since a stream waits for the complete list.
     #[must_use]
     pub fn is_read_wanted(&self) -> bool {
-        self.is_wanted
+        self.reading.is_wanted()
     }
 
     /// Returns whether to begin a read now.
     pub fn begin_read(&mut self, now: Time) -> bool {
-        let is_running = |begun: Time| now.saturating_sub(begun) < MAX_READ;
-        let begins =
-            std::mem::take(&mut self.is_wanted) && !self.read_begun.is_some_and(is_running);
-        if begins {
-            self.read_begun = Some(now);
-        }
-        begins
+        self.reading.begin(now)
     }
 }
