--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -246,7 +246,7 @@
         versions.dedup();
         let software = match versions[..] {
             [software] => software,
-            [] => return Err(Doubt::Uncached),
+            [] => return Err(self.doubt_uncached(flight)),
             _ => return Err(Doubt::SeveralCached),
         };
         if !self.are_others_listed(flight, software) {
@@ -266,6 +266,16 @@
         Ok(software)
     }
 
+    /// Returns why no endpoint is known to hold a part: one that does may not have been listed yet.
+    fn doubt_uncached(&mut self, flight: &Flight) -> Doubt {
+        let is_unlisted = |state: &State| !self.has_listed(state.key);
+        if self.endpoints_of(&flight.service).any(is_unlisted) {
+            self.listing.want();
+            return Doubt::Unlisted;
+        }
+        Doubt::Uncached
+    }
+
     /// Returns whether all endpoints of other versions have listed their caches since a request came.
     ///
     /// Of more endpoints than a node lists, it knows only what others have told of at the start; then
--- a/crates/peridotdeck-core/src/dispatch/stream/listing.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/listing.rs
@@ -12,9 +12,16 @@
     id::Time,
 };
 
-/// Times after a list at which other nodes are told of it: peers that start together know each other
-/// at the first one, and later ones have started by the second one.
-const TURNS: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(4)];
+/// Time after the first list at which most peers that start together know each other.
+const ACQUAINTANCE: Duration = Duration::from_millis(400);
+
+/// Times after a list at which other nodes are told of it, but for those that do not know each other
+/// yet: all peers that start together do at the second one, and later ones have started by the last.
+const TURNS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_secs(1),
+    Duration::from_secs(4),
+];
 
 /// Shortest time between two lists of all endpoints, which delay their work.
 const INTERVAL: Duration = Duration::from_millis(250);
@@ -23,7 +30,7 @@
 const TOLD_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time between two searches for endpoints that this node should have listed.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time after which a call without an answer has failed.
 const MAX_CALL: Duration = Duration::from_millis(1_200);
@@ -36,6 +43,8 @@
     begun: Option<Time>,
     /// Time of the last call that was answered.
     answered: Option<Time>,
+    /// Whether a list has been kept to tell others of it.
+    is_kept: bool,
 }
 
 /// The parts of one endpoint, of which others are told.
@@ -56,6 +65,8 @@
     repeated: Option<Time>,
     is_partial: bool,
     lists: Vec<List>,
+    /// Time of the first list.
+    begun: Option<Time>,
     told: Time,
     checked: Time,
 }
@@ -76,12 +87,12 @@
         is_due
     }
 
-    /// Returns whether an endpoint has answered no call, and may be called again.
+    /// Returns whether there is no list of an endpoint that others could be told of, and no call for one.
     #[must_use]
     pub fn lacks(&self, key: Key, now: Time) -> bool {
         let is_running = |begun: Time| now.saturating_sub(begun) < MAX_CALL;
         let mut calls = self.calls.iter().filter(|call| call.key == key);
-        calls.all(|call| call.answered.is_none() && !call.begun.is_some_and(is_running))
+        calls.all(|call| !call.is_kept && !call.begun.is_some_and(is_running))
     }
 
     /// Returns whether this node lists some of the endpoints only.
@@ -136,6 +147,7 @@
                     key,
                     begun: None,
                     answered: None,
+                    is_kept: false,
                 };
                 self.calls.insert(index, call);
                 index
@@ -146,10 +158,12 @@
 
     /// Keeps the parts that an endpoint has cached, if other nodes need to be told of them.
     pub fn add(&mut self, key: Key, parts: &[Prefix], now: Time) {
+        let is_partial = self.is_partial;
         let call = self.call(key);
-        let is_first = call.answered.is_none();
         call.answered = call.begun.take().max(call.answered);
-        if self.is_partial && is_first {
+        if is_partial && !call.is_kept {
+            call.is_kept = true;
+            self.begun.get_or_insert(now);
             self.lists.push(List {
                 key,
                 parts: parts.to_vec(),
@@ -161,7 +175,9 @@
 
     /// Returns the parts of each endpoint that others are to be told of now, if it is time to.
     pub fn take_due(&mut self, now: Time) -> Vec<(Key, Vec<Prefix>)> {
-        if self.lists.is_empty() || now.saturating_sub(self.told) < TOLD_INTERVAL {
+        let is_acquainted = |begun: Time| now.saturating_sub(begun) >= ACQUAINTANCE;
+        let is_due = now.saturating_sub(self.told) >= TOLD_INTERVAL;
+        if self.lists.is_empty() || !is_due || !self.begun.is_some_and(is_acquainted) {
             return Vec::new();
         }
         self.told = now;
--- a/crates/peridotdeck-core/tests/testsuite/shared_lists.rs
+++ b/crates/peridotdeck-core/tests/testsuite/shared_lists.rs
@@ -69,3 +69,38 @@
         check(nodes, take_up(&mut world, &versions, "v1"));
     }
 }
+
+/// Guards against refusals of what comes right after the start, because nodes tell late of what they have listed.
+#[test]
+fn streams_go_on_right_after_the_start() {
+    for nodes in [7, 60] {
+        let mut world = world(nodes, &[&OLD[..], &in_turn::<3>("v2")].concat(), 3);
+        world.listing_time = ms(50);
+        let versions = begin(&mut world, "begun");
+        let mut counts = Counts::default();
+        for (session, version) in versions.iter().enumerate().take(20) {
+            world.restart_all();
+            counts.take_up(&mut world, session, version);
+        }
+        println!("{nodes} nodes: {counts:?}");
+        check(nodes, counts);
+    }
+}
+
+/// Guards against streams of a version that was taken back which go on at the one that had read their sessions.
+#[test]
+fn session_of_a_version_taken_back_is_refused_beside_many_endpoints() {
+    for nodes in [7, 60] {
+        let mut world = world(nodes, &OLD, 4);
+        begin(&mut world, "read");
+        world.publish(endpoints(&[OLD, in_turn("v2")].concat()));
+        world.run(ms(1_500));
+        let versions = begin(&mut world, "begun");
+        world.publish(endpoints(&OLD));
+        world.run(ms(500));
+        world.restart_all();
+        let new = take_up(&mut world, &versions, "v2");
+        assert!(new.begun > 5 && new.mixed == 0, "{nodes} nodes, {new:?}");
+        check(nodes, take_up(&mut world, &versions, "v1"));
+    }
+}
--- a/crates/peridotdeck-core/tests/testsuite/taken_streams.rs
+++ b/crates/peridotdeck-core/tests/testsuite/taken_streams.rs
@@ -23,25 +23,26 @@
     versions.map(|version| version.expect("begun")).collect()
 }
 
+impl Counts {
+    /// Takes up the stream of one session, and counts it.
+    pub fn take_up(&mut self, world: &mut World, session: usize, version: &str) {
+        let (id, began) = (format!("taken{session}"), format!("begun{session}"));
+        let node = (session * 5 + 1) % world.nodes.len();
+        let went_on = world.stream_of(node, &id, Some(&began), Some(session as u64));
+        self.begun += 1;
+        self.going += usize::from(went_on.is_some());
+        self.mixed += usize::from(went_on.is_some_and(|other| other != version));
+    }
+}
+
 /// Takes all streams up, and counts those of one version.
 pub fn take_up(world: &mut World, versions: &[String], of: &str) -> Counts {
-    let nodes = world.nodes.len();
     let mut counts = Counts::default();
     for (session, version) in versions.iter().enumerate() {
-        if version != of {
-            continue;
+        if version == of {
+            counts.take_up(world, session, version);
         }
-        let (id, began) = (format!("taken{session}"), format!("begun{session}"));
-        let went_on = world.stream_of(
-            (session * 5 + 1) % nodes,
-            &id,
-            Some(&began),
-            Some(session as u64),
-        );
-        counts.begun += 1;
-        counts.going += usize::from(went_on.is_some());
-        counts.mixed += usize::from(went_on.is_some_and(|other| other != of));
     }
-    println!("{nodes} nodes: {of} {counts:?}");
+    println!("{} nodes: {of} {counts:?}", world.nodes.len());
     counts
 }
