Tell that an endpoint is listed after its parts (ORDER)

What callers saw, in a play of the core only: beside more than 32 endpoints, right after the end of all nodes, a stream of a session that both versions had served went on at the one that had not begun it.

Cause: what a node has listed, and that it has listed an endpoint, are told in the order of their digests, 256 a tick. With some hundred parts a cache the latter often comes first, and whoever knows it takes the part for absent at that endpoint, so only the other version seems to hold it.

Change: that an endpoint is listed is told once no part waits to be told, here and to other data centres.

Not closed: a node that asked for the part just before it was told, and then hears of the list. No play has shown it.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/holders.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/holders.rs
@@ -61,30 +61,53 @@
 impl Dispatcher {
     /// Remembers the parts that endpoints have cached, to tell others of them, if that is due.
     ///
-    /// The nodes that rank first for an endpoint tell, as several may have listed it.
+    /// That an endpoint is listed is told after its parts: who knows it takes a part that it has not been
+    /// told of for absent.
     fn share_listing(&mut self, now: Time) {
         let due = self.listing.take_due(now);
         if !self.versions.is_history_short(now) {
             return;
         }
-        let until = now + self.versions.history_left(now);
+        let mut entries = Vec::new();
         for (key, parts) in due {
-            let Some(software) = self.state(key).map(|state| state.software) else {
-                continue;
-            };
-            let told = !self.fleet.is_among_first(LISTERS, key, now);
             let parts = parts.into_iter().map(stream::part);
-            let entries = parts.chain([stream::list(key)]).map(|stream| Entry {
-                stream,
-                software,
-                until,
-                told,
-                is_own: false,
-            });
+            entries.extend(self.shared_entries(key, parts, now));
+        }
+        if entries.is_empty() && self.streams.is_told() && self.outbox.is_empty() {
+            for key in self.listing.take_unmarked() {
+                let mark = std::iter::once(stream::list(key));
+                entries.extend(self.shared_entries(key, mark, now));
+            }
+        }
+        if !entries.is_empty() {
             self.streams.extend(entries);
         }
     }
 
+    /// Returns entries of what an endpoint has cached; none if it has left.
+    ///
+    /// The nodes that rank first for an endpoint tell others, as several may have listed it.
+    fn shared_entries(
+        &self,
+        key: Key,
+        streams: impl Iterator<Item = stream::Id>,
+        now: Time,
+    ) -> Vec<Entry> {
+        let Some(software) = self.state(key).map(|state| state.software) else {
+            return Vec::new();
+        };
+        let until = now + self.versions.history_left(now);
+        let told = !self.fleet.is_among_first(LISTERS, key, now);
+        let entries = streams.map(|stream| Entry {
+            stream,
+            software,
+            until,
+            told,
+            is_own: false,
+        });
+        entries.collect()
+    }
+
     /// Remembers the parts that an endpoint held when it was removed, since it may have run streams before
     /// the start.
     pub(super) fn keep_departed(&mut self, endpoint: &registry::Endpoint, now: Time) {
--- a/crates/peridotdeck-core/src/dispatch/stream/listing.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/listing.rs
@@ -65,6 +65,8 @@
     repeated: Option<Time>,
     is_partial: bool,
     lists: Vec<List>,
+    /// Endpoints whose parts others are told of, but not yet that these are all.
+    unmarked: Vec<Key>,
     /// Time of the first list.
     begun: Option<Time>,
     told: Time,
@@ -189,6 +191,12 @@
             }
         }
         self.lists.retain(|list| list.turns < TURNS.len());
+        self.unmarked.extend(due.iter().map(|(key, _)| *key));
         due
     }
+
+    /// Returns the endpoints that others may be told are listed, once they know of all parts.
+    pub fn take_unmarked(&mut self) -> Vec<Key> {
+        std::mem::take(&mut self.unmarked)
+    }
 }
--- a/crates/peridotdeck-core/src/dispatch/stream/outbox.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/outbox.rs
@@ -27,6 +27,12 @@
         }
     }
 
+    /// Returns whether no stream waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
     /// Returns up to `most` streams, if it is time to tell them or they are urgent.
     pub fn take_due(&mut self, most: usize, is_urgent: bool, now: Time) -> Vec<Entry> {
         let is_over = |since: Time| now.saturating_sub(since) >= INTERVAL;
--- a/crates/peridotdeck-core/src/dispatch/stream/table.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/table.rs
@@ -96,6 +96,12 @@
         taken
     }
 
+    /// Returns whether others have been told of all streams that they are to know.
+    #[must_use]
+    pub fn is_told(&self) -> bool {
+        self.untold == 0
+    }
+
     /// Forgets the streams that no caller may take up any more.
     pub fn expire(&mut self, now: Time) {
         self.entries.retain(|entry| entry.until > now);
--- a/crates/peridotdeck-core/tests/testsuite/shared_lists.rs
+++ b/crates/peridotdeck-core/tests/testsuite/shared_lists.rs
@@ -104,3 +104,28 @@
         check(nodes, take_up(&mut world, &versions, "v1"));
     }
 }
+
+/// Guards against streams that go on at the wrong version, because a node is told that an endpoint is listed before it is told of the parts.
+#[test]
+fn session_at_both_versions_is_refused_while_large_lists_are_told() {
+    for nodes in [7, 20] {
+        let mut world = world(nodes, &OLD, 5);
+        begin(&mut world, "read");
+        world.publish(endpoints(&[OLD, in_turn("v2")].concat()));
+        world.run(ms(1_500));
+        let versions = begin(&mut world, "begun");
+        world.fill_caches(500);
+        let mut counts = Counts::default();
+        for (session, version) in versions.iter().enumerate() {
+            if version == "v2" {
+                world.restart_all();
+                counts.take_up(&mut world, session, version);
+            }
+        }
+        println!("{nodes} nodes: {counts:?}");
+        assert!(
+            counts.begun > 5 && counts.mixed == 0,
+            "{nodes} nodes, {counts:?}"
+        );
+    }
+}
--- a/crates/peridotdeck-core/tests/testsuite/world/streams.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world/streams.rs
@@ -58,6 +58,16 @@
         }
     }
 
+    /// Adds parts of prompts of their own to the caches of all endpoints.
+    pub fn fill_caches(&mut self, parts: u64) {
+        let keys = self.endpoints.iter().map(super::key);
+        let filled = keys.flat_map(|key| {
+            let first = u64::from(key) << 32;
+            (first..first + parts).map(move |part| (key, part))
+        });
+        self.cached.extend(filled.collect::<Vec<_>>());
+    }
+
     /// Lists the prompt parts that endpoints have cached, at a node that has started.
     pub fn list_caches(&mut self, node: usize) {
         let Some(dispatcher) = &self.nodes[node] else {
