Tell of lists also where streams begin in each tick

Found by reading: that an endpoint is listed was told once no stream was untold at the begin of a tick. A node at which a stream begins in each tick would never have told it, and every stream in doubt would have been refused.

The look comes after the tick's messages have been made, when only what did not fit them is untold.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/holders.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/holders.rs
@@ -60,9 +60,6 @@
 
 impl Dispatcher {
     /// Remembers the parts that endpoints have cached, to tell others of them, if that is due.
-    ///
-    /// That an endpoint is listed is told after its parts: who knows it takes a part that it has not been
-    /// told of for absent.
     fn share_listing(&mut self, now: Time) {
         let due = self.listing.take_due(now);
         if !self.versions.is_history_short(now) {
@@ -73,11 +70,22 @@
             let parts = parts.into_iter().map(stream::part);
             entries.extend(self.shared_entries(key, parts, now));
         }
-        if entries.is_empty() && self.streams.is_told() && self.outbox.is_empty() {
-            for key in self.listing.take_unmarked() {
-                let mark = std::iter::once(stream::list(key));
-                entries.extend(self.shared_entries(key, mark, now));
-            }
+        if !entries.is_empty() {
+            self.streams.extend(entries);
+        }
+    }
+
+    /// Remembers that endpoints are listed, to tell others of that after their parts.
+    ///
+    /// Who knows it takes a part that it has not been told of for absent.
+    fn mark_listed(&mut self, now: Time) {
+        if !self.streams.is_told() || !self.outbox.is_empty() {
+            return;
+        }
+        let mut entries = Vec::new();
+        for key in self.listing.take_unmarked() {
+            let mark = std::iter::once(stream::list(key));
+            entries.extend(self.shared_entries(key, mark, now));
         }
         if !entries.is_empty() {
             self.streams.extend(entries);
@@ -204,6 +212,7 @@
         let is_urgent =
             is_alone || self.versions.is_any_mixed() || self.versions.is_history_short(now);
         let due = self.outbox.take_due(MAX_TOLD, is_urgent, now);
+        self.mark_listed(now);
         if lookups.is_empty() && untold.is_empty() && due.is_empty() {
             return Vec::new();
         }
--- a/crates/peridotdeck-core/src/dispatch/stream/listing.rs
+++ b/crates/peridotdeck-core/src/dispatch/stream/listing.rs
@@ -15,8 +15,8 @@
 /// Time after the first list at which most peers that start together know each other.
 const ACQUAINTANCE: Duration = Duration::from_millis(400);
 
-/// Times after a list at which other nodes are told of it, but for those that do not know each other
-/// yet: all peers that start together do at the second one, and later ones have started by the last.
+/// Times after a list at which other nodes are told of it, once most of them are known: all that start
+/// together are by the second one, and later ones have started by the last.
 const TURNS: [Duration; 3] = [
     Duration::ZERO,
     Duration::from_secs(1),
