Wait for an unknown holder only where endpoints list their caches

Found by reading: since a stream of a service without a model, whose endpoints list nothing, would have waited 1 s in place of 250 ms before it was refused as unknown, and would have had all other endpoints listed again.

What cache_queries asked of the configuration is has_model now, which both use.

--- a/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/maintenance.rs
@@ -89,9 +89,9 @@
     /// data centre come first, and of these the ones for which it ranks highest, so that all nodes
     /// together list all.
     fn cache_queries(&mut self, now: Time) -> Vec<CacheQuery> {
-        let Some(config) = self.registry.config() else {
+        if self.registry.config().is_none() {
             return Vec::new();
-        };
+        }
         let mut queries = std::mem::take(&mut self.cache_queries);
         if !self.listing.is_partial() && self.listing.take_wanted(now) {
             queries = self.states.iter().map(State::cache_query).collect();
@@ -102,17 +102,13 @@
         let states = queries
             .iter()
             .filter_map(|query| Some((query, self.state(query.key)?)));
-        let has_model = |state: &State| {
-            let service = config.service(&state.info.service);
-            service.is_some_and(|service| service.model.is_some())
-        };
         let rank = |query: &CacheQuery, state: &State| {
             let is_remote = state.info.data_centre != self.options.data_centre;
             let weight = rendezvous::weight(query.key.into(), self.options.node.into());
             (is_remote, Reverse(weight))
         };
         let mut due: Vec<_> = states
-            .filter(|(_, state)| has_model(state))
+            .filter(|(_, state)| self.has_model(&state.info.service))
             .map(|(query, state)| (rank(query, state), *query))
             .collect();
         due.sort_by_key(|(rank, _)| *rank);
@@ -126,6 +122,13 @@
         due.into_iter().map(|(_, query)| query).collect()
     }
 
+    /// Returns whether a service's endpoints can list their memory, since it has a model.
+    pub(super) fn has_model(&self, service: &str) -> bool {
+        let config = self.registry.config();
+        let service = config.and_then(|config| config.service(service));
+        service.is_some_and(|service| service.model.is_some())
+    }
+
     /// Returns queries of the endpoints here that this node has not listed, though it is to tell of them.
     ///
     /// They joined after the start, or have not answered. Nobody else calls them, and while one of another
--- a/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
+++ b/crates/peridotdeck-core/src/dispatch/dispatcher/streams.rs
@@ -268,8 +268,9 @@
 
     /// Returns why no endpoint is known to hold a part: one that does may not have been listed yet.
     fn doubt_uncached(&mut self, flight: &Flight) -> Doubt {
+        let service = flight.service.as_str();
         let is_unlisted = |state: &State| !self.has_listed(state.key);
-        if self.endpoints_of(&flight.service).any(is_unlisted) {
+        if self.has_model(service) && self.endpoints_of(service).any(is_unlisted) {
             self.listing.want();
             return Doubt::Unlisted;
         }
