--- a/crates/peridotdeck-core/tests/testsuite/evidence.rs
+++ b/crates/peridotdeck-core/tests/testsuite/evidence.rs
@@ -6,11 +6,7 @@
 const NEW: [(usize, &str); 3] = [(0, "v2"), (1, "v2"), (2, "v2")];
 
 fn world(nodes: usize, seed: u64) -> World {
-    let mut world = World::new(nodes, 3, seed);
-    world.callers.0.clear();
-    world.publish(endpoints(&OLD));
-    world.run(ms(31_000));
-    world
+    World::beside(nodes, endpoints(&OLD), seed, ms(31_000))
 }
 
 /// Guards against a read of the publisher that is older than the stream, and than its version.
--- a/crates/peridotdeck-core/tests/testsuite/joined_versions.rs
+++ b/crates/peridotdeck-core/tests/testsuite/joined_versions.rs
@@ -21,11 +21,7 @@
 
 /// Returns nodes before three endpoints of one version, which have run for a while.
 fn world(nodes: usize, seed: u64) -> World {
-    let mut world = World::new(nodes, 3, seed);
-    world.callers.0.clear();
-    world.publish(endpoints(&OLD));
-    world.run(ms(3_000));
-    world
+    World::beside(nodes, endpoints(&OLD), seed, ms(3_000))
 }
 
 /// Begins streams at nodes in turn, and returns the id and the version of each.
--- a/crates/peridotdeck-core/tests/testsuite/moved_sessions.rs
+++ b/crates/peridotdeck-core/tests/testsuite/moved_sessions.rs
@@ -22,10 +22,7 @@
 
 /// Returns nodes before two versions, of which the old one has read all sessions.
 fn world(nodes: usize, seed: u64) -> World {
-    let mut world = World::new(nodes, 3, seed);
-    world.callers.0.clear();
-    world.publish(endpoints(&OLD));
-    world.run(ms(2_000));
+    let mut world = World::beside(nodes, endpoints(&OLD), seed, ms(2_000));
     begin(&mut world, "read");
     world.publish(endpoints(&[OLD, NEW].concat()));
     world.run(ms(1_500));
--- a/crates/peridotdeck-core/tests/testsuite/out_of_step.rs
+++ b/crates/peridotdeck-core/tests/testsuite/out_of_step.rs
@@ -11,11 +11,7 @@
 
 /// Returns nodes before three endpoints of one version.
 fn world(nodes: usize, seed: u64) -> World {
-    let mut world = World::new(nodes, 3, seed);
-    world.callers.0.clear();
-    world.publish(endpoints(&OLD));
-    world.run(ms(2_000));
-    world
+    World::beside(nodes, endpoints(&OLD), seed, ms(2_000))
 }
 
 fn both_versions() -> Vec<Endpoint> {
--- a/crates/peridotdeck-core/tests/testsuite/shared_lists.rs
+++ b/crates/peridotdeck-core/tests/testsuite/shared_lists.rs
@@ -26,11 +26,7 @@
 
 /// Returns nodes beside such endpoints, which have known their versions for long.
 fn world(nodes: usize, listed: &[(usize, &str)], seed: u64) -> World {
-    let mut world = World::new(nodes, 3, seed);
-    world.callers.0.clear();
-    world.publish(endpoints(listed));
-    world.run(ms(32_000));
-    world
+    World::beside(nodes, endpoints(listed), seed, ms(32_000))
 }
 
 /// Checks that nearly all streams go on, each at its version.
--- a/crates/peridotdeck-core/tests/testsuite/world/publisher.rs
+++ b/crates/peridotdeck-core/tests/testsuite/world/publisher.rs
@@ -15,6 +15,20 @@
 const HISTORY: Duration = Duration::from_secs(20);
 
 impl World {
+    /// Starts nodes without callers, lists such endpoints, and lets the nodes run for a while.
+    pub fn beside(
+        nodes: usize,
+        listed: Vec<registry::Endpoint>,
+        seed: u64,
+        time: Duration,
+    ) -> Self {
+        let mut world = Self::new(nodes, 3, seed);
+        world.callers.0.clear();
+        world.publish(listed);
+        world.run(time);
+        world
+    }
+
     /// Replaces the listed endpoints at all nodes; those that are not given are gone.
     ///
     /// Those that were not listed before start now.
